--- /dev/null
+++ b/libraries/base/resources.cc
@@ -0,0 +1,30 @@
+#include "base/resources.h"
+
+namespace daisyarch {
+
+Resources operator+(const Resources& left, const Resources& right) {
+  return Resources{left.m_processors + right.m_processors,
+                   left.m_memory + right.m_memory,
+                   left.m_accelerators + right.m_accelerators};
+}
+
+Resources operator-(const Resources& left, const Resources& right) {
+  return Resources{left.m_processors - right.m_processors,
+                   left.m_memory - right.m_memory,
+                   left.m_accelerators - right.m_accelerators};
+}
+
+bool Fits(const Resources& demand, const Resources& room) {
+  return demand.m_processors <= room.m_processors &&
+         demand.m_memory <= room.m_memory &&
+         demand.m_accelerators <= room.m_accelerators;
+}
+
+std::string FirstShortage(const Resources& demand, const Resources& room) {
+  if (demand.m_processors > room.m_processors) return "processors";
+  if (demand.m_memory > room.m_memory) return "memory";
+  if (demand.m_accelerators > room.m_accelerators) return "accelerators";
+  return "";
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/base/stable_hash.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace daisyarch {
+
+/// A 64-bit hash that is the same in every process and build.
+std::uint64_t StableHash(std::string_view text);
+
+/// Mixes two hashes; the order of the arguments counts.
+std::uint64_t CombineHashes(std::uint64_t first, std::uint64_t second);
+
+}  // namespace daisyarch
--- /dev/null
+++ b/tests/main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
