--- /dev/null
+++ b/libraries/decisions/admission/admission.cc
@@ -0,0 +1,272 @@
+#include "decisions/admission/admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace daisyarch {
+
+namespace {
+
+constexpr double kAllPercent = 100;
+
+// A member enters the order at the present turn: time without requests earns
+// nothing that could be spent in a burst.
+MemberQueue& Activate(ClassQueue& queue, const MemberId& member) {
+  MemberQueue& entry = queue.m_members[member];
+  if (!entry.m_waiting.empty()) return entry;
+  entry.m_turn = std::max(entry.m_turn, queue.m_present_turn);
+  queue.m_turns.emplace(entry.m_turn, member);
+  return entry;
+}
+
+// Forgets a member without requests whose turn has come to lie in the past.
+void Deactivate(ClassQueue& queue, const MemberId& member) {
+  const auto entry = queue.m_members.find(member);
+  if (!entry->second.m_waiting.empty()) return;
+  queue.m_turns.erase({entry->second.m_turn, member});
+  if (entry->second.m_turn <= queue.m_present_turn) {
+    queue.m_members.erase(entry);
+  }
+}
+
+void RaiseNeed(ClassQueue& queue, TimePoint now) {
+  const double elapsed =
+      static_cast<double>((now - queue.m_need_updated_at).count());
+  const double half_lives =
+      elapsed / static_cast<double>(kSlotNeedHalfLife.count());
+  queue.m_need *= std::exp2(-half_lives);
+  queue.m_need_updated_at = now;
+  const double present =
+      static_cast<double>(queue.m_in_use) +
+      static_cast<double>(queue.m_waiting);
+  queue.m_need = std::max(queue.m_need, present);
+}
+
+double KeptSlots(const ClassQueue& queue, Slots slots) {
+  return static_cast<double>(slots.value() * queue.m_target.m_keep_percent) /
+         kAllPercent;
+}
+
+bool IsUnderKeptShare(const ClassQueue& queue, Slots slots) {
+  return static_cast<double>(queue.m_in_use) < KeptSlots(queue, slots);
+}
+
+// The slots that the other classes keep, have needed of late and do not use.
+double HeadroomForOthers(const Admission& admission, const ClassId& class_id,
+                         Slots slots) {
+  double headroom = 0;
+  for (const auto& [other_id, other] : admission.m_classes) {
+    if (other_id == class_id) continue;
+    const double wanted = std::min(KeptSlots(other, slots), other.m_need);
+    headroom += std::max(0.0, wanted - static_cast<double>(other.m_in_use));
+  }
+  return headroom;
+}
+
+bool MayTake(const Admission& admission, const ClassQueue& queue, Slots free,
+             Slots slots) {
+  if (IsUnderKeptShare(queue, slots)) return true;
+  const double headroom =
+      HeadroomForOthers(admission, queue.m_target.m_class, slots);
+  return static_cast<double>(free.value()) - 1 >= std::floor(headroom);
+}
+
+const WaitingRequest& Head(const ClassQueue& queue) {
+  const MemberId& member = queue.m_turns.begin()->second;
+  return queue.m_members.at(member).m_waiting.front();
+}
+
+// How much of its target the class's next request has used up; the one
+// closest to missing goes first.
+double Urgency(const ClassQueue& queue, TimePoint now) {
+  const Duration age = now - Head(queue).m_arrived_at;
+  const Duration service = Mean(queue.m_service_time);
+  return static_cast<double>((age + service).count()) /
+         static_cast<double>(queue.m_target.m_within.count());
+}
+
+ClassQueue* ChooseClass(Admission& admission, Slots free, Slots slots,
+                        TimePoint now) {
+  ClassQueue* best = nullptr;
+  bool best_is_under = false;
+  double best_urgency = 0;
+  for (auto& [class_id, queue] : admission.m_classes) {
+    if (queue.m_waiting == 0) continue;
+    if (!MayTake(admission, queue, free, slots)) continue;
+    const bool is_under = IsUnderKeptShare(queue, slots);
+    const double urgency = Urgency(queue, now);
+    const bool is_better =
+        best == nullptr || (is_under && !best_is_under) ||
+        (is_under == best_is_under && urgency > best_urgency);
+    if (!is_better) continue;
+    best = &queue;
+    best_is_under = is_under;
+    best_urgency = urgency;
+  }
+  return best;
+}
+
+WaitingRequest TakeFrom(ClassQueue& queue) {
+  const auto [turn, member] = *queue.m_turns.begin();
+  MemberQueue& entry = queue.m_members.at(member);
+  WaitingRequest request = std::move(entry.m_waiting.front());
+  entry.m_waiting.pop_front();
+  --queue.m_waiting;
+  queue.m_present_turn = turn;
+  queue.m_turns.erase(queue.m_turns.begin());
+  ++entry.m_turn;
+  if (entry.m_waiting.empty()) {
+    queue.m_turns.emplace(entry.m_turn, member);
+    Deactivate(queue, member);
+  } else {
+    queue.m_turns.emplace(entry.m_turn, member);
+  }
+  return request;
+}
+
+// Members take turns, so a request waits for the requests of other members
+// only as far as they stand no further back in their own queues.
+std::size_t RequestsAhead(const ClassQueue& queue, const MemberId& member) {
+  const auto entry = queue.m_members.find(member);
+  const std::size_t place =
+      entry == queue.m_members.end() ? 0 : entry->second.m_waiting.size();
+  const std::size_t members = queue.m_turns.size() + (place == 0 ? 1 : 0);
+  return std::min(queue.m_waiting, (place + 1) * members - 1);
+}
+
+// The slots that the class can count on.
+double ExpectedSlots(const ClassQueue& queue, Slots slots) {
+  const double kept = KeptSlots(queue, slots);
+  return std::max({1.0, kept, static_cast<double>(queue.m_in_use)});
+}
+
+Duration ExpectedWait(const ClassQueue& queue, const MemberId& member,
+                      Slots slots) {
+  const auto ahead = static_cast<double>(RequestsAhead(queue, member));
+  const auto service =
+      static_cast<double>(Mean(queue.m_service_time).count());
+  const double wait = ahead * service / ExpectedSlots(queue, slots);
+  return Duration(static_cast<Duration::rep>(wait));
+}
+
+// The most patient of the class's and the caller's limits does not count.
+TimePoint AnswerBy(const ClassQueue& queue, const WaitingRequest& request) {
+  return std::min(request.m_arrived_at + queue.m_target.m_within,
+                  request.m_deadline);
+}
+
+// A request that would be late all the same only delays those behind it.
+bool IsLate(const ClassQueue& queue, const WaitingRequest& request,
+            TimePoint now) {
+  return now + UpperBound(queue.m_service_time) > AnswerBy(queue, request) &&
+         now > request.m_arrived_at;
+}
+
+void TakeLateOf(ClassQueue& queue, TimePoint now,
+                std::vector<WaitingRequest>& late) {
+  std::vector<MemberId> members;
+  for (const auto& [turn, member] : queue.m_turns) members.push_back(member);
+  for (const MemberId& member : members) {
+    MemberQueue& entry = queue.m_members.at(member);
+    while (!entry.m_waiting.empty() &&
+           IsLate(queue, entry.m_waiting.front(), now)) {
+      late.push_back(std::move(entry.m_waiting.front()));
+      entry.m_waiting.pop_front();
+      --queue.m_waiting;
+    }
+    Deactivate(queue, member);
+  }
+}
+
+Error Refusal(ErrorCode code, const WaitingRequest& request,
+              const std::string& detail) {
+  return Error{code, "admit request", request.m_member.value(), detail};
+}
+
+}  // namespace
+
+void ApplyTargets(Admission& admission, const Configuration& configuration) {
+  for (const ClassTarget& target : configuration.m_classes) {
+    if (target.m_kind != ClassKind::kRequest) continue;
+    admission.m_classes[target.m_class].m_target = target;
+  }
+}
+
+Result<void> OfferRequest(Admission& admission, const WaitingRequest& request,
+                          Slots slots, TimePoint now) {
+  const auto found = admission.m_classes.find(request.m_class);
+  if (found == admission.m_classes.end()) {
+    return Refusal(ErrorCode::kNotFound, request,
+                   "no class \"" + request.m_class.value() +
+                       "\" of requests has a target");
+  }
+  ClassQueue& queue = found->second;
+  if (queue.m_waiting >= kMaximumWaitingPerClass) {
+    return Refusal(ErrorCode::kNotRun, request, "the class's queue is full");
+  }
+  const Duration wait = ExpectedWait(queue, request.m_member, slots);
+  const TimePoint answered =
+      now + wait + UpperBound(queue.m_service_time);
+  if (wait > Duration::zero() && answered > AnswerBy(queue, request)) {
+    return Refusal(ErrorCode::kNotRun, request,
+                   "it could not be answered in time");
+  }
+  Activate(queue, request.m_member).m_waiting.push_back(request);
+  ++queue.m_waiting;
+  RaiseNeed(queue, now);
+  return Success();
+}
+
+std::vector<WaitingRequest> TakeLate(Admission& admission, TimePoint now) {
+  std::vector<WaitingRequest> late;
+  for (auto& [class_id, queue] : admission.m_classes) {
+    if (queue.m_waiting > 0) TakeLateOf(queue, now, late);
+  }
+  return late;
+}
+
+std::optional<WaitingRequest> TakeNext(Admission& admission, Slots free,
+                                       Slots slots, TimePoint now) {
+  if (free <= Slots()) return std::nullopt;
+  for (auto& [class_id, queue] : admission.m_classes) RaiseNeed(queue, now);
+  ClassQueue* queue = ChooseClass(admission, free, slots, now);
+  if (queue == nullptr) return std::nullopt;
+  ++queue->m_in_use;
+  return TakeFrom(*queue);
+}
+
+void PutBack(Admission& admission, const WaitingRequest& request) {
+  ClassQueue& queue = admission.m_classes.at(request.m_class);
+  Activate(queue, request.m_member).m_waiting.push_front(request);
+  ++queue.m_waiting;
+}
+
+bool RemoveWaiting(Admission& admission, const ClassId& class_id,
+                   const MemberId& member, RequestId request) {
+  const auto queue = admission.m_classes.find(class_id);
+  if (queue == admission.m_classes.end()) return false;
+  const auto entry = queue->second.m_members.find(member);
+  if (entry == queue->second.m_members.end()) return false;
+  auto& waiting = entry->second.m_waiting;
+  const auto place =
+      std::find_if(waiting.begin(), waiting.end(),
+                   [request](const WaitingRequest& other) {
+                     return other.m_id == request;
+                   });
+  if (place == waiting.end()) return false;
+  waiting.erase(place);
+  --queue->second.m_waiting;
+  Deactivate(queue->second, member);
+  return true;
+}
+
+void ReleaseSlot(Admission& admission, const ClassId& class_id) {
+  --admission.m_classes.at(class_id).m_in_use;
+}
+
+void LearnServiceTime(Admission& admission, const ClassId& class_id,
+                      Duration service_time) {
+  Learn(admission.m_classes.at(class_id).m_service_time, service_time);
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/decisions/membership/peer_table.cc
@@ -0,0 +1,136 @@
+#include "decisions/membership/peer_table.h"
+
+#include <algorithm>
+
+namespace daisyarch {
+
+namespace {
+
+void NoteHeard(PeerContext& context) {
+  context.m_peer.m_heard_at = context.m_now;
+}
+
+void StepPeer(const PeerMachine& machine, Peer& peer, PeerEvent event,
+              TimePoint now) {
+  PeerContext context{peer, now};
+  machine.Step(peer.m_state, event, context);
+}
+
+bool IsAcknowledgedOfLate(const Peer& peer, TimePoint now) {
+  return peer.m_acknowledged_at &&
+         now < *peer.m_acknowledged_at + kAcknowledgementTerm;
+}
+
+}  // namespace
+
+ChartBinding<PeerContext> PeerBinding() {
+  return {{"new", "alive", "suspected"},
+          {"heard", "missed"},
+          {},
+          {{"note_heard", NoteHeard}}};
+}
+
+void AdoptMembers(PeerTable& table, const MemberList& members, TimePoint now) {
+  if (members.m_version <= table.m_members.m_version) return;
+  std::map<NodeId, Peer> peers;
+  for (const Member& member : members.m_members) {
+    if (member.m_node == table.m_self.m_node) continue;
+    const auto known = table.m_peers.find(member.m_node);
+    const bool goes_on =
+        known != table.m_peers.end() &&
+        known->second.m_member.m_incarnation == member.m_incarnation;
+    Peer peer;
+    if (goes_on) peer = known->second;
+    peer.m_member = member;
+    // A vote holds under its own list only: that list cannot be changed by
+    // a late write any more.
+    peer.m_vote.reset();
+    if (!goes_on) {
+      peer.m_heard_at = now;
+      peer.m_acknowledged_peer_at = now;
+    }
+    peers.emplace(member.m_node, peer);
+  }
+  table.m_peers = std::move(peers);
+  table.m_members = members;
+}
+
+HeartbeatAnswer AnswerHeartbeat(PeerTable& table, const PeerMachine& machine,
+                                const Heartbeat& heartbeat,
+                                ConfigurationVersion configuration,
+                                TimePoint now) {
+  HeartbeatAnswer answer;
+  answer.m_incarnation = table.m_self.m_incarnation;
+  answer.m_members = table.m_members.m_version;
+  answer.m_configuration = configuration;
+  const auto found = table.m_peers.find(heartbeat.m_node);
+  if (found == table.m_peers.end()) return answer;
+  Peer& peer = found->second;
+  if (peer.m_member.m_incarnation != heartbeat.m_incarnation) return answer;
+  StepPeer(machine, peer, PeerEvent::kHeard, now);
+  peer.m_settled = heartbeat.m_settled;
+  peer.m_idle_slots = heartbeat.m_idle_slots;
+  if (peer.m_vote) return answer;
+  peer.m_acknowledged_peer_at = now;
+  answer.m_is_acknowledged = true;
+  return answer;
+}
+
+void ApplyAnswer(PeerTable& table, const PeerMachine& machine,
+                 const NodeId& node, const HeartbeatAnswer& answer,
+                 TimePoint sent_at, TimePoint now) {
+  const auto found = table.m_peers.find(node);
+  if (found == table.m_peers.end()) return;
+  Peer& peer = found->second;
+  if (peer.m_member.m_incarnation != answer.m_incarnation) return;
+  StepPeer(machine, peer, PeerEvent::kHeard, now);
+  if (!answer.m_is_acknowledged) return;
+  peer.m_acknowledged_at =
+      std::max(peer.m_acknowledged_at.value_or(sent_at), sent_at);
+}
+
+void CheckPeers(PeerTable& table, const PeerMachine& machine, TimePoint now) {
+  for (auto& [node, peer] : table.m_peers) {
+    if (now < peer.m_heard_at + kSuspectAfter) continue;
+    StepPeer(machine, peer, PeerEvent::kMissed, now);
+  }
+}
+
+std::size_t Majority(std::size_t others) { return others / 2 + 1; }
+
+bool MayServe(const PeerTable& table, TimePoint now) {
+  const Member* self = FindMember(table.m_members, table.m_self.m_node);
+  if (self == nullptr) return false;
+  if (self->m_incarnation != table.m_self.m_incarnation) return false;
+  if (now < table.m_lease_deadline) return true;
+  if (table.m_peers.empty()) return true;
+  const auto acknowledged = static_cast<std::size_t>(
+      std::count_if(table.m_peers.begin(), table.m_peers.end(),
+                    [now](const auto& entry) {
+                      return IsAcknowledgedOfLate(entry.second, now);
+                    }));
+  return acknowledged >= Majority(table.m_peers.size());
+}
+
+bool VoteForRemoval(PeerTable& table, const NodeId& node,
+                    Incarnation incarnation, MemberListVersion version,
+                    TimePoint now) {
+  if (version != table.m_members.m_version) return false;
+  const auto found = table.m_peers.find(node);
+  if (found == table.m_peers.end()) return false;
+  Peer& peer = found->second;
+  if (peer.m_member.m_incarnation != incarnation) return false;
+  if (now < peer.m_acknowledged_peer_at + kRemoveAfter) return false;
+  peer.m_vote = version;
+  return true;
+}
+
+bool AllSettled(const PeerTable& table) {
+  return std::all_of(table.m_peers.begin(), table.m_peers.end(),
+                     [&table](const auto& entry) {
+                       return entry.second.m_settled >=
+                              table.m_members.m_version;
+                     });
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/decisions/ownership/partition_assignment.cc
@@ -0,0 +1,73 @@
+#include "decisions/ownership/partition_assignment.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "base/stable_hash.h"
+
+namespace daisyarch {
+
+namespace {
+
+struct Preference {
+  std::uint64_t m_score;
+  PartitionId m_partition;
+  NodeId m_node;
+};
+
+bool Before(const Preference& left, const Preference& right) {
+  return std::tie(right.m_score, left.m_partition, left.m_node) <
+         std::tie(left.m_score, right.m_partition, right.m_node);
+}
+
+std::vector<Preference> RankAll(const std::vector<PartitionId>& partitions,
+                                const std::vector<NodeId>& nodes) {
+  std::vector<Preference> preferences;
+  preferences.reserve(partitions.size() * nodes.size());
+  for (const PartitionId& partition : partitions) {
+    const std::uint64_t partition_hash = StableHash(partition.value());
+    for (const NodeId& node : nodes) {
+      const std::uint64_t score =
+          CombineHashes(partition_hash, StableHash(node.value()));
+      preferences.push_back(Preference{score, partition, node});
+    }
+  }
+  std::sort(preferences.begin(), preferences.end(), Before);
+  return preferences;
+}
+
+}  // namespace
+
+// Rendezvous hashing with a bounded load: the strongest preferences are met
+// first, and a node that holds its fair share takes no more. Plain
+// rendezvous hashing leaves one node with twice the mean at this few
+// partitions a node.
+std::map<PartitionId, NodeId> AssignPartitions(
+    const std::vector<PartitionId>& partitions,
+    const std::vector<NodeId>& nodes) {
+  std::map<PartitionId, NodeId> owners;
+  if (nodes.empty()) return owners;
+  const std::size_t floor = partitions.size() / nodes.size();
+  std::size_t left_over = partitions.size() % nodes.size();
+  std::map<NodeId, std::size_t> loads;
+  for (const Preference& preference : RankAll(partitions, nodes)) {
+    if (owners.count(preference.m_partition) != 0) continue;
+    std::size_t& load = loads[preference.m_node];
+    if (load > floor) continue;
+    if (load == floor) {
+      if (left_over == 0) continue;
+      --left_over;
+    }
+    ++load;
+    owners.emplace(preference.m_partition, preference.m_node);
+  }
+  return owners;
+}
+
+PartitionId HomePartition(const std::vector<PartitionId>& partitions,
+                          JobId job) {
+  const std::uint64_t scaled = CombineHashes(job.value(), 0);
+  return partitions[scaled % partitions.size()];
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/decisions/placement/apply_record.cc
@@ -0,0 +1,94 @@
+#include "decisions/placement/apply_record.h"
+
+namespace daisyarch {
+
+namespace {
+
+TaskEvent EventOf(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kFinished:
+      return TaskEvent::kFinished;
+    case AttemptEnd::kFailed:
+      return TaskEvent::kFailed;
+    case AttemptEnd::kStopped:
+    case AttemptEnd::kNotRun:
+    case AttemptEnd::kLost:
+      return TaskEvent::kReleased;
+  }
+  return TaskEvent::kReleased;
+}
+
+struct RecordApplier {
+  PartitionState& m_state;
+  const TaskMachine& m_machine;
+
+  void operator()(const JobAccepted& record) const {
+    Job job;
+    job.m_id = record.m_job;
+    job.m_request = record.m_request;
+    const auto [entry, is_new] = m_state.m_jobs.emplace(record.m_job, job);
+    if (!is_new) return;
+    for (std::uint32_t index = 0; index < job.m_request.m_task_count;
+         ++index) {
+      Task task;
+      task.m_id = TaskId{record.m_job, index};
+      m_state.m_tasks.emplace(task.m_id, task);
+      PushTask(m_state.m_queue, PlaceOf(entry->second), task.m_id);
+    }
+  }
+
+  void operator()(const JobCancelled& record) const {
+    const auto job = m_state.m_jobs.find(record.m_job);
+    if (job == m_state.m_jobs.end()) return;
+    job->second.m_is_cancelled = true;
+    for (std::uint32_t index = 0; index < job->second.m_request.m_task_count;
+         ++index) {
+      const auto task = m_state.m_tasks.find(TaskId{record.m_job, index});
+      if (task == m_state.m_tasks.end()) continue;
+      StepTask(m_state, m_machine, task->second, TaskEvent::kCancelled,
+               AttemptEnd::kStopped, 0);
+    }
+  }
+
+  void operator()(const TaskAssigned& record) const {
+    const auto task = m_state.m_tasks.find(record.m_task);
+    if (task == m_state.m_tasks.end()) return;
+    if (task->second.m_attempt != record.m_attempt) return;
+    if (task->second.m_state != TaskState::kQueued) return;
+    task->second.m_worker = record.m_worker;
+    task->second.m_start_incarnation = record.m_incarnation;
+    StepTask(m_state, m_machine, task->second, TaskEvent::kAssigned,
+             AttemptEnd::kStopped, 0);
+  }
+
+  void operator()(const AttemptEnded& record) const {
+    const auto task = m_state.m_tasks.find(record.m_task);
+    if (task == m_state.m_tasks.end()) return;
+    if (task->second.m_attempt != record.m_attempt) return;
+    StepTask(m_state, m_machine, task->second, EventOf(record.m_end),
+             record.m_end, record.m_checkpoint);
+  }
+
+  void operator()(const OwnerClaimed& /*record*/) const {}
+};
+
+}  // namespace
+
+void ApplyRecord(PartitionState& state, const TaskMachine& machine,
+                 const JournalRecord& record) {
+  std::visit(RecordApplier{state, machine}, record);
+}
+
+StepResult StepTask(PartitionState& state, const TaskMachine& machine,
+                    Task& task, TaskEvent event, AttemptEnd end,
+                    std::uint64_t checkpoint) {
+  Job& job = state.m_jobs.at(task.m_id.m_job);
+  TaskContext context{state, job, task, end, checkpoint};
+  const StepResult result = machine.Step(task.m_state, event, context);
+  if (!IsEnded(task.m_state)) return result;
+  const TaskId id = task.m_id;
+  state.m_tasks.erase(id);
+  return result;
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/decisions/placement/partition_engine.cc
@@ -0,0 +1,178 @@
+#include "decisions/placement/partition_engine.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "decisions/placement/apply_record.h"
+
+namespace daisyarch {
+
+namespace {
+
+Error Refuse(ErrorCode code, const PartitionEngine& engine,
+             const std::string& detail) {
+  return Error{code, "submit job", engine.m_partition.value(), detail};
+}
+
+Result<void> CheckRequest(const PartitionEngine& engine,
+                          const JobRequest& request) {
+  if (request.m_task_count == 0 ||
+      request.m_task_count > kMaximumTasksPerJob) {
+    return Refuse(ErrorCode::kInvalidArgument, engine,
+                  "a job has 1 to " + std::to_string(kMaximumTasksPerJob) +
+                      " tasks");
+  }
+  const Resources& demand = request.m_demand;
+  if (demand.m_processors <= Millicores() ||
+      demand.m_memory <= Mebibytes() ||
+      demand.m_accelerators < Accelerators()) {
+    return Refuse(ErrorCode::kInvalidArgument, engine,
+                  "a task needs processors and memory");
+  }
+  return Success();
+}
+
+// The shortage at the worker that comes closest, for the reason.
+Result<void> CheckEverFits(const PartitionEngine& engine,
+                           const Resources& demand) {
+  const Worker* largest = nullptr;
+  for (const auto& [id, worker] : engine.m_state.m_workers) {
+    if (!worker.m_is_listed) continue;
+    if (Fits(demand, worker.m_capacity)) return Success();
+    if (largest == nullptr ||
+        largest->m_capacity.m_processors < worker.m_capacity.m_processors) {
+      largest = &worker;
+    }
+  }
+  if (largest == nullptr) {
+    return Refuse(ErrorCode::kNotRun, engine, "no worker is listed yet");
+  }
+  return Refuse(ErrorCode::kInvalidArgument, engine,
+                "can never run: more " +
+                    FirstShortage(demand, largest->m_capacity) +
+                    " than the largest worker, " + largest->m_id.value());
+}
+
+Result<void> CheckBacklog(const PartitionEngine& engine,
+                          const JobRequest& request) {
+  if (engine.m_journal.m_queue.size() > kMaximumQueuedRecords) {
+    return Refuse(ErrorCode::kNotRun, engine, "the journal is behind");
+  }
+  if (engine.m_state.m_tasks.size() + request.m_task_count >
+      kMaximumOpenTasks) {
+    return Refuse(ErrorCode::kNotRun, engine, "too many tasks are open");
+  }
+  return Success();
+}
+
+struct EffectReleaser {
+  PartitionEngine& m_engine;
+  std::vector<HeldReply>& m_replies;
+
+  void operator()(const HeldReply& reply) const { m_replies.push_back(reply); }
+
+  void operator()(const HeldStart& start) const {
+    const auto task = m_engine.m_state.m_tasks.find(start.m_task);
+    if (task == m_engine.m_state.m_tasks.end()) return;
+    if (task->second.m_attempt != start.m_attempt) return;
+    task->second.m_is_durable = true;
+    m_engine.m_urgent_exchanges.insert(task->second.m_worker);
+  }
+
+  void operator()(const HeldAcknowledgement& held) const {
+    m_engine.m_acknowledgements[held.m_worker].push_back(held.m_attempt);
+  }
+};
+
+}  // namespace
+
+void CommitRecord(PartitionEngine& engine, const PlacementMachines& machines,
+                  JournalRecord record) {
+  ApplyRecord(engine.m_state, machines.m_task, record);
+  AppendRecord(engine.m_journal, std::move(record));
+}
+
+void RequestStop(PartitionEngine& engine, const PlacementMachines& machines,
+                 Task& task, StopReason reason) {
+  const WorkerId worker = task.m_worker;
+  const StepResult step =
+      StepTask(engine.m_state, machines.m_task, task,
+               TaskEvent::kStopRequested, AttemptEnd::kStopped, 0);
+  if (step == StepResult::kIgnored) return;
+  task.m_stop_reason = reason;
+  engine.m_urgent_exchanges.insert(worker);
+}
+
+Result<SubmitOutcome> SubmitJob(PartitionEngine& engine,
+                                const PlacementMachines& machines,
+                                const JobRequest& request, TicketId ticket) {
+  TRY(CheckRequest(engine, request));
+  const JobId id = DeriveJobId(request.m_member, request.m_key);
+  const auto known = engine.m_state.m_jobs.find(id);
+  if (known != engine.m_state.m_jobs.end()) {
+    if (!IsSameWork(known->second.m_request, request)) {
+      return Refuse(ErrorCode::kConflict, engine,
+                    "key \"" + request.m_key.value() +
+                        "\" stands for other work");
+    }
+    // The first submission may not be durable yet; its journal position is
+    // before this reply's.
+    engine.m_queued_effects.emplace_back(HeldReply{ticket, id});
+    const bool is_settled =
+        engine.m_journal.m_queue.empty() &&
+        engine.m_journal.m_phase == JournalPhase::kIdle;
+    if (!is_settled) return SubmitOutcome(JobPending{id});
+    engine.m_queued_effects.pop_back();
+    return SubmitOutcome(JobKnown{id});
+  }
+  TRY(CheckEverFits(engine, request.m_demand));
+  TRY(CheckBacklog(engine, request));
+  CommitRecord(engine, machines, JobAccepted{id, request});
+  engine.m_queued_effects.emplace_back(HeldReply{ticket, id});
+  return SubmitOutcome(JobPending{id});
+}
+
+Result<bool> CancelJob(PartitionEngine& engine,
+                       const PlacementMachines& machines, JobId job,
+                       TicketId ticket) {
+  const auto found = engine.m_state.m_jobs.find(job);
+  if (found == engine.m_state.m_jobs.end()) {
+    return Error{ErrorCode::kNotFound, "cancel job",
+                 engine.m_partition.value(), "no job " + ToString(job)};
+  }
+  if (IsEnded(found->second)) return false;
+  CommitRecord(engine, machines, JobCancelled{job});
+  engine.m_queued_effects.emplace_back(HeldReply{ticket, job});
+  for (std::uint32_t index = 0; index < found->second.m_request.m_task_count;
+       ++index) {
+    const auto task = engine.m_state.m_tasks.find(TaskId{job, index});
+    if (task == engine.m_state.m_tasks.end()) continue;
+    RequestStop(engine, machines, task->second, StopReason::kCancelled);
+  }
+  return true;
+}
+
+std::optional<JournalWrite> StartCommit(PartitionEngine& engine,
+                                        TimePoint now) {
+  std::optional<JournalWrite> write = StartWrite(engine.m_journal, now);
+  if (!write) return write;
+  // Effects of records that did not fit into the group wait with the rest:
+  // they may be late, never early.
+  if (!engine.m_journal.m_queue.empty()) return write;
+  engine.m_in_flight_effects = std::move(engine.m_queued_effects);
+  engine.m_queued_effects.clear();
+  return write;
+}
+
+std::vector<HeldReply> FinishCommit(PartitionEngine& engine) {
+  std::vector<HeldReply> replies;
+  const std::vector<HeldEffect> effects =
+      std::move(engine.m_in_flight_effects);
+  engine.m_in_flight_effects.clear();
+  for (const HeldEffect& effect : effects) {
+    std::visit(EffectReleaser{engine, replies}, effect);
+  }
+  return replies;
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/decisions/placement/place_tasks.cc
@@ -0,0 +1,174 @@
+#include <algorithm>
+#include <vector>
+
+#include "decisions/placement/partition_engine.h"
+#include "decisions/quota/quota.h"
+
+namespace daisyarch {
+
+namespace {
+
+/// Places of one round; the rest wait for the next group commit.
+constexpr std::size_t kMaximumPlacesPerRound = 1000;
+
+struct Round {
+  PartitionEngine& m_engine;
+  const PlacementMachines& m_machines;
+  const Configuration& m_configuration;
+  std::size_t m_partitions;
+  Millicores m_capacity;
+  Millicores m_free;
+};
+
+struct ClassCandidate {
+  ClassId m_class;
+  bool m_is_under_kept_share = false;
+  std::int64_t m_start_by = 0;
+};
+
+bool GoesFirst(const ClassCandidate& left, const ClassCandidate& right) {
+  if (left.m_is_under_kept_share != right.m_is_under_kept_share) {
+    return left.m_is_under_kept_share;
+  }
+  return left.m_start_by < right.m_start_by;
+}
+
+Millicores HeldBy(const Round& round, const ClassId& class_id) {
+  const auto& usage = round.m_engine.m_state.m_class_usage;
+  const auto found = usage.find(class_id);
+  if (found == usage.end()) return Millicores();
+  return found->second.m_reserved.m_processors;
+}
+
+Millicores KeptBy(const Round& round, const ClassId& class_id) {
+  const ClassTarget* target = FindClass(round.m_configuration, class_id);
+  if (target == nullptr) return Millicores();
+  return KeptShare(*target, round.m_capacity);
+}
+
+std::vector<ClassCandidate> OrderClasses(const Round& round) {
+  std::vector<ClassCandidate> order;
+  for (const auto& [class_id, teams] : round.m_engine.m_state.m_queue.m_classes) {
+    ClassCandidate candidate;
+    candidate.m_class = class_id;
+    candidate.m_is_under_kept_share =
+        HeldBy(round, class_id) < KeptBy(round, class_id);
+    candidate.m_start_by = teams.begin()->second.m_tasks.begin()->first;
+    for (const auto& [team, queue] : teams) {
+      candidate.m_start_by =
+          std::min(candidate.m_start_by, queue.m_tasks.begin()->first);
+    }
+    order.push_back(candidate);
+  }
+  std::sort(order.begin(), order.end(), GoesFirst);
+  return order;
+}
+
+// Teams that hold the least of the class go first, so that one team's flood
+// takes nothing from another.
+std::vector<TeamId> OrderTeams(const Round& round, const ClassId& class_id) {
+  const PartitionState& state = round.m_engine.m_state;
+  std::vector<std::pair<Millicores, TeamId>> ranked;
+  for (const auto& [team, queue] : state.m_queue.m_classes.at(class_id)) {
+    const auto usage = state.m_team_usage.find(team);
+    const Millicores held = usage == state.m_team_usage.end()
+                                ? Millicores()
+                                : usage->second.m_reserved.m_processors;
+    ranked.emplace_back(held, team);
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<TeamId> order;
+  order.reserve(ranked.size());
+  for (auto& entry : ranked) order.push_back(std::move(entry.second));
+  return order;
+}
+
+bool HasQuota(const Round& round, const TeamId& team,
+              const Resources& demand) {
+  const auto& usage = round.m_engine.m_state.m_team_usage;
+  const auto held = usage.find(team);
+  return IsWithinQuota(
+      round.m_configuration, team,
+      held == usage.end() ? Resources() : held->second.m_reserved, demand,
+      round.m_partitions);
+}
+
+bool LeavesHeadroom(const Round& round, const ClassId& class_id,
+                    const Resources& demand) {
+  if (HeldBy(round, class_id) + demand.m_processors <=
+      KeptBy(round, class_id)) {
+    return true;
+  }
+  const Millicores headroom = HeadroomForOthers(
+      round.m_configuration, round.m_engine.m_needs, round.m_engine.m_state,
+      class_id, round.m_capacity);
+  return round.m_free - demand.m_processors >= headroom;
+}
+
+void Assign(Round& round, const TaskId& id, const WorkerId& worker) {
+  PartitionEngine& engine = round.m_engine;
+  Task& task = engine.m_state.m_tasks.at(id);
+  const TaskAssigned record{id, task.m_attempt, worker,
+                            engine.m_state.m_workers.at(worker).m_incarnation};
+  CommitRecord(engine, round.m_machines, record);
+  task.m_is_durable = false;
+  engine.m_queued_effects.emplace_back(HeldStart{id, task.m_attempt});
+}
+
+// Places the first task of the first team that can have one.
+bool PlaceOne(Round& round, const ClassId& class_id) {
+  PartitionState& state = round.m_engine.m_state;
+  for (const TeamId& team : OrderTeams(round, class_id)) {
+    const TaskId task =
+        state.m_queue.m_classes.at(class_id).at(team).m_tasks.begin()->second;
+    const Resources demand = state.m_jobs.at(task.m_job).m_request.m_demand;
+    if (!HasQuota(round, team, demand)) continue;
+    if (!LeavesHeadroom(round, class_id, demand)) continue;
+    const auto worker = FindTightestFit(state.m_index, demand);
+    if (!worker) continue;
+    Assign(round, task, *worker);
+    round.m_free -= demand.m_processors;
+    return true;
+  }
+  return false;
+}
+
+bool PlaceFromAnyClass(Round& round) {
+  for (const ClassCandidate& candidate : OrderClasses(round)) {
+    if (PlaceOne(round, candidate.m_class)) return true;
+  }
+  return false;
+}
+
+void MeasureCapacity(Round& round) {
+  for (const auto& [id, worker] : round.m_engine.m_state.m_workers) {
+    if (!worker.m_is_listed) continue;
+    round.m_capacity += worker.m_capacity.m_processors;
+  }
+  for (const WorkerRoom& room : round.m_engine.m_state.m_index.m_rooms) {
+    round.m_free += room.m_free.m_processors;
+  }
+}
+
+}  // namespace
+
+// FIXME: A large task can wait for long behind small ones that take each
+// hole; a reservation for the oldest waiting task is missing.
+std::size_t PlaceTasks(PartitionEngine& engine,
+                       const PlacementMachines& machines,
+                       const Configuration& configuration,
+                       std::size_t partitions, TimePoint now) {
+  if (engine.m_state.m_queue.m_size == 0) return 0;
+  UpdateNeeds(engine.m_needs, engine.m_state, now);
+  Round round{engine, machines, configuration, partitions, {}, {}};
+  MeasureCapacity(round);
+  std::size_t placed = 0;
+  while (placed < kMaximumPlacesPerRound &&
+         engine.m_journal.m_queue.size() < kMaximumQueuedRecords) {
+    if (!PlaceFromAnyClass(round)) break;
+    ++placed;
+  }
+  return placed;
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/decisions/placement/task_chart.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "chart/machine.h"
+#include "decisions/ownership/journal_record.h"
+#include "decisions/placement/partition_state.h"
+
+namespace daisyarch {
+
+/// What the guards and actions of charts/task.yaml read and change.
+struct TaskContext {
+  PartitionState& m_state;
+  Job& m_job;
+  Task& m_task;
+  AttemptEnd m_end = AttemptEnd::kStopped;
+  std::uint64_t m_checkpoint = 0;
+};
+
+using TaskMachine = Machine<TaskState, TaskEvent, TaskContext>;
+
+/// A task that fails this often by itself is not run again.
+constexpr std::uint32_t kMaximumTaskFailures = 3;
+
+ChartBinding<TaskContext> TaskBinding();
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/decisions/placement/task_queue.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/task_id.h"
+#include "base/time.h"
+
+namespace daisyarch {
+
+/// Where a queued task waits.
+struct QueuePlace {
+  ClassId m_class;
+  TeamId m_team;
+  std::int64_t m_start_by_unix_milliseconds = 0;
+};
+
+/// The tasks of one class and team, in the order of their start targets.
+struct TeamQueue {
+  std::set<std::pair<std::int64_t, TaskId>> m_tasks;
+};
+
+/// Queued tasks by class and team.
+struct TaskQueue {
+  std::map<ClassId, std::map<TeamId, TeamQueue>> m_classes;
+  std::size_t m_size = 0;
+};
+
+void PushTask(TaskQueue& queue, const QueuePlace& place, const TaskId& task);
+
+/// Does nothing when the task is not there.
+void EraseTask(TaskQueue& queue, const QueuePlace& place, const TaskId& task);
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/decisions/placement/worker_exchange.cc
@@ -0,0 +1,275 @@
+#include "decisions/placement/worker_exchange.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+#include "decisions/ownership/lease_deadline.h"
+#include "decisions/placement/apply_record.h"
+
+namespace daisyarch {
+
+namespace {
+
+void StepWorker(PartitionEngine& engine, const PlacementMachines& machines,
+                Worker& worker, WorkerEvent event, TimePoint now) {
+  UpdateWorker(engine.m_state, worker, [&](Worker& changed) {
+    WorkerContext context{changed, now};
+    machines.m_worker.Step(changed.m_state, event, context);
+  });
+}
+
+StartOrder OrderOf(const PartitionEngine& engine, const Task& task) {
+  const JobRequest& request =
+      engine.m_state.m_jobs.at(task.m_id.m_job).m_request;
+  return StartOrder{AttemptId{task.m_id, task.m_attempt}, request.m_class,
+                    request.m_demand, request.m_run_time, task.m_checkpoint};
+}
+
+AttemptEnd EndOf(AttemptStatus status) {
+  switch (status) {
+    case AttemptStatus::kFinished:
+      return AttemptEnd::kFinished;
+    case AttemptStatus::kFailed:
+      return AttemptEnd::kFailed;
+    case AttemptStatus::kNotRun:
+      return AttemptEnd::kNotRun;
+    case AttemptStatus::kStopped:
+    case AttemptStatus::kRunning:
+      return AttemptEnd::kStopped;
+  }
+  return AttemptEnd::kStopped;
+}
+
+// Ends an attempt that is certainly not running, by rules of leases alone. A
+// start that was never sent cannot have run.
+void EndUnseen(PartitionEngine& engine, const PlacementMachines& machines,
+               const Task& task) {
+  const AttemptEnd end =
+      task.m_is_sent ? AttemptEnd::kLost : AttemptEnd::kNotRun;
+  CommitRecord(engine, machines,
+               AttemptEnded{task.m_id, task.m_attempt, end,
+                            task.m_checkpoint});
+}
+
+class ReportApplier {
+ public:
+  ReportApplier(PartitionEngine& engine, const PlacementMachines& machines,
+                Worker& worker, TimePoint now)
+      : m_engine(engine),
+        m_machines(machines),
+        m_worker(worker),
+        m_now(now) {}
+
+  void Apply(const WorkerReport& report) {
+    for (const AttemptReport& attempt : report.m_attempts) {
+      ApplyAttempt(attempt);
+    }
+    // A copy: ending a task takes it out of the worker's set.
+    const std::set<TaskId> expected = m_worker.m_tasks;
+    for (const TaskId& id : expected) {
+      if (m_reported.count(id) != 0) continue;
+      const auto task = m_engine.m_state.m_tasks.find(id);
+      if (task == m_engine.m_state.m_tasks.end()) continue;
+      ApplyAbsence(task->second, report);
+    }
+  }
+
+ private:
+  // The attempt if it is the one that is active here, else null.
+  Task* FindActive(const AttemptId& id) {
+    const auto task = m_engine.m_state.m_tasks.find(id.m_task);
+    if (task == m_engine.m_state.m_tasks.end()) return nullptr;
+    if (!IsActive(task->second.m_state)) return nullptr;
+    if (task->second.m_attempt != id.m_attempt) return nullptr;
+    if (task->second.m_worker != m_worker.m_id) return nullptr;
+    return &task->second;
+  }
+
+  void ApplyAttempt(const AttemptReport& attempt) {
+    Task* task = FindActive(attempt.m_id);
+    if (task == nullptr) {
+      ApplyUnknown(attempt);
+      return;
+    }
+    m_reported.insert(task->m_id);
+    task->m_checkpoint = std::max(task->m_checkpoint, attempt.m_checkpoint);
+    if (attempt.m_status == AttemptStatus::kRunning) {
+      StepTask(m_engine.m_state, m_machines.m_task, *task, TaskEvent::kStarted,
+               AttemptEnd::kStopped, 0);
+      return;
+    }
+    End(*task, attempt);
+  }
+
+  // An attempt that is over here: its end is on its way to the journal or in
+  // it. If the worker still runs it, it has to stop.
+  void ApplyUnknown(const AttemptReport& attempt) {
+    if (attempt.m_status == AttemptStatus::kRunning) {
+      m_engine.m_orphans[m_worker.m_id].push_back(attempt.m_id);
+      m_engine.m_urgent_exchanges.insert(m_worker.m_id);
+      return;
+    }
+    m_engine.m_queued_effects.emplace_back(
+        HeldAcknowledgement{m_worker.m_id, attempt.m_id});
+    const bool is_settled = m_engine.m_journal.m_queue.empty() &&
+                            m_engine.m_journal.m_phase == JournalPhase::kIdle;
+    if (!is_settled) return;
+    m_engine.m_queued_effects.pop_back();
+    m_engine.m_acknowledgements[m_worker.m_id].push_back(attempt.m_id);
+  }
+
+  void End(const Task& task, const AttemptReport& attempt) {
+    const TaskId id = task.m_id;
+    CountForWorker(attempt.m_status);
+    CommitRecord(m_engine, m_machines,
+                 AttemptEnded{id, attempt.m_id.m_attempt,
+                              EndOf(attempt.m_status), attempt.m_checkpoint});
+    m_engine.m_queued_effects.emplace_back(
+        HeldAcknowledgement{m_worker.m_id, attempt.m_id});
+  }
+
+  void CountForWorker(AttemptStatus status) {
+    if (status == AttemptStatus::kFinished) {
+      StepWorker(m_engine, m_machines, m_worker, WorkerEvent::kTaskFinished,
+                 m_now);
+    }
+    if (status == AttemptStatus::kFailed) {
+      StepWorker(m_engine, m_machines, m_worker, WorkerEvent::kTaskFailed,
+                 m_now);
+    }
+  }
+
+  // The worker answered and does not name the attempt. It refuses owners
+  // before this one by their epoch, and keeps each end until it is
+  // acknowledged.
+  void ApplyAbsence(Task& task, const WorkerReport& report) {
+    if (task.m_start_incarnation != report.m_incarnation) {
+      EndUnseen(m_engine, m_machines, task);
+      return;
+    }
+    // A start that is not there yet is sent again. One that ran and is
+    // forgotten has to be confirmed as stopped first.
+    if (task.m_state != TaskState::kRunning) return;
+    RequestStop(m_engine, m_machines, task, StopReason::kNotKnown);
+  }
+
+  PartitionEngine& m_engine;
+  const PlacementMachines& m_machines;
+  Worker& m_worker;
+  TimePoint m_now;
+  std::set<TaskId> m_reported;
+};
+
+void CheckSilence(PartitionEngine& engine, const PlacementMachines& machines,
+                  Worker& worker, Duration lease_term, TimePoint now) {
+  if (now >= worker.m_answered_at + kWorkerSilentAfter) {
+    StepWorker(engine, machines, worker, WorkerEvent::kMissed, now);
+  }
+  const TimePoint base = std::max(worker.m_lease_base, engine.m_owned_since);
+  if (now < LapseDeadline(base, lease_term)) return;
+  StepWorker(engine, machines, worker, WorkerEvent::kLeasesRanOut, now);
+  if (worker.m_state != WorkerState::kLapsed) return;
+  // A copy: ending a task takes it out of the worker's set.
+  const std::set<TaskId> lost = worker.m_tasks;
+  for (const TaskId& id : lost) {
+    EndUnseen(engine, machines, engine.m_state.m_tasks.at(id));
+  }
+}
+
+}  // namespace
+
+void ApplyListing(PartitionEngine& engine, const PlacementMachines& machines,
+                  const std::vector<WorkerListing>& listing) {
+  std::set<WorkerId> listed;
+  for (const WorkerListing& entry : listing) {
+    listed.insert(entry.m_worker);
+    Worker& worker = EnsureWorker(engine.m_state, entry.m_worker);
+    UpdateWorker(engine.m_state, worker, [&](Worker& changed) {
+      changed.m_is_listed = true;
+      changed.m_is_leaving = entry.m_is_leaving;
+      changed.m_capacity = entry.m_capacity;
+    });
+    if (!entry.m_is_leaving) continue;
+    for (const TaskId& task : worker.m_tasks) EvictTask(engine, machines, task);
+  }
+  for (auto& [id, worker] : engine.m_state.m_workers) {
+    if (listed.count(id) != 0) continue;
+    UpdateWorker(engine.m_state, worker,
+                 [](Worker& changed) { changed.m_is_listed = false; });
+  }
+}
+
+WorkerControl BuildControl(PartitionEngine& engine, const WorkerId& worker,
+                           Duration lease_term) {
+  const Worker& target = engine.m_state.m_workers.at(worker);
+  WorkerControl control;
+  control.m_epoch = engine.m_journal.m_epoch;
+  control.m_incarnation = target.m_incarnation;
+  control.m_lease_from = target.m_clock;
+  control.m_lease_term = lease_term;
+  engine.m_urgent_exchanges.erase(worker);
+  if (target.m_incarnation == Incarnation()) return control;
+  for (const TaskId& id : target.m_tasks) {
+    Task& task = engine.m_state.m_tasks.at(id);
+    const AttemptId attempt{id, task.m_attempt};
+    if (task.m_state == TaskState::kStopping) {
+      control.m_stops.push_back(attempt);
+    }
+    if (task.m_state != TaskState::kStarting || !task.m_is_durable) continue;
+    if (task.m_start_incarnation != target.m_incarnation) continue;
+    task.m_is_sent = true;
+    control.m_starts.push_back(OrderOf(engine, task));
+  }
+  for (const AttemptId& orphan : engine.m_orphans[worker]) {
+    control.m_stops.push_back(orphan);
+  }
+  engine.m_orphans.erase(worker);
+  control.m_acknowledged = engine.m_acknowledgements[worker];
+  engine.m_acknowledgements.erase(worker);
+  return control;
+}
+
+void ApplyReport(PartitionEngine& engine, const PlacementMachines& machines,
+                 const WorkerId& worker, const WorkerReport& report,
+                 TimePoint now) {
+  // A worker that has seen a later owner obeys that one.
+  if (report.m_epoch > engine.m_journal.m_epoch) return;
+  Worker& target = engine.m_state.m_workers.at(worker);
+  UpdateWorker(engine.m_state, target, [&](Worker& changed) {
+    changed.m_incarnation = report.m_incarnation;
+    changed.m_clock = report.m_clock;
+    changed.m_lease_base = now;
+    changed.m_answered_at = now;
+  });
+  StepWorker(engine, machines, target, WorkerEvent::kAnswered, now);
+  ReportApplier(engine, machines, target, now).Apply(report);
+}
+
+void CheckWorkers(PartitionEngine& engine, const PlacementMachines& machines,
+                  Duration lease_term, TimePoint now) {
+  for (auto& [id, worker] : engine.m_state.m_workers) {
+    CheckSilence(engine, machines, worker, lease_term, now);
+    if (worker.m_state != WorkerState::kSetAside) continue;
+    if (now < worker.m_set_aside_until) continue;
+    StepWorker(engine, machines, worker, WorkerEvent::kBackOffEnded, now);
+  }
+}
+
+void EvictTask(PartitionEngine& engine, const PlacementMachines& machines,
+               const TaskId& task) {
+  RequestStop(engine, machines, engine.m_state.m_tasks.at(task),
+              StopReason::kEvicted);
+}
+
+void ResumeOwnership(PartitionEngine& engine,
+                     const PlacementMachines& machines, TimePoint now) {
+  engine.m_owned_since = now;
+  for (auto& [id, task] : engine.m_state.m_tasks) {
+    task.m_is_sent = true;
+    if (!engine.m_state.m_jobs.at(id.m_job).m_is_cancelled) continue;
+    RequestStop(engine, machines, task, StopReason::kCancelled);
+  }
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/decisions/retry/request_chart.cc
@@ -0,0 +1,62 @@
+#include "decisions/retry/request_chart.h"
+
+namespace daisyarch {
+
+namespace {
+
+bool NeverSent(const RequestContext& context) {
+  return context.m_request.m_sends == 0;
+}
+
+// Only the attempt at hand, which left nothing at an endpoint, was made.
+bool SentOnce(const RequestContext& context) {
+  return context.m_request.m_sends == 1;
+}
+
+bool HasTimeLeft(const RequestContext& context) {
+  return context.m_now < context.m_request.m_waiting.m_deadline;
+}
+
+bool HasBudget(const RequestContext& context) {
+  RetryBudget budget = context.m_budget;
+  return SpendRetry(budget);
+}
+
+// Nothing reached an endpoint this time; whether it may wait again depends
+// on time and budget alone.
+bool MayTryAgain(const RequestContext& context) {
+  return HasTimeLeft(context) && HasBudget(context);
+}
+
+bool MayRepeat(const RequestContext& context) {
+  return context.m_request.m_repeatable == Repeatable::kYes &&
+         MayTryAgain(context);
+}
+
+void CountSend(RequestContext& context) { ++context.m_request.m_sends; }
+
+void UncountSend(RequestContext& context) { --context.m_request.m_sends; }
+
+void Spend(RequestContext& context) { SpendRetry(context.m_budget); }
+
+}  // namespace
+
+ChartBinding<RequestContext> RequestBinding() {
+  return {
+      {"waiting", "sent", "answered", "refused", "unknown", "abandoned"},
+      {"dispatched", "answered", "unsent", "lost", "expired", "caller_left"},
+      {{"never_sent", NeverSent},
+       {"sent_once", SentOnce},
+       {"may_try_again", MayTryAgain},
+       {"may_repeat", MayRepeat}},
+      {{"count_send", CountSend},
+       {"uncount_send", UncountSend},
+       {"spend_retry", Spend}},
+  };
+}
+
+bool IsSettled(RequestState state) {
+  return state != RequestState::kWaiting && state != RequestState::kSent;
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/decisions/retry/retry_budget.cc
@@ -0,0 +1,22 @@
+#include "decisions/retry/retry_budget.h"
+
+#include <algorithm>
+
+namespace daisyarch {
+
+namespace {
+constexpr std::int64_t kTenthsPerRetry = 10;
+}  // namespace
+
+void CountRequest(RetryBudget& budget) {
+  budget.m_tenths = std::min(budget.m_tenths + 1,
+                             kMaximumSavedRetries * kTenthsPerRetry);
+}
+
+bool SpendRetry(RetryBudget& budget) {
+  if (budget.m_tenths < kTenthsPerRetry) return false;
+  budget.m_tenths -= kTenthsPerRetry;
+  return true;
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/decisions/routing/endpoint_choice.cc
@@ -0,0 +1,84 @@
+#include "decisions/routing/endpoint_choice.h"
+
+#include <algorithm>
+
+namespace daisyarch {
+
+namespace {
+
+/// Latencies within this factor count as equal, so that load spreads over
+/// endpoints that are as fast as each other.
+constexpr double kEqualFactor = 1.25;
+
+bool TakesRequests(const Endpoint& endpoint, const SlotAccount& account) {
+  if (FreeSlots(account) <= Slots()) return false;
+  if (endpoint.m_state == EndpointState::kHealthy) return true;
+  return endpoint.m_state == EndpointState::kProbing &&
+         account.m_in_use == Slots();
+}
+
+// What a request is expected to take. An endpoint of which nothing recent is
+// known counts as the best, but for one request at a time.
+double ExpectedLatency(const Endpoint& endpoint, const SlotAccount& account,
+                       TimePoint now) {
+  const bool is_stale =
+      now - endpoint.m_latency_learnt_at > kLatencyGoesStaleAfter;
+  const bool is_untried = !endpoint.m_latency.m_is_known;
+  if ((is_stale || is_untried) && account.m_in_use == Slots()) return 0;
+  return endpoint.m_latency.m_mean;
+}
+
+}  // namespace
+
+// A full scan instead of two random candidates: it is exact, and its cost is
+// small beside the request's (see docs/MEASUREMENTS.md).
+std::optional<EndpointId> ChooseEndpoint(const EndpointTable& endpoints,
+                                         const SlotLedger& ledger,
+                                         Random& random, TimePoint now) {
+  const EndpointId* best = nullptr;
+  double best_latency = 0;
+  std::uint64_t equals = 0;
+  for (const auto& [id, endpoint] : endpoints) {
+    const auto account = ledger.m_accounts.find(id);
+    if (account == ledger.m_accounts.end()) continue;
+    if (!TakesRequests(endpoint, account->second)) continue;
+    const double latency = ExpectedLatency(endpoint, account->second, now);
+    if (best == nullptr || latency * kEqualFactor < best_latency) {
+      best = &id;
+      best_latency = latency;
+      equals = 1;
+      continue;
+    }
+    if (latency > best_latency * kEqualFactor) continue;
+    ++equals;
+    best_latency = std::min(best_latency, latency);
+    // Each of the equal candidates is kept with the same probability.
+    if (NextBelow(random, equals) == 0) best = &id;
+  }
+  if (best == nullptr) return std::nullopt;
+  return *best;
+}
+
+SlotSupply CountSlots(const EndpointTable& endpoints,
+                      const SlotLedger& ledger) {
+  SlotSupply supply;
+  for (const auto& [id, endpoint] : endpoints) {
+    if (endpoint.m_state != EndpointState::kHealthy &&
+        endpoint.m_state != EndpointState::kProbing) {
+      continue;
+    }
+    const auto account = ledger.m_accounts.find(id);
+    if (account == ledger.m_accounts.end()) continue;
+    supply.m_entitled += std::max(EntitledSlots(account->second), Slots());
+    if (!TakesRequests(endpoint, account->second)) continue;
+    supply.m_free += FreeSlots(account->second);
+  }
+  return supply;
+}
+
+void LearnLatency(Endpoint& endpoint, Duration latency, TimePoint now) {
+  Learn(endpoint.m_latency, latency);
+  endpoint.m_latency_learnt_at = now;
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/decisions/routing/slot_ledger.cc
@@ -0,0 +1,208 @@
+#include "decisions/routing/slot_ledger.h"
+
+#include <algorithm>
+
+#include "base/stable_hash.h"
+
+namespace daisyarch {
+
+namespace {
+
+Slots Sum(const std::map<NodeId, Slots>& parts) {
+  Slots sum;
+  for (const auto& [node, slots] : parts) sum += slots;
+  return sum;
+}
+
+// True when the node's run stands in both lists.
+bool IsSameRun(const MemberList& before, const MemberList& after,
+               const NodeId& node) {
+  const Member* old_member = FindMember(before, node);
+  const Member* new_member = FindMember(after, node);
+  return old_member != nullptr && new_member != nullptr &&
+         old_member->m_incarnation == new_member->m_incarnation;
+}
+
+void DropEnded(std::map<NodeId, Slots>& loans, const MemberList& before,
+               const MemberList& after) {
+  for (auto loan = loans.begin(); loan != loans.end();) {
+    const bool goes_on = IsSameRun(before, after, loan->first);
+    loan = goes_on ? std::next(loan) : loans.erase(loan);
+  }
+}
+
+void DropEndedCalls(std::map<NodeId, std::uint64_t>& calls,
+                    const MemberList& before, const MemberList& after) {
+  for (auto call = calls.begin(); call != calls.end();) {
+    const bool goes_on = IsSameRun(before, after, call->first);
+    call = goes_on ? std::next(call) : calls.erase(call);
+  }
+}
+
+Slots IdleLoans(const SlotAccount& account, const NodeId& lender) {
+  const auto borrowed = account.m_borrowed.find(lender);
+  if (borrowed == account.m_borrowed.end()) return Slots();
+  const Slots idle = std::max(FreeSlots(account), Slots());
+  return std::min(idle, borrowed->second);
+}
+
+void GiveBack(SlotAccount& account, const NodeId& lender, Slots slots) {
+  Slots& borrowed = account.m_borrowed[lender];
+  borrowed -= slots;
+  if (borrowed == Slots()) account.m_borrowed.erase(lender);
+}
+
+}  // namespace
+
+Slots BaseShare(const MemberList& members, const NodeId& node,
+                const EndpointId& endpoint, Slots total) {
+  const auto count = static_cast<std::int64_t>(members.m_members.size());
+  for (std::int64_t index = 0; index < count; ++index) {
+    if (members.m_members[static_cast<std::size_t>(index)].m_node != node) {
+      continue;
+    }
+    // The remainder starts at another node for each endpoint, so that no
+    // node is ahead at all of them.
+    const auto first = static_cast<std::int64_t>(
+        StableHash(endpoint.value()) % static_cast<std::uint64_t>(count));
+    const std::int64_t rank = (index - first + count) % count;
+    const std::int64_t remainder = total.value() % count;
+    return Slots(total.value() / count + (rank < remainder ? 1 : 0));
+  }
+  return Slots();
+}
+
+Slots EntitledSlots(const SlotAccount& account) {
+  return account.m_share - Sum(account.m_lent) + Sum(account.m_borrowed);
+}
+
+Slots FreeSlots(const SlotAccount& account) {
+  return EntitledSlots(account) - account.m_in_use;
+}
+
+// A node that learns of an endpoint late has used none of its slots, so it
+// starts at its share under the present list once that list is complete.
+void SetEndpointSlots(SlotLedger& ledger, const EndpointId& endpoint,
+                      Slots total) {
+  SlotAccount& account = ledger.m_accounts[endpoint];
+  if (account.m_total == total) return;
+  account.m_total = total;
+  account.m_next_share =
+      BaseShare(ledger.m_members, ledger.m_node, endpoint, total);
+  account.m_share = std::min(account.m_share, account.m_next_share);
+}
+
+void AdoptMembers(SlotLedger& ledger, const MemberList& members) {
+  if (members.m_version <= ledger.m_members.m_version) return;
+  const bool goes_on =
+      IsSameRun(ledger.m_members, members, ledger.m_node);
+  for (auto& [endpoint, account] : ledger.m_accounts) {
+    DropEnded(account.m_lent, ledger.m_members, members);
+    DropEnded(account.m_borrowed, ledger.m_members, members);
+    account.m_next_share =
+        BaseShare(members, ledger.m_node, endpoint, account.m_total);
+    if (!goes_on) account.m_share = Slots();
+    account.m_share = std::min(account.m_share, account.m_next_share);
+  }
+  DropEndedCalls(ledger.m_closed_calls, ledger.m_members, members);
+  DropEndedCalls(ledger.m_granted_calls, ledger.m_members, members);
+  ledger.m_members = members;
+}
+
+bool IsSettled(const SlotLedger& ledger) {
+  return std::all_of(ledger.m_accounts.begin(), ledger.m_accounts.end(),
+                     [](const auto& entry) {
+                       return FreeSlots(entry.second) >= Slots();
+                     });
+}
+
+void CompleteShares(SlotLedger& ledger) {
+  for (auto& [endpoint, account] : ledger.m_accounts) {
+    account.m_share = account.m_next_share;
+  }
+}
+
+bool TakeSlot(SlotLedger& ledger, const EndpointId& endpoint) {
+  const auto account = ledger.m_accounts.find(endpoint);
+  if (account == ledger.m_accounts.end()) return false;
+  if (FreeSlots(account->second) <= Slots()) return false;
+  account->second.m_in_use += Slots(1);
+  return true;
+}
+
+void ReturnSlot(SlotLedger& ledger, const EndpointId& endpoint) {
+  ledger.m_accounts.at(endpoint).m_in_use -= Slots(1);
+}
+
+std::vector<SlotLoan> LendSlots(SlotLedger& ledger, const NodeId& borrower,
+                                std::uint64_t call, Slots wanted,
+                                Slots reserve) {
+  std::vector<SlotLoan> loans;
+  if (FindMember(ledger.m_members, borrower) == nullptr) return loans;
+  if (call <= ledger.m_closed_calls[borrower]) return loans;
+  ledger.m_granted_calls[borrower] =
+      std::max(ledger.m_granted_calls[borrower], call);
+  Slots idle;
+  for (const auto& [endpoint, account] : ledger.m_accounts) {
+    idle += std::max(FreeSlots(account), Slots());
+  }
+  Slots left = std::min(wanted, idle - reserve);
+  for (auto& [endpoint, account] : ledger.m_accounts) {
+    // Only own slots are lent on: a chain of loans could not be ended by its
+    // two ends.
+    const Slots own = account.m_share - Sum(account.m_lent);
+    const Slots lent = std::min({left, FreeSlots(account), own});
+    if (lent <= Slots()) continue;
+    account.m_lent[borrower] += lent;
+    loans.push_back(SlotLoan{endpoint, lent});
+    left -= lent;
+  }
+  return loans;
+}
+
+void AddLoans(SlotLedger& ledger, const NodeId& lender,
+              const std::vector<SlotLoan>& loans) {
+  for (const SlotLoan& loan : loans) {
+    const auto account = ledger.m_accounts.find(loan.m_endpoint);
+    // An endpoint not known here yet: the next report gives the loan back.
+    if (account == ledger.m_accounts.end()) continue;
+    account->second.m_borrowed[lender] += loan.m_slots;
+  }
+}
+
+LoanReport ReportLoans(SlotLedger& ledger, const NodeId& lender, Slots keep,
+                       std::uint64_t closed_call) {
+  LoanReport report;
+  report.m_closed_call = closed_call;
+  for (auto& [endpoint, account] : ledger.m_accounts) {
+    const Slots idle = IdleLoans(account, lender);
+    const Slots kept = std::min(idle, keep);
+    keep -= kept;
+    if (idle > kept) GiveBack(account, lender, idle - kept);
+    const auto borrowed = account.m_borrowed.find(lender);
+    if (borrowed == account.m_borrowed.end()) continue;
+    report.m_held.push_back(SlotLoan{endpoint, borrowed->second});
+  }
+  return report;
+}
+
+void ApplyLoanReport(SlotLedger& ledger, const NodeId& borrower,
+                     const LoanReport& report) {
+  if (FindMember(ledger.m_members, borrower) == nullptr) return;
+  std::uint64_t& closed = ledger.m_closed_calls[borrower];
+  // An answer to a later call may be under way; this report knows nothing
+  // of it.
+  if (report.m_closed_call < ledger.m_granted_calls[borrower]) return;
+  if (report.m_closed_call < closed) return;
+  closed = report.m_closed_call;
+  for (auto& [endpoint, account] : ledger.m_accounts) {
+    account.m_lent.erase(borrower);
+  }
+  for (const SlotLoan& loan : report.m_held) {
+    const auto account = ledger.m_accounts.find(loan.m_endpoint);
+    if (account == ledger.m_accounts.end()) continue;
+    account->second.m_lent[borrower] = loan.m_slots;
+  }
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/http/address.cc
@@ -0,0 +1,38 @@
+#include "http/address.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <charconv>
+
+namespace daisyarch {
+
+namespace {
+
+Error Malformed(const std::string& text) {
+  return Error{ErrorCode::kInvalidArgument, "parse address", text,
+               "expected IP:port"};
+}
+
+}  // namespace
+
+std::string ToString(const Address& address) {
+  return address.m_host + ":" + std::to_string(address.m_port);
+}
+
+Result<Address> ParseAddress(const std::string& text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string::npos) return Malformed(text);
+  Address address;
+  address.m_host = text.substr(0, colon);
+  boost::system::error_code code;
+  boost::asio::ip::make_address(address.m_host, code);
+  if (code) return Malformed(text);
+  const char* begin = text.data() + colon + 1;
+  const char* end = text.data() + text.size();
+  const auto [stop, fault] = std::from_chars(begin, end, address.m_port);
+  if (fault != std::errc() || stop != end || address.m_port == 0) {
+    return Malformed(text);
+  }
+  return address;
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/http/http_client.cc
@@ -0,0 +1,219 @@
+#include "http/http_client.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace daisyarch {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+namespace {
+class Connection;
+}  // namespace
+
+struct HttpClient::State {
+  State(asio::io_context& loop, Address address, const HttpClientLimits& limits)
+      : m_loop(loop), m_address(std::move(address)), m_limits(limits) {}
+
+  asio::io_context& m_loop;
+  Address m_address;
+  HttpClientLimits m_limits;
+  std::vector<std::shared_ptr<Connection>> m_idle;
+  std::size_t m_connections = 0;
+  bool m_is_closed = false;
+};
+
+namespace {
+
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  explicit Connection(std::shared_ptr<HttpClient::State> state)
+      : m_stream(state->m_loop), m_state(std::move(state)) {
+    ++m_state->m_connections;
+  }
+  ~Connection() { --m_state->m_connections; }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+
+  void Run(HttpRequest request, Duration timeout, HttpAnswer on_answer) {
+    m_request = std::move(request);
+    m_timeout = timeout;
+    m_on_answer = std::move(on_answer);
+    if (m_is_connected) return Write();
+    Connect();
+  }
+
+  void Close() {
+    m_is_connected = false;
+    beast::error_code code;
+    m_stream.socket().close(code);
+  }
+
+ private:
+  void Connect() {
+    beast::error_code code;
+    const auto host = asio::ip::make_address(m_state->m_address.m_host, code);
+    if (code) return Fail(ErrorCode::kUnavailable, "connect", code);
+    m_stream.expires_after(m_state->m_limits.m_connect_timeout);
+    m_stream.async_connect(
+        tcp::endpoint(host, m_state->m_address.m_port),
+        [self = shared_from_this()](beast::error_code connect_code) {
+          self->OnConnected(connect_code);
+        });
+  }
+
+  void OnConnected(beast::error_code code) {
+    if (code) return Fail(ErrorCode::kUnavailable, "connect", code);
+    m_is_connected = true;
+    m_stream.socket().set_option(tcp::no_delay(true), code);
+    Write();
+  }
+
+  void Write() {
+    ++m_use;
+    m_message = {};
+    m_message.version(11);
+    m_message.method_string(m_request.m_method);
+    m_message.target(m_request.m_target);
+    m_message.set(beast::http::field::host, ToString(m_state->m_address));
+    for (const auto& [name, value] : m_request.m_headers) {
+      m_message.set(name, value);
+    }
+    m_message.body() = std::move(m_request.m_body);
+    m_message.prepare_payload();
+    // One deadline covers the request and its answer.
+    m_stream.expires_after(m_timeout);
+    beast::http::async_write(
+        m_stream, m_message,
+        [self = shared_from_this()](beast::error_code code, std::size_t) {
+          self->OnWritten(code);
+        });
+  }
+
+  void OnWritten(beast::error_code code) {
+    if (code) return Fail(ErrorCode::kOutcomeUnknown, "send request", code);
+    m_parser.emplace();
+    m_parser->body_limit(m_state->m_limits.m_maximum_answer_bytes);
+    beast::http::async_read(
+        m_stream, m_buffer, *m_parser,
+        [self = shared_from_this()](beast::error_code read_code, std::size_t) {
+          self->OnRead(read_code);
+        });
+  }
+
+  void OnRead(beast::error_code code) {
+    if (code) return Fail(ErrorCode::kOutcomeUnknown, "read answer", code);
+    auto message = m_parser->release();
+    HttpResponse response;
+    response.m_status = message.result_int();
+    for (const auto& field : message) {
+      response.m_headers.emplace_back(std::string(field.name_string()),
+                                      std::string(field.value()));
+    }
+    response.m_body = std::move(message.body());
+    // Bytes beyond the answer belong to no request; such a connection cannot
+    // be trusted to keep requests and answers together.
+    const bool is_clean = message.keep_alive() && m_buffer.size() == 0;
+    if (is_clean && !m_state->m_is_closed) {
+      Rest();
+    } else {
+      Close();
+    }
+    Finish(std::move(response));
+  }
+
+  void Rest() {
+    m_state->m_idle.push_back(shared_from_this());
+    m_stream.expires_never();
+    const std::uint64_t use = m_use;
+    // An idle connection that becomes readable was closed by the other end,
+    // or carries an answer that nobody asked for.
+    m_stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this(), use](beast::error_code code) {
+          if (!code && self->m_use == use) self->Drop();
+        });
+    ScheduleIdleEnd(use);
+  }
+
+  void ScheduleIdleEnd(std::uint64_t use) {
+    m_idle_timer.emplace(m_state->m_loop, m_state->m_limits.m_idle_timeout);
+    m_idle_timer->async_wait(
+        [self = shared_from_this(), use](beast::error_code code) {
+          if (!code && self->m_use == use) self->Drop();
+        });
+  }
+
+  void Drop() {
+    auto& idle = m_state->m_idle;
+    for (auto place = idle.begin(); place != idle.end(); ++place) {
+      if (place->get() != this) continue;
+      idle.erase(place);
+      break;
+    }
+    Close();
+  }
+
+  void Fail(ErrorCode kind, const std::string& step, beast::error_code code) {
+    Close();
+    Finish(Error{kind, step, ToString(m_state->m_address), code.message()});
+  }
+
+  void Finish(Result<HttpResponse> result) {
+    HttpAnswer on_answer = std::move(m_on_answer);
+    m_on_answer = nullptr;
+    on_answer(std::move(result));
+  }
+
+  beast::tcp_stream m_stream;
+  std::shared_ptr<HttpClient::State> m_state;
+  HttpRequest m_request;
+  Duration m_timeout{};
+  HttpAnswer m_on_answer;
+  bool m_is_connected = false;
+  std::uint64_t m_use = 0;
+  beast::flat_buffer m_buffer;
+  beast::http::request<beast::http::string_body> m_message;
+  std::optional<beast::http::response_parser<beast::http::string_body>>
+      m_parser;
+  std::optional<asio::steady_timer> m_idle_timer;
+};
+
+}  // namespace
+
+HttpClient::HttpClient(asio::io_context& loop, Address address,
+                       const HttpClientLimits& limits)
+    : m_state(std::make_shared<State>(loop, std::move(address), limits)) {}
+
+HttpClient::~HttpClient() {
+  m_state->m_is_closed = true;
+  const auto idle = std::move(m_state->m_idle);
+  m_state->m_idle.clear();
+  for (const auto& connection : idle) connection->Close();
+}
+
+void HttpClient::Send(HttpRequest request, Duration timeout,
+                      HttpAnswer on_answer) {
+  std::shared_ptr<Connection> connection;
+  if (m_state->m_idle.empty()) {
+    connection = std::make_shared<Connection>(m_state);
+  } else {
+    // The one used last is the least likely to have gone silent.
+    connection = std::move(m_state->m_idle.back());
+    m_state->m_idle.pop_back();
+  }
+  connection->Run(std::move(request), timeout, std::move(on_answer));
+}
+
+std::size_t HttpClient::connections() const { return m_state->m_connections; }
+
+const Address& HttpClient::address() const { return m_state->m_address; }
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/mesh/mesh_envelope.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "wire/field_codec.h"
+
+namespace daisyarch {
+
+/// What travels between two nodes: a call, or the answer with its number.
+struct MeshEnvelope {
+  std::uint64_t m_number = 0;
+  std::string m_method;  ///< Empty in an answer.
+  std::string m_error;   ///< The error code's name; empty on success.
+  std::string m_detail;
+  Json m_body;
+};
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, MeshEnvelope& envelope) {
+  visit("number", envelope.m_number);
+  visit("method", envelope.m_method);
+  visit("error", envelope.m_error);
+  visit("detail", envelope.m_detail);
+  visit("body", envelope.m_body);
+}
+
+/// The code with this name; kInternal when there is none.
+ErrorCode ParseErrorCode(const std::string& name);
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/mesh/mesh_server.cc
@@ -0,0 +1,129 @@
+#include "mesh/mesh_server.h"
+
+#include <set>
+#include <utility>
+#include <websocketpp/config/asio_no_tls.hpp>
+#include <websocketpp/server.hpp>
+
+#include "mesh/mesh_envelope.h"
+
+namespace daisyarch {
+
+using WebSocketServer = websocketpp::server<websocketpp::config::asio>;
+using Connection = websocketpp::connection_hdl;
+
+struct MeshServer::State {
+  WebSocketServer m_server;
+  MeshHandler m_handler;
+  std::set<Connection, std::owner_less<Connection>> m_connections;
+  bool m_is_stopped = false;
+};
+
+namespace {
+
+void Answer(const std::shared_ptr<MeshServer::State>& state,
+            const Connection& connection, std::uint64_t number,
+            const Result<Json>& result) {
+  MeshEnvelope envelope;
+  envelope.m_number = number;
+  if (result) {
+    envelope.m_body = result.assume_value();
+  } else {
+    envelope.m_error = ToString(result.assume_error().m_code);
+    envelope.m_detail = ToString(result.assume_error());
+  }
+  websocketpp::lib::error_code code;
+  state->m_server.send(connection, WriteCbor(Encode(envelope)),
+                       websocketpp::frame::opcode::binary, code);
+}
+
+std::string PeerOf(const std::shared_ptr<MeshServer::State>& state,
+                   const Connection& connection) {
+  websocketpp::lib::error_code code;
+  const auto session = state->m_server.get_con_from_hdl(connection, code);
+  return code ? "" : session->get_remote_endpoint();
+}
+
+// A bad frame closes its own connection and no other.
+void OnMessage(const std::shared_ptr<MeshServer::State>& state,
+               const Connection& connection, const std::string& payload) {
+  const std::string peer = PeerOf(state, connection);
+  const auto envelope =
+      DecodeCbor<MeshEnvelope>(payload, "read peer message", peer);
+  if (!envelope) {
+    websocketpp::lib::error_code code;
+    state->m_server.close(connection,
+                          websocketpp::close::status::invalid_payload,
+                          "malformed message", code);
+    return;
+  }
+  const MeshEnvelope& call = envelope.assume_value();
+  const std::uint64_t number = call.m_number;
+  state->m_handler(call.m_method, call.m_body, peer,
+                   [state, connection, number](Result<Json> result) {
+                     if (state->m_is_stopped) return;
+                     Answer(state, connection, number, result);
+                   });
+}
+
+}  // namespace
+
+MeshServer::MeshServer(std::shared_ptr<State> state)
+    : m_state(std::move(state)) {}
+
+MeshServer::~MeshServer() { Stop(); }
+
+Result<std::unique_ptr<MeshServer>> MeshServer::Create(
+    boost::asio::io_context& loop, const Address& address,
+    MeshHandler handler) {
+  auto state = std::make_shared<State>();
+  state->m_handler = std::move(handler);
+  WebSocketServer& server = state->m_server;
+  server.clear_access_channels(websocketpp::log::alevel::all);
+  server.clear_error_channels(websocketpp::log::elevel::all);
+  websocketpp::lib::error_code code;
+  server.init_asio(&loop, code);
+  server.set_reuse_addr(true);
+  server.set_max_message_size(kMaximumMeshMessageBytes);
+  // The handlers are kept by the server, so they must not keep it alive.
+  const std::weak_ptr<State> weak = state;
+  server.set_open_handler([weak](const Connection& connection) {
+    if (const auto self = weak.lock()) self->m_connections.insert(connection);
+  });
+  server.set_close_handler([weak](const Connection& connection) {
+    if (const auto self = weak.lock()) self->m_connections.erase(connection);
+  });
+  server.set_message_handler(
+      [weak](const Connection& connection,
+             const WebSocketServer::message_ptr& message) {
+        if (const auto self = weak.lock()) {
+          OnMessage(self, connection, message->get_payload());
+        }
+      });
+  boost::system::error_code address_code;
+  const auto host =
+      boost::asio::ip::make_address(address.m_host, address_code);
+  if (!code && !address_code) {
+    server.listen(boost::asio::ip::tcp::endpoint(host, address.m_port), code);
+  }
+  if (!code && !address_code) server.start_accept(code);
+  if (code || address_code) {
+    return Error{ErrorCode::kUnavailable, "listen for peers",
+                 ToString(address),
+                 code ? code.message() : address_code.message()};
+  }
+  return std::unique_ptr<MeshServer>(new MeshServer(std::move(state)));
+}
+
+void MeshServer::Stop() {
+  if (m_state->m_is_stopped) return;
+  m_state->m_is_stopped = true;
+  websocketpp::lib::error_code code;
+  m_state->m_server.stop_listening(code);
+  for (const Connection& connection : m_state->m_connections) {
+    m_state->m_server.close(connection, websocketpp::close::status::going_away,
+                            "stopping", code);
+  }
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/mesh/mesh_server.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/result.h"
+#include "http/address.h"
+#include "wire/json.h"
+
+namespace daisyarch {
+
+/// The largest message that a peer may send, in bytes.
+constexpr std::size_t kMaximumMeshMessageBytes = 4UL * 1024 * 1024;
+
+/// Answers one call of a peer; to be called exactly once.
+using MeshResponder = std::function<void(Result<Json>)>;
+
+/// Takes a peer's call: the method's name and its body.
+using MeshHandler = std::function<void(
+    const std::string& method, const Json& body, const std::string& peer,
+    MeshResponder respond)>;
+
+/// Takes the other nodes' calls, as CBOR messages over WebSocket.
+class MeshServer {
+ public:
+  /// kUnavailable when the address cannot be bound.
+  static Result<std::unique_ptr<MeshServer>> Create(
+      boost::asio::io_context& loop, const Address& address,
+      MeshHandler handler);
+
+  ~MeshServer();
+  MeshServer(const MeshServer&) = delete;
+  MeshServer& operator=(const MeshServer&) = delete;
+
+  /// Accepts no more connections and closes those that are open.
+  void Stop();
+
+  struct State;
+
+ private:
+  explicit MeshServer(std::shared_ptr<State> state);
+
+  std::shared_ptr<State> m_state;
+};
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/wire/json.cc
@@ -0,0 +1,81 @@
+#include "wire/json.h"
+
+#include <vector>
+
+namespace daisyarch {
+
+namespace {
+
+// Looks at the nesting alone. The library's CBOR reader recurses, so hostile
+// input has to be refused before it builds a document.
+struct DepthCheck {
+  std::size_t m_depth = 0;
+  std::string m_fault;
+
+  bool null() { return true; }
+  bool boolean(bool /*value*/) { return true; }
+  bool number_integer(Json::number_integer_t /*value*/) { return true; }
+  bool number_unsigned(Json::number_unsigned_t /*value*/) { return true; }
+  bool number_float(Json::number_float_t /*value*/,
+                    const Json::string_t& /*text*/) {
+    return true;
+  }
+  bool string(Json::string_t& /*value*/) { return true; }
+  bool binary(Json::binary_t& /*value*/) { return true; }
+  bool key(Json::string_t& /*value*/) { return true; }
+  bool start_object(std::size_t /*size*/) { return Enter(); }
+  bool end_object() { return Leave(); }
+  bool start_array(std::size_t /*size*/) { return Enter(); }
+  bool end_array() { return Leave(); }
+  bool parse_error(std::size_t /*position*/, const std::string& /*token*/,
+                   const nlohmann::detail::exception& exception) {
+    m_fault = exception.what();
+    return false;
+  }
+
+  bool Enter() {
+    if (++m_depth <= kMaximumJsonDepth) return true;
+    m_fault = "nested deeper than " + std::to_string(kMaximumJsonDepth);
+    return false;
+  }
+  bool Leave() {
+    --m_depth;
+    return true;
+  }
+};
+
+Result<Json> Parse(const std::string& input, const std::string& step,
+                   const std::string& peer, Json::input_format_t format) {
+  DepthCheck check;
+  if (!Json::sax_parse(input, &check, format)) {
+    return Error{ErrorCode::kInvalidArgument, step, peer, check.m_fault};
+  }
+  constexpr bool kStrict = true;
+  constexpr bool kExceptions = false;
+  Json value = format == Json::input_format_t::cbor
+                   ? Json::from_cbor(input, kStrict, kExceptions)
+                   : Json::parse(input, nullptr, kExceptions);
+  if (value.is_discarded()) {
+    return Error{ErrorCode::kInvalidArgument, step, peer, "malformed"};
+  }
+  return value;
+}
+
+}  // namespace
+
+Result<Json> ParseJson(const std::string& text, const std::string& step,
+                       const std::string& peer) {
+  return Parse(text, step, peer, Json::input_format_t::json);
+}
+
+Result<Json> ParseCbor(const std::string& bytes, const std::string& step,
+                       const std::string& peer) {
+  return Parse(bytes, step, peer, Json::input_format_t::cbor);
+}
+
+std::string WriteCbor(const Json& value) {
+  const std::vector<std::uint8_t> bytes = Json::to_cbor(value);
+  return std::string(bytes.begin(), bytes.end());
+}
+
+}  // namespace daisyarch
