--- a/libraries/chart/chart.cc
+++ b/libraries/chart/chart.cc
@@ -40,8 +40,8 @@
       const StateDefinition& state = m_definition.m_states[index];
       if (!IsLeaf(m_definition, index)) continue;
       if (!IndexOf(m_vocabulary.m_states, state.m_name)) {
-        return Fail(state.m_line, "state \"" + state.m_name +
-                                      "\" is unknown to the program");
+        return Fail(state.m_line,
+                    "state \"" + state.m_name + "\" is unknown to the program");
       }
     }
     for (const std::string& name : m_vocabulary.m_states) {
@@ -104,12 +104,13 @@
     cell.m_first = static_cast<std::uint32_t>(m_chart.m_transitions.size());
     const auto handling = HandlingState(m_definition, leaf, event);
     if (handling) {
-      for (const auto& written : m_definition.m_states[*handling].m_transitions) {
+      for (const auto& written :
+           m_definition.m_states[*handling].m_transitions) {
         if (written.m_event == event) TRY(CompileTransition(leaf, written));
       }
     }
-    cell.m_count = static_cast<std::uint32_t>(m_chart.m_transitions.size()) -
-                   cell.m_first;
+    cell.m_count =
+        static_cast<std::uint32_t>(m_chart.m_transitions.size()) - cell.m_first;
     m_chart.m_cells.push_back(cell);
     return Success();
   }
@@ -130,12 +131,12 @@
     if (written.m_target.empty()) {
       TRY(AppendActions(written.m_actions, written.m_line, actions));
     } else {
-      target = InitialLeaf(m_definition,
-                           *FindState(m_definition, written.m_target));
+      target =
+          InitialLeaf(m_definition, *FindState(m_definition, written.m_target));
       TRY(AppendMove(leaf, target, written, actions));
     }
-    transition.m_target = *IndexOf(m_vocabulary.m_states,
-                                   m_definition.m_states[target].m_name);
+    transition.m_target =
+        *IndexOf(m_vocabulary.m_states, m_definition.m_states[target].m_name);
     transition.m_first_action =
         static_cast<std::uint32_t>(m_chart.m_actions.size());
     transition.m_action_count = static_cast<std::uint32_t>(actions.size());
--- a/libraries/chart/chart_diagram.cc
+++ b/libraries/chart/chart_diagram.cc
@@ -12,8 +12,8 @@
                std::ostringstream& out) {
   const StateDefinition& state = chart.m_states[index];
   if (IsLeaf(chart, index)) {
-    out << "  \"" << state.m_name << "\" [shape="
-        << (state.m_final ? "doublecircle" : "box") << "];\n";
+    out << "  \"" << state.m_name
+        << "\" [shape=" << (state.m_final ? "doublecircle" : "box") << "];\n";
     return;
   }
   out << "  subgraph \"cluster_" << state.m_name << "\" {\n  label=\""
@@ -26,7 +26,8 @@
 
 std::string Label(const TransitionDefinition& transition) {
   std::string label = transition.m_event;
-  if (!transition.m_condition.empty()) label += " [" + transition.m_condition + "]";
+  if (!transition.m_condition.empty())
+    label += " [" + transition.m_condition + "]";
   std::string separator = " / ";
   for (const std::string& action : transition.m_actions) {
     label += separator + action;
@@ -39,8 +40,7 @@
                      std::ostringstream& out) {
   const StateDefinition& state = chart.m_states[index];
   // DOT has no edges between clusters; the initial leaf stands for them.
-  const std::string& source =
-      chart.m_states[InitialLeaf(chart, index)].m_name;
+  const std::string& source = chart.m_states[InitialLeaf(chart, index)].m_name;
   for (const TransitionDefinition& transition : state.m_transitions) {
     std::string target = source;
     if (!transition.m_target.empty()) {
--- a/libraries/chart/chart_parser.cc
+++ b/libraries/chart/chart_parser.cc
@@ -20,8 +20,8 @@
   explicit Parser(const std::string& file) { m_chart.m_file = file; }
 
   Result<ChartDefinition> Run(const YAML::Node& root) {
-    TRY(CheckKeys(root, {"chart", "initial", "events", "states",
-                         "invariants"}));
+    TRY(CheckKeys(root,
+                  {"chart", "initial", "events", "states", "invariants"}));
     TRY_ASSIGN(m_chart.m_name, Text(root, "chart"));
     TRY_ASSIGN(m_chart.m_initial, Text(root, "initial"));
     TRY_ASSIGN(m_chart.m_events, Names(root, "events"));
@@ -136,8 +136,7 @@
     return flag;
   }
 
-  Result<void> ReadTransitions(const YAML::Node& node,
-                               StateDefinition& state) {
+  Result<void> ReadTransitions(const YAML::Node& node, StateDefinition& state) {
     if (!node) return Success();
     TRY(CheckKeys(node, {}));
     for (const auto& entry : node) {
--- a/libraries/chart/chart_structure.cc
+++ b/libraries/chart/chart_structure.cc
@@ -44,9 +44,9 @@
   for (const TransitionDefinition& transition : state.m_transitions) {
     if (transition.m_event != event) continue;
     if (unguarded) {
-      return Fail(chart, transition.m_line,
-                  "a transition for \"" + event +
-                      "\" follows one without a condition");
+      return Fail(
+          chart, transition.m_line,
+          "a transition for \"" + event + "\" follows one without a condition");
     }
     unguarded = transition.m_condition.empty();
   }
@@ -82,8 +82,8 @@
 Result<void> CheckCoverage(const ChartDefinition& chart, std::size_t leaf) {
   const auto ancestry = Ancestry(chart, leaf);
   for (const std::string& event : chart.m_events) {
-    const bool covered = std::any_of(
-        ancestry.begin(), ancestry.end(), [&](std::size_t index) {
+    const bool covered =
+        std::any_of(ancestry.begin(), ancestry.end(), [&](std::size_t index) {
           const StateDefinition& state = chart.m_states[index];
           return Handles(state, event) ||
                  Contains(state.m_ignored_events, event);
@@ -127,9 +127,9 @@
       return Fail(chart, invariant.m_line, "unknown state \"" + name + "\"");
     }
     if (reachable[InitialLeaf(chart, *never)]) {
-      return Fail(chart, invariant.m_line,
-                  "\"" + name + "\" can be reached from \"" +
-                      invariant.m_from + "\"");
+      return Fail(
+          chart, invariant.m_line,
+          "\"" + name + "\" can be reached from \"" + invariant.m_from + "\"");
     }
   }
   return Success();
--- a/libraries/decisions/admission/admission.cc
+++ b/libraries/decisions/admission/admission.cc
@@ -36,9 +36,8 @@
       elapsed / static_cast<double>(kSlotNeedHalfLife.count());
   queue.m_need *= std::exp2(-half_lives);
   queue.m_need_updated_at = now;
-  const double present =
-      static_cast<double>(queue.m_in_use) +
-      static_cast<double>(queue.m_waiting);
+  const double present = static_cast<double>(queue.m_in_use) +
+                         static_cast<double>(queue.m_waiting);
   queue.m_need = std::max(queue.m_need, present);
 }
 
@@ -143,8 +142,7 @@
 Duration ExpectedWait(const ClassQueue& queue, const MemberId& member,
                       Slots slots) {
   const auto ahead = static_cast<double>(RequestsAhead(queue, member));
-  const auto service =
-      static_cast<double>(Mean(queue.m_service_time).count());
+  const auto service = static_cast<double>(Mean(queue.m_service_time).count());
   const double wait = ahead * service / ExpectedSlots(queue, slots);
   return Duration(static_cast<Duration::rep>(wait));
 }
@@ -205,8 +203,7 @@
     return Refusal(ErrorCode::kNotRun, request, "the class's queue is full");
   }
   const Duration wait = ExpectedWait(queue, request.m_member, slots);
-  const TimePoint answered =
-      now + wait + UpperBound(queue.m_service_time);
+  const TimePoint answered = now + wait + UpperBound(queue.m_service_time);
   if (wait > Duration::zero() && answered > AnswerBy(queue, request)) {
     return Refusal(ErrorCode::kNotRun, request,
                    "it could not be answered in time");
@@ -248,11 +245,9 @@
   const auto entry = queue->second.m_members.find(member);
   if (entry == queue->second.m_members.end()) return false;
   auto& waiting = entry->second.m_waiting;
-  const auto place =
-      std::find_if(waiting.begin(), waiting.end(),
-                   [request](const WaitingRequest& other) {
-                     return other.m_id == request;
-                   });
+  const auto place = std::find_if(
+      waiting.begin(), waiting.end(),
+      [request](const WaitingRequest& other) { return other.m_id == request; });
   if (place == waiting.end()) return false;
   waiting.erase(place);
   --queue->second.m_waiting;
--- a/libraries/decisions/configuration/configuration.h
+++ b/libraries/decisions/configuration/configuration.h
@@ -26,6 +26,7 @@
 /// One accepted change, as it stands in the audit trail.
 struct AuditEntry {
   ConfigurationVersion m_version;  ///< The version that the change made.
+  std::string m_id;  ///< Tells changes apart whose answers were lost.
   std::string m_operator;
   std::int64_t m_unix_milliseconds = 0;
   std::string m_field;
--- a/libraries/decisions/configuration/configuration_change.cc
+++ b/libraries/decisions/configuration/configuration_change.cc
@@ -17,23 +17,20 @@
 std::string Describe(const TeamQuota& quota) {
   return std::to_string(quota.m_limit.m_processors.value()) + " millicores, " +
          std::to_string(quota.m_limit.m_memory.value()) + " MiB, " +
-         std::to_string(quota.m_limit.m_accelerators.value()) +
-         " accelerators";
+         std::to_string(quota.m_limit.m_accelerators.value()) + " accelerators";
 }
 
-std::string Describe(const MemberTeam& entry) {
-  return entry.m_team.value();
-}
+std::string Describe(const MemberTeam& entry) { return entry.m_team.value(); }
 
 // Replaces the entry with the same key or inserts it in order; returns what
 // stood there before, described.
 template <typename Entry, typename Key>
 std::string Upsert(std::vector<Entry>& entries, const Entry& entry, Key key) {
-  const auto place = std::lower_bound(
-      entries.begin(), entries.end(), entry,
-      [&](const Entry& left, const Entry& right) {
-        return left.*key < right.*key;
-      });
+  const auto place =
+      std::lower_bound(entries.begin(), entries.end(), entry,
+                       [&](const Entry& left, const Entry& right) {
+                         return left.*key < right.*key;
+                       });
   if (place != entries.end() && (*place).*key == entry.*key) {
     std::string before = Describe(*place);
     *place = entry;
@@ -47,10 +44,10 @@
   Configuration& m_configuration;
 
   void operator()(const SetClassTarget& body) const {
-    Record("classes." + body.m_target.m_class.value(),
-           Upsert(m_configuration.m_classes, body.m_target,
-                  &ClassTarget::m_class),
-           Describe(body.m_target));
+    Record(
+        "classes." + body.m_target.m_class.value(),
+        Upsert(m_configuration.m_classes, body.m_target, &ClassTarget::m_class),
+        Describe(body.m_target));
   }
 
   void operator()(const SetTeamQuota& body) const {
@@ -60,10 +57,10 @@
   }
 
   void operator()(const SetMemberTeam& body) const {
-    Record("members." + body.m_entry.m_member.value(),
-           Upsert(m_configuration.m_members, body.m_entry,
-                  &MemberTeam::m_member),
-           Describe(body.m_entry));
+    Record(
+        "members." + body.m_entry.m_member.value(),
+        Upsert(m_configuration.m_members, body.m_entry, &MemberTeam::m_member),
+        Describe(body.m_entry));
   }
 
   void Record(const std::string& field, const std::string& before,
@@ -96,6 +93,7 @@
   }
   next.m_version = Next(current.m_version);
   next.m_change.m_version = next.m_version;
+  next.m_change.m_id = change.m_id;
   next.m_change.m_operator = change.m_operator;
   next.m_change.m_unix_milliseconds = change.m_unix_milliseconds;
   TRY(ValidateConfiguration(next));
--- a/libraries/decisions/configuration/configuration_change.h
+++ b/libraries/decisions/configuration/configuration_change.h
@@ -25,6 +25,7 @@
 
 /// One change that an operator asks for.
 struct ConfigurationChange {
+  std::string m_id;  ///< Unique to the change; see AuditEntry.
   std::string m_operator;
   std::int64_t m_unix_milliseconds = 0;
   /// The version that the operator saw; version 0 changes whatever is there.
--- a/libraries/decisions/membership/member_list.cc
+++ b/libraries/decisions/membership/member_list.cc
@@ -13,8 +13,7 @@
 
 MemberList WithMember(const MemberList& list, const Member& member) {
   const Member* present = FindMember(list, member.m_node);
-  if (present != nullptr &&
-      present->m_incarnation == member.m_incarnation) {
+  if (present != nullptr && present->m_incarnation == member.m_incarnation) {
     return list;
   }
   MemberList next = WithoutMember(list, member.m_node);
--- a/libraries/decisions/membership/peer_table.cc
+++ b/libraries/decisions/membership/peer_table.cc
@@ -104,11 +104,10 @@
   if (self->m_incarnation != table.m_self.m_incarnation) return false;
   if (now < table.m_lease_deadline) return true;
   if (table.m_peers.empty()) return true;
-  const auto acknowledged = static_cast<std::size_t>(
-      std::count_if(table.m_peers.begin(), table.m_peers.end(),
-                    [now](const auto& entry) {
-                      return IsAcknowledgedOfLate(entry.second, now);
-                    }));
+  const auto acknowledged = static_cast<std::size_t>(std::count_if(
+      table.m_peers.begin(), table.m_peers.end(), [now](const auto& entry) {
+        return IsAcknowledgedOfLate(entry.second, now);
+      }));
   return acknowledged >= Majority(table.m_peers.size());
 }
 
@@ -126,11 +125,10 @@
 }
 
 bool AllSettled(const PeerTable& table) {
-  return std::all_of(table.m_peers.begin(), table.m_peers.end(),
-                     [&table](const auto& entry) {
-                       return entry.second.m_settled >=
-                              table.m_members.m_version;
-                     });
+  return std::all_of(
+      table.m_peers.begin(), table.m_peers.end(), [&table](const auto& entry) {
+        return entry.second.m_settled >= table.m_members.m_version;
+      });
 }
 
 }  // namespace daisyarch
--- a/libraries/decisions/node/node_chart.h
+++ b/libraries/decisions/node/node_chart.h
@@ -25,7 +25,7 @@
 
 /// What the guards and actions of charts/node.yaml read and change.
 struct NodeContext {
-  bool m_is_ready = false;           ///< Told to the balancer.
+  bool m_is_ready = false;  ///< Told to the balancer.
   bool m_takes_requests = false;
   bool m_should_leave_list = false;  ///< Set once everything is drained.
 };
--- a/libraries/decisions/ownership/journal_record.cc
+++ b/libraries/decisions/ownership/journal_record.cc
@@ -7,8 +7,8 @@
 }  // namespace
 
 bool IsSameBatch(const JournalBatch& left, const JournalBatch& right) {
-  return left.m_sequence == right.m_sequence &&
-         left.m_epoch == right.m_epoch && left.m_writer == right.m_writer &&
+  return left.m_sequence == right.m_sequence && left.m_epoch == right.m_epoch &&
+         left.m_writer == right.m_writer &&
          left.m_incarnation == right.m_incarnation;
 }
 
--- a/libraries/decisions/ownership/journal_writer.cc
+++ b/libraries/decisions/ownership/journal_writer.cc
@@ -79,10 +79,9 @@
 }
 
 bool IsSnapshotDue(const JournalWriter& writer) {
-  const std::uint64_t behind =
-      writer.m_in_flight.m_sequence.value() -
-      std::min(writer.m_snapshot_through.value(),
-               writer.m_in_flight.m_sequence.value());
+  const std::uint64_t behind = writer.m_in_flight.m_sequence.value() -
+                               std::min(writer.m_snapshot_through.value(),
+                                        writer.m_in_flight.m_sequence.value());
   return behind >= kBatchesPerSnapshot && writer.m_queue.empty();
 }
 
--- a/libraries/decisions/placement/apply_record.cc
+++ b/libraries/decisions/placement/apply_record.cc
@@ -28,8 +28,7 @@
     job.m_request = record.m_request;
     const auto [entry, is_new] = m_state.m_jobs.emplace(record.m_job, job);
     if (!is_new) return;
-    for (std::uint32_t index = 0; index < job.m_request.m_task_count;
-         ++index) {
+    for (std::uint32_t index = 0; index < job.m_request.m_task_count; ++index) {
       Task task;
       task.m_id = TaskId{record.m_job, index};
       m_state.m_tasks.emplace(task.m_id, task);
--- a/libraries/decisions/placement/headroom.cc
+++ b/libraries/decisions/placement/headroom.cc
@@ -42,8 +42,8 @@
       std::exp2(-elapsed / static_cast<double>(kNeedHalfLife.count()));
   needs.m_updated_at = now;
   for (auto& [class_id, peak] : needs.m_peak) {
-    peak = Millicores(static_cast<std::int64_t>(
-        static_cast<double>(peak.value()) * decay));
+    peak = Millicores(
+        static_cast<std::int64_t>(static_cast<double>(peak.value()) * decay));
   }
   for (const auto& [class_id, usage] : state.m_class_usage) {
     Millicores& peak = needs.m_peak[class_id];
--- a/libraries/decisions/placement/headroom.h
+++ b/libraries/decisions/placement/headroom.h
@@ -20,8 +20,7 @@
 constexpr Duration kNeedHalfLife = std::chrono::minutes(10);
 
 /// Raises each need to what its class holds and waits for now.
-void UpdateNeeds(ClassNeeds& needs, const PartitionState& state,
-                 TimePoint now);
+void UpdateNeeds(ClassNeeds& needs, const PartitionState& state, TimePoint now);
 
 /// What a class keeps of `capacity` while others flood in.
 Millicores KeptShare(const ClassTarget& target, Millicores capacity);
--- a/libraries/decisions/placement/job.cc
+++ b/libraries/decisions/placement/job.cc
@@ -6,8 +6,7 @@
   return left.m_member == right.m_member && left.m_class == right.m_class &&
          left.m_key == right.m_key && left.m_demand == right.m_demand &&
          left.m_task_count == right.m_task_count &&
-         left.m_run_time == right.m_run_time &&
-         left.m_repeat == right.m_repeat;
+         left.m_run_time == right.m_run_time && left.m_repeat == right.m_repeat;
 }
 
 std::uint32_t EndedTasks(const Job& job) {
--- a/libraries/decisions/placement/partition_engine.cc
+++ b/libraries/decisions/placement/partition_engine.cc
@@ -16,15 +16,13 @@
 
 Result<void> CheckRequest(const PartitionEngine& engine,
                           const JobRequest& request) {
-  if (request.m_task_count == 0 ||
-      request.m_task_count > kMaximumTasksPerJob) {
-    return Refuse(ErrorCode::kInvalidArgument, engine,
-                  "a job has 1 to " + std::to_string(kMaximumTasksPerJob) +
-                      " tasks");
+  if (request.m_task_count == 0 || request.m_task_count > kMaximumTasksPerJob) {
+    return Refuse(
+        ErrorCode::kInvalidArgument, engine,
+        "a job has 1 to " + std::to_string(kMaximumTasksPerJob) + " tasks");
   }
   const Resources& demand = request.m_demand;
-  if (demand.m_processors <= Millicores() ||
-      demand.m_memory <= Mebibytes() ||
+  if (demand.m_processors <= Millicores() || demand.m_memory <= Mebibytes() ||
       demand.m_accelerators < Accelerators()) {
     return Refuse(ErrorCode::kInvalidArgument, engine,
                   "a task needs processors and memory");
@@ -96,8 +94,8 @@
                  Task& task, StopReason reason) {
   const WorkerId worker = task.m_worker;
   const StepResult step =
-      StepTask(engine.m_state, machines.m_task, task,
-               TaskEvent::kStopRequested, AttemptEnd::kStopped, 0);
+      StepTask(engine.m_state, machines.m_task, task, TaskEvent::kStopRequested,
+               AttemptEnd::kStopped, 0);
   if (step == StepResult::kIgnored) return;
   task.m_stop_reason = reason;
   engine.m_urgent_exchanges.insert(worker);
@@ -111,16 +109,15 @@
   const auto known = engine.m_state.m_jobs.find(id);
   if (known != engine.m_state.m_jobs.end()) {
     if (!IsSameWork(known->second.m_request, request)) {
-      return Refuse(ErrorCode::kConflict, engine,
-                    "key \"" + request.m_key.value() +
-                        "\" stands for other work");
+      return Refuse(
+          ErrorCode::kConflict, engine,
+          "key \"" + request.m_key.value() + "\" stands for other work");
     }
     // The first submission may not be durable yet; its journal position is
     // before this reply's.
     engine.m_queued_effects.emplace_back(HeldReply{ticket, id});
-    const bool is_settled =
-        engine.m_journal.m_queue.empty() &&
-        engine.m_journal.m_phase == JournalPhase::kIdle;
+    const bool is_settled = engine.m_journal.m_queue.empty() &&
+                            engine.m_journal.m_phase == JournalPhase::kIdle;
     if (!is_settled) return SubmitOutcome(JobPending{id});
     engine.m_queued_effects.pop_back();
     return SubmitOutcome(JobKnown{id});
@@ -137,8 +134,8 @@
                        TicketId ticket) {
   const auto found = engine.m_state.m_jobs.find(job);
   if (found == engine.m_state.m_jobs.end()) {
-    return Error{ErrorCode::kNotFound, "cancel job",
-                 engine.m_partition.value(), "no job " + ToString(job)};
+    return Error{ErrorCode::kNotFound, "cancel job", engine.m_partition.value(),
+                 "no job " + ToString(job)};
   }
   if (IsEnded(found->second)) return false;
   CommitRecord(engine, machines, JobCancelled{job});
@@ -166,8 +163,7 @@
 
 std::vector<HeldReply> FinishCommit(PartitionEngine& engine) {
   std::vector<HeldReply> replies;
-  const std::vector<HeldEffect> effects =
-      std::move(engine.m_in_flight_effects);
+  const std::vector<HeldEffect> effects = std::move(engine.m_in_flight_effects);
   engine.m_in_flight_effects.clear();
   for (const HeldEffect& effect : effects) {
     std::visit(EffectReleaser{engine, replies}, effect);
--- a/libraries/decisions/placement/partition_engine.h
+++ b/libraries/decisions/placement/partition_engine.h
@@ -96,8 +96,7 @@
                        TicketId ticket);
 
 /// Moves the queued effects along with the group that StartWrite took.
-std::optional<JournalWrite> StartCommit(PartitionEngine& engine,
-                                        TimePoint now);
+std::optional<JournalWrite> StartCommit(PartitionEngine& engine, TimePoint now);
 
 /// Releases the effects of the batch that became durable; the replies are
 /// returned, the rest is kept for the workers' next exchanges.
--- a/libraries/decisions/placement/place_tasks.cc
+++ b/libraries/decisions/placement/place_tasks.cc
@@ -48,7 +48,8 @@
 
 std::vector<ClassCandidate> OrderClasses(const Round& round) {
   std::vector<ClassCandidate> order;
-  for (const auto& [class_id, teams] : round.m_engine.m_state.m_queue.m_classes) {
+  for (const auto& [class_id, teams] :
+       round.m_engine.m_state.m_queue.m_classes) {
     ClassCandidate candidate;
     candidate.m_class = class_id;
     candidate.m_is_under_kept_share =
@@ -83,8 +84,7 @@
   return order;
 }
 
-bool HasQuota(const Round& round, const TeamId& team,
-              const Resources& demand) {
+bool HasQuota(const Round& round, const TeamId& team, const Resources& demand) {
   const auto& usage = round.m_engine.m_state.m_team_usage;
   const auto held = usage.find(team);
   return IsWithinQuota(
@@ -99,9 +99,9 @@
       KeptBy(round, class_id)) {
     return true;
   }
-  const Millicores headroom = HeadroomForOthers(
-      round.m_configuration, round.m_engine.m_needs, round.m_engine.m_state,
-      class_id, round.m_capacity);
+  const Millicores headroom =
+      HeadroomForOthers(round.m_configuration, round.m_engine.m_needs,
+                        round.m_engine.m_state, class_id, round.m_capacity);
   return round.m_free - demand.m_processors >= headroom;
 }
 
--- a/libraries/decisions/placement/task.h
+++ b/libraries/decisions/placement/task.h
@@ -45,7 +45,7 @@
   TaskId m_id;
   TaskState m_state = TaskState::kQueued;
   Attempt m_attempt{1};
-  WorkerId m_worker;  ///< Valid in an active state.
+  WorkerId m_worker;                ///< Valid in an active state.
   Incarnation m_start_incarnation;  ///< The run of the worker that is meant.
   std::uint64_t m_checkpoint = 0;
   std::uint32_t m_failures = 0;
--- a/libraries/decisions/placement/worker_exchange.cc
+++ b/libraries/decisions/placement/worker_exchange.cc
@@ -48,18 +48,14 @@
   const AttemptEnd end =
       task.m_is_sent ? AttemptEnd::kLost : AttemptEnd::kNotRun;
   CommitRecord(engine, machines,
-               AttemptEnded{task.m_id, task.m_attempt, end,
-                            task.m_checkpoint});
+               AttemptEnded{task.m_id, task.m_attempt, end, task.m_checkpoint});
 }
 
 class ReportApplier {
  public:
   ReportApplier(PartitionEngine& engine, const PlacementMachines& machines,
                 Worker& worker, TimePoint now)
-      : m_engine(engine),
-        m_machines(machines),
-        m_worker(worker),
-        m_now(now) {}
+      : m_engine(engine), m_machines(machines), m_worker(worker), m_now(now) {}
 
   void Apply(const WorkerReport& report) {
     for (const AttemptReport& attempt : report.m_attempts) {
@@ -262,8 +258,8 @@
               StopReason::kEvicted);
 }
 
-void ResumeOwnership(PartitionEngine& engine,
-                     const PlacementMachines& machines, TimePoint now) {
+void ResumeOwnership(PartitionEngine& engine, const PlacementMachines& machines,
+                     TimePoint now) {
   engine.m_owned_since = now;
   for (auto& [id, task] : engine.m_state.m_tasks) {
     task.m_is_sent = true;
--- a/libraries/decisions/placement/worker_exchange.h
+++ b/libraries/decisions/placement/worker_exchange.h
@@ -42,7 +42,7 @@
                const TaskId& task);
 
 /// Prepares a state that was read back from the journal for its new owner.
-void ResumeOwnership(PartitionEngine& engine,
-                     const PlacementMachines& machines, TimePoint now);
+void ResumeOwnership(PartitionEngine& engine, const PlacementMachines& machines,
+                     TimePoint now);
 
 }  // namespace daisyarch
--- a/libraries/decisions/retry/request_chart.cc
+++ b/libraries/decisions/retry/request_chart.cc
@@ -43,8 +43,8 @@
 
 ChartBinding<RequestContext> RequestBinding() {
   return {
-      {"waiting", "sent", "answered", "refused", "unknown", "abandoned"},
-      {"dispatched", "answered", "unsent", "lost", "expired", "caller_left"},
+      {"waiting", "sent", "answered", "refused", "unknown"},
+      {"dispatched", "answered", "unsent", "lost", "expired"},
       {{"never_sent", NeverSent},
        {"sent_once", SentOnce},
        {"may_try_again", MayTryAgain},
--- a/libraries/decisions/retry/request_chart.h
+++ b/libraries/decisions/retry/request_chart.h
@@ -17,7 +17,6 @@
   kAnswered,
   kRefused,
   kUnknown,
-  kAbandoned,
 };
 
 /// The events of charts/request.yaml, in this order.
@@ -27,7 +26,6 @@
   kUnsent,
   kLost,
   kExpired,
-  kCallerLeft,
 };
 
 /// Whether the caller allows that the request reaches endpoints twice.
--- a/libraries/decisions/retry/retry_budget.cc
+++ b/libraries/decisions/retry/retry_budget.cc
@@ -9,8 +9,8 @@
 }  // namespace
 
 void CountRequest(RetryBudget& budget) {
-  budget.m_tenths = std::min(budget.m_tenths + 1,
-                             kMaximumSavedRetries * kTenthsPerRetry);
+  budget.m_tenths =
+      std::min(budget.m_tenths + 1, kMaximumSavedRetries * kTenthsPerRetry);
 }
 
 bool SpendRetry(RetryBudget& budget) {
--- a/libraries/decisions/routing/endpoint.cc
+++ b/libraries/decisions/routing/endpoint.cc
@@ -39,8 +39,8 @@
 ChartBinding<EndpointContext> EndpointBinding() {
   return {
       {"healthy", "ejected", "probing", "leaving", "gone"},
-      {"succeeded", "failed", "back_off_ended", "listed_live",
-       "listed_leaving", "unlisted"},
+      {"succeeded", "failed", "back_off_ended", "listed_live", "listed_leaving",
+       "unlisted"},
       {{"fails_repeatedly", FailsRepeatedly}},
       {{"count_failure", CountFailure},
        {"clear_failures", ClearFailures},
--- a/libraries/decisions/routing/endpoint_choice.h
+++ b/libraries/decisions/routing/endpoint_choice.h
@@ -27,8 +27,7 @@
   Slots m_free;
   Slots m_entitled;
 };
-SlotSupply CountSlots(const EndpointTable& endpoints,
-                      const SlotLedger& ledger);
+SlotSupply CountSlots(const EndpointTable& endpoints, const SlotLedger& ledger);
 
 /// Learns the latency of an answered request.
 void LearnLatency(Endpoint& endpoint, Duration latency, TimePoint now);
--- a/libraries/decisions/routing/slot_ledger.cc
+++ b/libraries/decisions/routing/slot_ledger.cc
@@ -39,6 +39,14 @@
   }
 }
 
+// The other nodes have shared out what this node's earlier run held.
+void EndRun(SlotAccount& account) {
+  account.m_share = Slots();
+  account.m_lent.clear();
+  account.m_borrowed.clear();
+  account.m_returning.clear();
+}
+
 Slots IdleLoans(const SlotAccount& account, const NodeId& lender) {
   const auto borrowed = account.m_borrowed.find(lender);
   if (borrowed == account.m_borrowed.end()) return Slots();
@@ -52,6 +60,24 @@
   if (borrowed == Slots()) account.m_borrowed.erase(lender);
 }
 
+// A recalled loan is over as far as the requests in flight fit into the rest.
+void SettleReturning(SlotAccount& account, const NodeId& lender) {
+  const auto returning = account.m_returning.find(lender);
+  if (returning == account.m_returning.end()) return;
+  const Slots in_excess = std::max(Slots() - FreeSlots(account), Slots());
+  returning->second = std::min(returning->second, in_excess);
+  if (returning->second == Slots()) account.m_returning.erase(returning);
+}
+
+Slots HeldOf(const SlotAccount& account, const NodeId& lender) {
+  Slots held;
+  const auto borrowed = account.m_borrowed.find(lender);
+  if (borrowed != account.m_borrowed.end()) held += borrowed->second;
+  const auto returning = account.m_returning.find(lender);
+  if (returning != account.m_returning.end()) held += returning->second;
+  return held;
+}
+
 }  // namespace
 
 Slots BaseShare(const MemberList& members, const NodeId& node,
@@ -94,14 +120,14 @@
 
 void AdoptMembers(SlotLedger& ledger, const MemberList& members) {
   if (members.m_version <= ledger.m_members.m_version) return;
-  const bool goes_on =
-      IsSameRun(ledger.m_members, members, ledger.m_node);
+  const bool goes_on = IsSameRun(ledger.m_members, members, ledger.m_node);
   for (auto& [endpoint, account] : ledger.m_accounts) {
     DropEnded(account.m_lent, ledger.m_members, members);
     DropEnded(account.m_borrowed, ledger.m_members, members);
+    DropEnded(account.m_returning, ledger.m_members, members);
     account.m_next_share =
         BaseShare(members, ledger.m_node, endpoint, account.m_total);
-    if (!goes_on) account.m_share = Slots();
+    if (!goes_on) EndRun(account);
     account.m_share = std::min(account.m_share, account.m_next_share);
   }
   DropEndedCalls(ledger.m_closed_calls, ledger.m_members, members);
@@ -110,10 +136,9 @@
 }
 
 bool IsSettled(const SlotLedger& ledger) {
-  return std::all_of(ledger.m_accounts.begin(), ledger.m_accounts.end(),
-                     [](const auto& entry) {
-                       return FreeSlots(entry.second) >= Slots();
-                     });
+  return std::all_of(
+      ledger.m_accounts.begin(), ledger.m_accounts.end(),
+      [](const auto& entry) { return FreeSlots(entry.second) >= Slots(); });
 }
 
 void CompleteShares(SlotLedger& ledger) {
@@ -179,11 +204,21 @@
     const Slots kept = std::min(idle, keep);
     keep -= kept;
     if (idle > kept) GiveBack(account, lender, idle - kept);
+    SettleReturning(account, lender);
+    const Slots held = HeldOf(account, lender);
+    if (held == Slots()) continue;
+    report.m_held.push_back(SlotLoan{endpoint, held});
+  }
+  return report;
+}
+
+void RecallLoans(SlotLedger& ledger, const NodeId& lender) {
+  for (auto& [endpoint, account] : ledger.m_accounts) {
     const auto borrowed = account.m_borrowed.find(lender);
     if (borrowed == account.m_borrowed.end()) continue;
-    report.m_held.push_back(SlotLoan{endpoint, borrowed->second});
+    account.m_returning[lender] += borrowed->second;
+    account.m_borrowed.erase(borrowed);
   }
-  return report;
 }
 
 void ApplyLoanReport(SlotLedger& ledger, const NodeId& borrower,
--- a/libraries/decisions/routing/slot_ledger.h
+++ b/libraries/decisions/routing/slot_ledger.h
@@ -18,6 +18,8 @@
   Slots m_in_use;
   std::map<NodeId, Slots> m_lent;
   std::map<NodeId, Slots> m_borrowed;
+  /// Borrowed, asked back by the lender, and still in use.
+  std::map<NodeId, Slots> m_returning;
 };
 
 /// The slots of all endpoints. Each slot belongs to one node by the member
@@ -89,6 +91,9 @@
 LoanReport ReportLoans(SlotLedger& ledger, const NodeId& lender, Slots keep,
                        std::uint64_t closed_call);
 
+/// The lender needs its slots: those on loan take no further requests.
+void RecallLoans(SlotLedger& ledger, const NodeId& lender);
+
 /// Takes a borrower's report over, unless a loan was granted since.
 void ApplyLoanReport(SlotLedger& ledger, const NodeId& borrower,
                      const LoanReport& report);
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -31,8 +31,8 @@
     beast::error_code code;
     const auto remote = m_stream.socket().remote_endpoint(code);
     if (!code) {
-      m_peer = remote.address().to_string() + ":" +
-               std::to_string(remote.port());
+      m_peer =
+          remote.address().to_string() + ":" + std::to_string(remote.port());
     }
     m_stream.socket().set_option(tcp::no_delay(true), code);
   }
@@ -90,9 +90,10 @@
     HttpResponse response;
     response.m_status = status;
     response.m_headers.emplace_back("Content-Type", "application/json");
-    response.m_body = "{\"code\":\"invalid_argument\",\"step\":\"read request\"," 
-                      "\"peer\":\"" + m_peer + "\",\"detail\":\"" + detail +
-                      "\"}\n";
+    response.m_body =
+        "{\"code\":\"invalid_argument\",\"step\":\"read request\","
+        "\"peer\":\"" +
+        m_peer + "\",\"detail\":\"" + detail + "\"}\n";
     Answer(std::move(response), false);
   }
 
@@ -107,13 +108,13 @@
     m_message.keep_alive(m_keep_alive && !m_state->m_is_draining);
     m_message.prepare_payload();
     m_stream.expires_after(m_state->m_limits.m_send_timeout);
-    beast::http::async_write(
-        m_stream, m_message,
-        [self = shared_from_this(), was_counted](beast::error_code code,
-                                                 std::size_t) {
-          if (was_counted) --self->m_state->m_open_requests;
-          self->OnWritten(code);
-        });
+    beast::http::async_write(m_stream, m_message,
+                             [self = shared_from_this(), was_counted](
+                                 beast::error_code code, std::size_t) {
+                               if (was_counted)
+                                 --self->m_state->m_open_requests;
+                               self->OnWritten(code);
+                             });
   }
 
   void OnWritten(beast::error_code code) {
@@ -131,8 +132,7 @@
   std::shared_ptr<HttpServer::State> m_state;
   std::string m_peer;
   beast::flat_buffer m_buffer;
-  std::optional<beast::http::request_parser<beast::http::string_body>>
-      m_parser;
+  std::optional<beast::http::request_parser<beast::http::string_body>> m_parser;
   beast::http::response<beast::http::string_body> m_message;
   bool m_keep_alive = true;
 };
@@ -178,8 +178,8 @@
     state->m_acceptor.listen(asio::socket_base::max_listen_connections, code);
   }
   if (code) {
-    return Error{ErrorCode::kUnavailable, "listen for HTTP",
-                 ToString(address), code.message()};
+    return Error{ErrorCode::kUnavailable, "listen for HTTP", ToString(address),
+                 code.message()};
   }
   Accept(state);
   return std::unique_ptr<HttpServer>(new HttpServer(std::move(state)));
--- /dev/null
+++ b/libraries/journal/partition_claim.cc
@@ -0,0 +1,305 @@
+#include "journal/partition_claim.h"
+
+#include <memory>
+#include <utility>
+
+#include "decisions/placement/apply_record.h"
+#include "decisions/placement/worker_exchange.h"
+#include "journal/partition_snapshot.h"
+#include "wire/placement_fields.h"
+
+namespace daisyarch {
+
+namespace {
+
+/// One claim under way; each step calls the next.
+class Claim : public std::enable_shared_from_this<Claim> {
+ public:
+  Claim(const Platform& platform, ClaimParameters parameters,
+        ClaimAnswer on_answer)
+      : m_platform(platform),
+        m_parameters(std::move(parameters)),
+        m_on_answer(std::move(on_answer)) {}
+
+  void ReadHead() {
+    m_platform.m_read(HeadKey(m_parameters.m_partition),
+                      [self = shared_from_this()](Result<StoreEntry> result) {
+                        if (!result)
+                          return self->Fail(std::move(result).assume_error());
+                        self->OnHead(result.assume_value());
+                      });
+  }
+
+ private:
+  void OnHead(const StoreEntry& entry) {
+    m_claimed.m_head_version = entry.m_version;
+    if (entry.m_version == StoreVersion()) return RaiseEpoch();
+    auto head = DecodeCbor<PartitionHead>(entry.m_value, "read head",
+                                          m_parameters.m_partition.value());
+    if (!head) return Fail(std::move(head).assume_error());
+    m_claimed.m_head = head.assume_value();
+    if (m_is_head_written) return CheckHeadWritten();
+    if (m_claimed.m_head.m_is_released || IsOwnRun()) return RaiseEpoch();
+    CheckOwner();
+  }
+
+  bool IsOwnRun() const {
+    return m_claimed.m_head.m_owner == m_parameters.m_node &&
+           m_claimed.m_head.m_incarnation == m_parameters.m_incarnation;
+  }
+
+  // The owner's presence goes with its lease. A later run of the same node
+  // does not own what the earlier one did.
+  void CheckOwner() {
+    m_platform.m_read(PresenceKey(m_claimed.m_head.m_owner),
+                      [self = shared_from_this()](Result<StoreEntry> result) {
+                        if (!result)
+                          return self->Fail(std::move(result).assume_error());
+                        self->OnOwner(result.assume_value());
+                      });
+  }
+
+  void OnOwner(const StoreEntry& entry) {
+    if (entry.m_version == StoreVersion()) return RaiseEpoch();
+    auto presence = DecodeCbor<NodePresence>(entry.m_value, "read presence",
+                                             m_claimed.m_head.m_owner.value());
+    if (!presence) return Fail(std::move(presence).assume_error());
+    if (presence.assume_value().m_incarnation !=
+        m_claimed.m_head.m_incarnation) {
+      return RaiseEpoch();
+    }
+    Fail(Error{ErrorCode::kNotOwner, "claim partition",
+               m_claimed.m_head.m_owner.value(), "its lease lasts"});
+  }
+
+  void RaiseEpoch() {
+    PartitionHead& head = m_claimed.m_head;
+    head.m_epoch = Next(head.m_epoch);
+    head.m_owner = m_parameters.m_node;
+    head.m_incarnation = m_parameters.m_incarnation;
+    head.m_is_released = false;
+    m_written_epoch = head.m_epoch;
+    m_platform.m_compare_and_swap(
+        HeadKey(m_parameters.m_partition), m_claimed.m_head_version,
+        WriteCbor(Encode(head)), StoreLeaseId(),
+        [self = shared_from_this()](Result<SwapResult> result) {
+          self->OnEpochRaised(std::move(result));
+        });
+  }
+
+  void OnEpochRaised(Result<SwapResult> result) {
+    // A lost answer and a conflict are the same here: the head tells.
+    if (!result && result.assume_error().m_code != ErrorCode::kOutcomeUnknown) {
+      return Fail(std::move(result).assume_error());
+    }
+    if (!result || !result.assume_value().m_is_swapped) {
+      m_is_head_written = true;
+      return ReadHead();
+    }
+    m_claimed.m_head_version = result.assume_value().m_entry.m_version;
+    ReadSnapshot();
+  }
+
+  void CheckHeadWritten() {
+    if (IsOwnRun() && m_claimed.m_head.m_epoch == m_written_epoch) {
+      return ReadSnapshot();
+    }
+    Fail(Error{ErrorCode::kConflict, "claim partition",
+               m_claimed.m_head.m_owner.value(), "another node was faster"});
+  }
+
+  void ReadSnapshot() {
+    if (m_chunks.size() == m_claimed.m_head.m_snapshot_chunks) {
+      return LoadSnapshot();
+    }
+    const auto chunk = static_cast<std::uint32_t>(m_chunks.size());
+    const PartitionHead& head = m_claimed.m_head;
+    m_platform.m_read(
+        SnapshotKey(m_parameters.m_partition, head.m_snapshot_epoch,
+                    head.m_snapshot_through, chunk),
+        [self = shared_from_this()](Result<StoreEntry> result) {
+          if (!result) return self->Fail(std::move(result).assume_error());
+          self->m_chunks.push_back(result.assume_value().m_value);
+          self->ReadSnapshot();
+        });
+  }
+
+  void LoadSnapshot() {
+    auto state = DecodeSnapshot(m_chunks, m_parameters.m_partition.value());
+    if (!state) return Fail(std::move(state).assume_error());
+    PartitionEngine& engine = m_claimed.m_engine;
+    engine.m_partition = m_parameters.m_partition;
+    engine.m_state = std::move(state).assume_value();
+    JournalWriter& journal = engine.m_journal;
+    journal.m_node = m_parameters.m_node;
+    journal.m_incarnation = m_parameters.m_incarnation;
+    journal.m_epoch = m_claimed.m_head.m_epoch;
+    journal.m_snapshot_through = m_claimed.m_head.m_snapshot_through;
+    journal.m_next = Next(journal.m_snapshot_through);
+    ReadSlots();
+  }
+
+  // The version of every slot is needed to write it, so all are read.
+  void ReadSlots() {
+    m_slots.resize(kJournalRingSize);
+    m_slots_missing = kJournalRingSize;
+    for (std::size_t slot = 0; slot < kJournalRingSize; ++slot) {
+      m_platform.m_read(
+          JournalKey(m_parameters.m_partition, slot),
+          [self = shared_from_this(), slot](Result<StoreEntry> result) {
+            self->OnSlot(slot, std::move(result));
+          });
+    }
+  }
+
+  void OnSlot(std::size_t slot, Result<StoreEntry> result) {
+    if (!result) return Fail(std::move(result).assume_error());
+    m_slots[slot] = std::move(result).assume_value();
+    if (--m_slots_missing == 0) Replay();
+  }
+
+  void Replay() {
+    JournalWriter& journal = m_claimed.m_engine.m_journal;
+    for (std::size_t slot = 0; slot < kJournalRingSize; ++slot) {
+      journal.m_slots[slot] = m_slots[slot].m_version;
+    }
+    while (true) {
+      const StoreEntry& entry = m_slots[SlotOf(journal.m_next)];
+      if (entry.m_version == StoreVersion()) break;
+      auto batch = DecodeCbor<JournalBatch>(entry.m_value, "read journal",
+                                            m_parameters.m_partition.value());
+      if (!batch) return Fail(std::move(batch).assume_error());
+      if (batch.assume_value().m_sequence != journal.m_next) break;
+      ApplyBatch(batch.assume_value());
+    }
+    AppendRecord(journal, ClaimRecord());
+    WriteClaim();
+  }
+
+  JournalRecord ClaimRecord() const {
+    return OwnerClaimed{m_parameters.m_node, m_claimed.m_head.m_epoch};
+  }
+
+  void ApplyBatch(const JournalBatch& batch) {
+    PartitionEngine& engine = m_claimed.m_engine;
+    for (const JournalRecord& record : batch.m_records) {
+      ApplyRecord(engine.m_state, m_parameters.m_machines->m_task, record);
+    }
+    engine.m_journal.m_next = Next(batch.m_sequence);
+  }
+
+  void WriteClaim() {
+    JournalWriter& journal = m_claimed.m_engine.m_journal;
+    journal.m_last_start = TimePoint(-kMinimumCommitInterval);
+    const auto write = StartWrite(journal, m_parameters.m_now());
+    if (!write) {
+      return Fail(Error{ErrorCode::kInternal, "claim partition",
+                        m_parameters.m_partition.value(),
+                        "the journal's ring is full"});
+    }
+    SendClaim(*write);
+  }
+
+  void SendClaim(const JournalWrite& write) {
+    m_platform.m_compare_and_swap(
+        JournalKey(m_parameters.m_partition, write.m_slot), write.m_expected,
+        WriteCbor(Encode(write.m_batch)), StoreLeaseId(),
+        [self = shared_from_this()](Result<SwapResult> result) {
+          self->OnClaimWritten(std::move(result));
+        });
+  }
+
+  void OnClaimWritten(Result<SwapResult> result) {
+    JournalWriter& journal = m_claimed.m_engine.m_journal;
+    if (result && result.assume_value().m_is_swapped) {
+      FinishWrite(journal, result.assume_value().m_entry.m_version);
+      return Succeed();
+    }
+    if (!result && result.assume_error().m_code != ErrorCode::kOutcomeUnknown) {
+      return Fail(std::move(result).assume_error());
+    }
+    BeginReadBack(journal);
+    const std::size_t slot = SlotOf(journal.m_in_flight.m_sequence);
+    m_platform.m_read(JournalKey(m_parameters.m_partition, slot),
+                      [self = shared_from_this()](Result<StoreEntry> read) {
+                        if (!read)
+                          return self->Fail(std::move(read).assume_error());
+                        self->OnClaimReadBack(read.assume_value());
+                      });
+  }
+
+  void OnClaimReadBack(const StoreEntry& entry) {
+    JournalReadBack found;
+    found.m_version = entry.m_version;
+    if (entry.m_version != StoreVersion()) {
+      auto batch = DecodeCbor<JournalBatch>(entry.m_value, "read journal",
+                                            m_parameters.m_partition.value());
+      if (!batch) return Fail(std::move(batch).assume_error());
+      found.m_batch = std::move(batch).assume_value();
+    }
+    JournalWriter& journal = m_claimed.m_engine.m_journal;
+    switch (FinishReadBack(journal, found)) {
+      case WriteOutcome::kCommitted:
+        return Succeed();
+      case WriteOutcome::kRetry:
+        return SendClaim(RepeatWrite(journal));
+      case WriteOutcome::kFenced:
+        return OnClaimOvertaken(found);
+    }
+  }
+
+  // A write of the owner before may have landed late, in the place where the
+  // claim was to stand. It counts, and the claim follows it.
+  void OnClaimOvertaken(const JournalReadBack& found) {
+    JournalWriter& journal = m_claimed.m_engine.m_journal;
+    const bool is_next = found.m_batch &&
+                         found.m_batch->m_sequence == journal.m_next &&
+                         found.m_batch->m_epoch < journal.m_epoch;
+    if (!is_next) {
+      return Fail(Error{ErrorCode::kConflict, "claim partition",
+                        m_parameters.m_partition.value(),
+                        "a later owner wrote"});
+    }
+    journal.m_slots[SlotOf(journal.m_next)] = found.m_version;
+    journal.m_phase = JournalPhase::kIdle;
+    ApplyBatch(*found.m_batch);
+    AppendRecord(journal, ClaimRecord());
+    WriteClaim();
+  }
+
+  void Succeed() {
+    ResumeOwnership(m_claimed.m_engine, *m_parameters.m_machines,
+                    m_parameters.m_now());
+    Finish(std::move(m_claimed));
+  }
+
+  void Fail(Error error) { Finish(std::move(error)); }
+
+  void Finish(Result<ClaimedPartition> result) {
+    // Slots are read side by side; the first failure ends the claim.
+    if (!m_on_answer) return;
+    ClaimAnswer on_answer = std::move(m_on_answer);
+    m_on_answer = nullptr;
+    on_answer(std::move(result));
+  }
+
+  const Platform& m_platform;
+  ClaimParameters m_parameters;
+  ClaimAnswer m_on_answer;
+  ClaimedPartition m_claimed;
+  bool m_is_head_written = false;
+  Epoch m_written_epoch;
+  std::vector<std::string> m_chunks;
+  std::vector<StoreEntry> m_slots;
+  std::size_t m_slots_missing = 0;
+};
+
+}  // namespace
+
+void ClaimPartition(const Platform& platform, const ClaimParameters& parameters,
+                    ClaimAnswer on_answer) {
+  std::make_shared<Claim>(platform, parameters, std::move(on_answer))
+      ->ReadHead();
+}
+
+}  // namespace daisyarch
--- a/libraries/mesh/mesh_client.cc
+++ b/libraries/mesh/mesh_client.cc
@@ -57,9 +57,9 @@
 
 Error LinkError(const StatePointer& state, const PendingCall& call,
                 const std::string& detail) {
-  return Error{call.m_is_sent ? ErrorCode::kOutcomeUnknown
-                              : ErrorCode::kUnavailable,
-               "call peer", ToString(state->m_address), detail};
+  return Error{
+      call.m_is_sent ? ErrorCode::kOutcomeUnknown : ErrorCode::kUnavailable,
+      "call peer", ToString(state->m_address), detail};
 }
 
 void FailAll(const StatePointer& state, const std::string& detail) {
@@ -93,8 +93,8 @@
 
 void OnMessage(const StatePointer& state, const std::string& payload) {
   state->m_bytes += payload.size();
-  const auto envelope = DecodeCbor<MeshEnvelope>(
-      payload, "read peer answer", ToString(state->m_address));
+  const auto envelope = DecodeCbor<MeshEnvelope>(payload, "read peer answer",
+                                                 ToString(state->m_address));
   if (!envelope) return CloseLink(state, "malformed answer");
   const MeshEnvelope& answer = envelope.assume_value();
   if (answer.m_error.empty()) {
--- a/libraries/mesh/mesh_server.cc
+++ b/libraries/mesh/mesh_server.cc
@@ -101,15 +101,13 @@
         }
       });
   boost::system::error_code address_code;
-  const auto host =
-      boost::asio::ip::make_address(address.m_host, address_code);
+  const auto host = boost::asio::ip::make_address(address.m_host, address_code);
   if (!code && !address_code) {
     server.listen(boost::asio::ip::tcp::endpoint(host, address.m_port), code);
   }
   if (!code && !address_code) server.start_accept(code);
   if (code || address_code) {
-    return Error{ErrorCode::kUnavailable, "listen for peers",
-                 ToString(address),
+    return Error{ErrorCode::kUnavailable, "listen for peers", ToString(address),
                  code ? code.message() : address_code.message()};
   }
   return std::unique_ptr<MeshServer>(new MeshServer(std::move(state)));
--- a/libraries/mesh/mesh_server.h
+++ b/libraries/mesh/mesh_server.h
@@ -18,9 +18,9 @@
 using MeshResponder = std::function<void(Result<Json>)>;
 
 /// Takes a peer's call: the method's name and its body.
-using MeshHandler = std::function<void(
-    const std::string& method, const Json& body, const std::string& peer,
-    MeshResponder respond)>;
+using MeshHandler =
+    std::function<void(const std::string& method, const Json& body,
+                       const std::string& peer, MeshResponder respond)>;
 
 /// Takes the other nodes' calls, as CBOR messages over WebSocket.
 class MeshServer {
--- a/libraries/platform/http_platform.cc
+++ b/libraries/platform/http_platform.cc
@@ -73,8 +73,7 @@
           StoreVersion expected, std::string value, StoreLeaseId lease,
           PlatformAnswer<SwapResult> on_answer) {
   HttpRequest request = MakeRequest("PUT", "/kv/" + key);
-  request.m_headers.emplace_back("If-Match",
-                                 std::to_string(expected.value()));
+  request.m_headers.emplace_back("If-Match", std::to_string(expected.value()));
   if (lease != StoreLeaseId()) {
     request.m_headers.emplace_back("X-Lease", std::to_string(lease.value()));
   }
@@ -117,9 +116,8 @@
         if (response.m_status != kStatusOk) {
           return on_answer(StatusError(service, "list hosts", response));
         }
-        on_answer(
-            DecodeJson<HostList>(response.m_body, "list hosts",
-                                 ToString(service->m_client.address())));
+        on_answer(DecodeJson<HostList>(response.m_body, "list hosts",
+                                       ToString(service->m_client.address())));
       });
 }
 
@@ -129,8 +127,8 @@
 
 }  // namespace
 
-Platform MakeHttpPlatform(boost::asio::io_context& loop,
-                          const Address& address, Duration timeout) {
+Platform MakeHttpPlatform(boost::asio::io_context& loop, const Address& address,
+                          Duration timeout) {
   const ServicePointer service(
       new Service{HttpClient(loop, address, HttpClientLimits()), timeout});
   Platform platform;
@@ -139,22 +137,21 @@
     SendForEntry(service, MakeRequest("GET", "/kv/" + key), service->m_timeout,
                  std::move(on_answer));
   };
-  platform.m_compare_and_swap =
-      [service](const std::string& key, StoreVersion expected,
-                std::string value, StoreLeaseId lease,
-                PlatformAnswer<SwapResult> on_answer) {
-        Swap(service, key, expected, std::move(value), lease,
-             std::move(on_answer));
-      };
+  platform.m_compare_and_swap = [service](
+                                    const std::string& key,
+                                    StoreVersion expected, std::string value,
+                                    StoreLeaseId lease,
+                                    PlatformAnswer<SwapResult> on_answer) {
+    Swap(service, key, expected, std::move(value), lease, std::move(on_answer));
+  };
   platform.m_watch = [service](const std::string& key, StoreVersion known,
                                Duration wait,
                                PlatformAnswer<StoreEntry> on_answer) {
-    const std::string target = "/kv/" + key +
-                               "?after=" + std::to_string(known.value()) +
-                               "&wait_ms=" +
-                               std::to_string(InMilliseconds(wait));
-    SendForEntry(service, MakeRequest("GET", target),
-                 wait + service->m_timeout, std::move(on_answer));
+    const std::string target =
+        "/kv/" + key + "?after=" + std::to_string(known.value()) +
+        "&wait_ms=" + std::to_string(InMilliseconds(wait));
+    SendForEntry(service, MakeRequest("GET", target), wait + service->m_timeout,
+                 std::move(on_answer));
   };
   platform.m_grant_lease = [service](Duration term,
                                      PlatformAnswer<StoreLeaseId> on_answer) {
@@ -165,8 +162,8 @@
   };
   platform.m_renew_lease = [service](StoreLeaseId lease,
                                      PlatformAnswer<StoreLeaseId> on_answer) {
-    SendForLease(service, MakeRequest("PUT", LeaseTarget(lease)),
-                 "renew lease", std::move(on_answer));
+    SendForLease(service, MakeRequest("PUT", LeaseTarget(lease)), "renew lease",
+                 std::move(on_answer));
   };
   platform.m_revoke_lease = [service](StoreLeaseId lease,
                                       PlatformAnswer<StoreLeaseId> on_answer) {
--- a/libraries/platform/http_platform.h
+++ b/libraries/platform/http_platform.h
@@ -10,7 +10,7 @@
 
 /// Speaks to the platform's service over HTTP, as docs/PLATFORM.md says.
 /// Calls that take longer than `timeout` end with kOutcomeUnknown.
-Platform MakeHttpPlatform(boost::asio::io_context& loop,
-                          const Address& address, Duration timeout);
+Platform MakeHttpPlatform(boost::asio::io_context& loop, const Address& address,
+                          Duration timeout);
 
 }  // namespace daisyarch
--- a/libraries/wire/configuration_fields.h
+++ b/libraries/wire/configuration_fields.h
@@ -7,8 +7,7 @@
 namespace daisyarch {
 
 template <>
-struct VariantKinds<
-    std::variant<SetClassTarget, SetTeamQuota, SetMemberTeam>> {
+struct VariantKinds<std::variant<SetClassTarget, SetTeamQuota, SetMemberTeam>> {
   static constexpr const char* kNames[] = {"set_class", "set_team",
                                            "set_member"};
 };
@@ -38,6 +37,7 @@
 template <typename Visitor>
 void VisitFields(Visitor& visit, AuditEntry& entry) {
   visit("version", entry.m_version);
+  visit("id", entry.m_id);
   visit("operator", entry.m_operator);
   visit("unix_ms", entry.m_unix_milliseconds);
   visit("field", entry.m_field);
@@ -71,6 +71,7 @@
 
 template <typename Visitor>
 void VisitFields(Visitor& visit, ConfigurationChange& change) {
+  visit("id", change.m_id);
   visit("operator", change.m_operator);
   visit("unix_ms", change.m_unix_milliseconds);
   visit("seen_version", change.m_seen);
--- a/libraries/wire/field_codec.h
+++ b/libraries/wire/field_codec.h
@@ -62,9 +62,7 @@
   static Json WriteObject(const Quantity<Tag>& quantity) {
     return quantity.value();
   }
-  static Json WriteObject(const Duration& duration) {
-    return duration.count();
-  }
+  static Json WriteObject(const Duration& duration) { return duration.count(); }
   template <typename Item>
   static Json WriteObject(const std::vector<Item>& items) {
     Json array = Json::array();
@@ -159,8 +157,8 @@
     }
     const auto wide = json.get<std::int64_t>();
     value = static_cast<Integer>(wide);
-    const bool fits = std::is_signed_v<Integer> &&
-                      static_cast<std::int64_t>(value) == wide;
+    const bool fits =
+        std::is_signed_v<Integer> && static_cast<std::int64_t>(value) == wide;
     return fits ? "" : "out of range";
   }
   template <typename Enum>
@@ -244,8 +242,7 @@
     if (!json.is_object()) return "expected an object";
     const auto kind = json.find("kind");
     if (kind == json.end() || !kind->is_string()) return "kind is missing";
-    return ReadAlternative<Variant, 0>(json, kind->get<std::string>(),
-                                       variant);
+    return ReadAlternative<Variant, 0>(json, kind->get<std::string>(), variant);
   }
   template <typename Variant, std::size_t kIndex>
   static std::string ReadAlternative(const Json& json, const std::string& kind,
--- /dev/null
+++ b/libraries/wire/node_fields.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "decisions/membership/peer_table.h"
+#include "decisions/routing/slot_ledger.h"
+#include "wire/field_codec.h"
+
+namespace daisyarch {
+
+/// A member asks another to agree to a removal.
+struct RemovalVote {
+  NodeId m_node;
+  Incarnation m_incarnation;
+  MemberListVersion m_members;
+};
+
+/// A node asks another for idle slots.
+struct LoanRequest {
+  NodeId m_borrower;
+  std::uint64_t m_call = 0;
+  Slots m_wanted;
+};
+
+/// A borrower tells a lender what it still holds.
+struct LoanReturn {
+  NodeId m_borrower;
+  LoanReport m_report;
+};
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, Member& member) {
+  visit("node", member.m_node);
+  visit("incarnation", member.m_incarnation);
+  visit("mesh_address", member.m_mesh_address);
+  visit("http_address", member.m_http_address);
+  visit("failure_domain", member.m_failure_domain);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, MemberList& list) {
+  visit("version", list.m_version);
+  visit("members", list.m_members);
+}
+
+// One letter a field: heartbeats are most of what nodes send each other.
+template <typename Visitor>
+void VisitFields(Visitor& visit, Heartbeat& heartbeat) {
+  visit("n", heartbeat.m_node);
+  visit("i", heartbeat.m_incarnation);
+  visit("m", heartbeat.m_members);
+  visit("s", heartbeat.m_settled);
+  visit("c", heartbeat.m_configuration);
+  visit("f", heartbeat.m_idle_slots);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, HeartbeatAnswer& answer) {
+  visit("i", answer.m_incarnation);
+  visit("m", answer.m_members);
+  visit("c", answer.m_configuration);
+  visit("a", answer.m_is_acknowledged);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, RemovalVote& vote) {
+  visit("node", vote.m_node);
+  visit("incarnation", vote.m_incarnation);
+  visit("members", vote.m_members);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, LoanRequest& request) {
+  visit("borrower", request.m_borrower);
+  visit("call", request.m_call);
+  visit("wanted", request.m_wanted);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, SlotLoan& loan) {
+  visit("endpoint", loan.m_endpoint);
+  visit("slots", loan.m_slots);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, LoanReport& report) {
+  visit("closed_call", report.m_closed_call);
+  visit("held", report.m_held);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, LoanReturn& message) {
+  visit("borrower", message.m_borrower);
+  visit("report", message.m_report);
+}
+
+}  // namespace daisyarch
--- a/libraries/wire/placement_fields.h
+++ b/libraries/wire/placement_fields.h
@@ -29,8 +29,8 @@
 };
 template <>
 struct EnumNames<TaskState> {
-  static constexpr const char* kNames[] = {"queued",   "starting", "running",
-                                           "stopping", "finished", "failed",
+  static constexpr const char* kNames[] = {"queued",    "starting", "running",
+                                           "stopping",  "finished", "failed",
                                            "cancelled", "unknown"};
 };
 template <>
--- /dev/null
+++ b/services/daisyarchd/configuration_service.cc
@@ -0,0 +1,287 @@
+#include "configuration_service.h"
+
+#include <memory>
+#include <utility>
+
+#include "log/log.h"
+#include "wire/configuration_fields.h"
+
+namespace daisyarch {
+
+namespace {
+
+constexpr const char* kConfigurationKey = "configuration";
+constexpr Duration kWatchWait = std::chrono::seconds(20);
+constexpr Duration kWatchRetry = std::chrono::seconds(1);
+constexpr Duration kFetchTimeout = std::chrono::seconds(2);
+constexpr int kMaximumTries = 8;
+
+std::string AuditKey(ConfigurationVersion version) {
+  return "audit/" + std::to_string(version.value());
+}
+
+void Adopt(ConfigurationService& service, const Configuration& offered) {
+  if (DecideVersion(service.m_current.m_version, offered.m_version) ==
+      VersionDecision::kKeep) {
+    return;
+  }
+  service.m_current = offered;
+  LogEvent(LogLevel::kInfo, "configuration_adopted",
+           {{"version", offered.m_version.value()},
+            {"field", offered.m_change.m_field},
+            {"operator", offered.m_change.m_operator}});
+  service.m_on_adopted();
+  HastenHeartbeat(service.m_membership);
+}
+
+Result<Configuration> DecodeEntry(const StoreEntry& entry) {
+  if (entry.m_version == StoreVersion()) return Configuration{};
+  return DecodeCbor<Configuration>(entry.m_value, "read configuration",
+                                   "store");
+}
+
+// The first living member of the failure domain watches for all of it, so
+// that the store's watches grow with failure domains and not with nodes.
+bool IsWatcher(const ConfigurationService& service) {
+  const PeerTable& table = service.m_membership.m_table;
+  for (const Member& member : table.m_members.m_members) {
+    if (member.m_failure_domain != table.m_self.m_failure_domain) continue;
+    if (member.m_node == table.m_self.m_node) return true;
+    const auto peer = table.m_peers.find(member.m_node);
+    if (peer == table.m_peers.end()) continue;
+    if (peer->second.m_state == PeerState::kAlive) return false;
+  }
+  return false;
+}
+
+void OnWatched(ConfigurationService& service, Result<StoreEntry> result) {
+  service.m_is_watching = false;
+  const TimePoint now = service.m_runtime.m_clock.m_now();
+  if (!result) {
+    service.m_watch_again_at = now + kWatchRetry;
+    return;
+  }
+  auto configuration = DecodeEntry(result.assume_value());
+  if (!configuration) {
+    service.m_watch_again_at = now + kWatchRetry;
+    return LogError("configuration_unreadable", configuration.assume_error());
+  }
+  Adopt(service, configuration.assume_value());
+}
+
+/// One change on its way to the store.
+class Change : public std::enable_shared_from_this<Change> {
+ public:
+  Change(ConfigurationService& service, ConfigurationChange change,
+         std::function<void(Result<Configuration>)> on_done)
+      : m_service(service),
+        m_change(std::move(change)),
+        m_on_done(std::move(on_done)) {}
+
+  void Read() {
+    if (++m_tries > kMaximumTries) {
+      return m_on_done(Error{ErrorCode::kConflict, "change configuration",
+                             "store", "others changed it each time"});
+    }
+    m_service.m_runtime.m_platform.m_read(
+        kConfigurationKey,
+        [self = shared_from_this()](Result<StoreEntry> result) {
+          if (!result) return self->Fail(std::move(result).assume_error());
+          self->OnRead(result.assume_value());
+        });
+  }
+
+ private:
+  void OnRead(const StoreEntry& entry) {
+    auto current = DecodeEntry(entry);
+    if (!current) return m_on_done(std::move(current).assume_error());
+    Adopt(m_service, current.assume_value());
+    if (m_is_sent) return FindOwn(current.assume_value(), entry);
+    Apply(current.assume_value(), entry);
+  }
+
+  void Apply(const Configuration& current, const StoreEntry& entry) {
+    auto next = ApplyChange(current, m_change);
+    if (!next) return m_on_done(std::move(next).assume_error());
+    m_next = std::move(next).assume_value();
+    KeepAudit(current.m_change, entry.m_version);
+  }
+
+  // The entry of the version that is about to be replaced goes to a key of
+  // its own first, so that none is lost.
+  void KeepAudit(const AuditEntry& last, StoreVersion version) {
+    if (last.m_version == ConfigurationVersion()) return Write(version);
+    m_service.m_runtime.m_platform.m_compare_and_swap(
+        AuditKey(last.m_version), StoreVersion(), WriteCbor(Encode(last)),
+        StoreLeaseId(),
+        [self = shared_from_this(), version](Result<SwapResult> result) {
+          // A conflict means that another node kept it already.
+          if (!result) return self->Fail(std::move(result).assume_error());
+          self->Write(version);
+        });
+  }
+
+  void Write(StoreVersion version) {
+    m_is_sent = true;
+    m_service.m_runtime.m_platform.m_compare_and_swap(
+        kConfigurationKey, version, WriteCbor(Encode(m_next)), StoreLeaseId(),
+        [self = shared_from_this()](Result<SwapResult> result) {
+          self->OnWritten(std::move(result));
+        });
+  }
+
+  void OnWritten(Result<SwapResult> result) {
+    if (result && result.assume_value().m_is_swapped) {
+      m_is_sent = false;
+      return Succeed();
+    }
+    // A conflict, or a lost answer: what stands there tells. A write that
+    // certainly failed ends the change.
+    if (!result && result.assume_error().m_code == ErrorCode::kUnavailable) {
+      m_is_sent = false;
+      return Fail(std::move(result).assume_error());
+    }
+    if (result) m_is_sent = false;
+    Read();
+  }
+
+  // After a lost answer: the change stands in the document or, if others
+  // changed it since, in the audit trail.
+  void FindOwn(const Configuration& current, const StoreEntry& entry) {
+    if (current.m_version < m_next.m_version) {
+      m_is_sent = false;
+      return Apply(current, entry);
+    }
+    if (current.m_version == m_next.m_version) {
+      m_is_sent = false;
+      if (current.m_change.m_id == m_change.m_id) return Succeed();
+      return Apply(current, entry);
+    }
+    m_service.m_runtime.m_platform.m_read(
+        AuditKey(m_next.m_version),
+        [self = shared_from_this(), current, entry](Result<StoreEntry> result) {
+          if (!result) return self->Fail(std::move(result).assume_error());
+          auto kept = DecodeCbor<AuditEntry>(result.assume_value().m_value,
+                                             "read audit", "store");
+          if (!kept) return self->Fail(std::move(kept).assume_error());
+          self->m_is_sent = false;
+          if (kept.assume_value().m_id == self->m_change.m_id) {
+            return self->Succeed();
+          }
+          self->Apply(current, entry);
+        });
+  }
+
+  void Succeed() {
+    Adopt(m_service, m_next);
+    m_on_done(m_next);
+  }
+
+  void Fail(Error error) {
+    if (m_is_sent) {
+      error.m_code = ErrorCode::kOutcomeUnknown;
+    } else {
+      error.m_code = ErrorCode::kNotRun;
+    }
+    m_on_done(std::move(error));
+  }
+
+  ConfigurationService& m_service;
+  ConfigurationChange m_change;
+  std::function<void(Result<Configuration>)> m_on_done;
+  Configuration m_next;
+  int m_tries = 0;
+  bool m_is_sent = false;  ///< A write is out whose answer is missing.
+};
+
+/// Reads the audit trail from its newest entry back.
+class AuditReader : public std::enable_shared_from_this<AuditReader> {
+ public:
+  AuditReader(ConfigurationService& service, std::size_t count,
+              std::function<void(Result<std::vector<AuditEntry>>)> on_done)
+      : m_service(service), m_count(count), m_on_done(std::move(on_done)) {}
+
+  void Start() {
+    const AuditEntry& newest = m_service.m_current.m_change;
+    if (newest.m_version == ConfigurationVersion()) return Finish();
+    m_entries.push_back(newest);
+    ReadNext();
+  }
+
+ private:
+  void ReadNext() {
+    const std::uint64_t oldest = m_entries.back().m_version.value();
+    if (oldest <= 1 || m_entries.size() >= m_count) return Finish();
+    m_service.m_runtime.m_platform.m_read(
+        AuditKey(ConfigurationVersion(oldest - 1)),
+        [self = shared_from_this()](Result<StoreEntry> result) {
+          if (!result) return self->m_on_done(result.assume_error());
+          auto entry = DecodeCbor<AuditEntry>(result.assume_value().m_value,
+                                              "read audit", "store");
+          if (!entry) return self->m_on_done(entry.assume_error());
+          self->m_entries.push_back(entry.assume_value());
+          self->ReadNext();
+        });
+  }
+
+  void Finish() { m_on_done(std::move(m_entries)); }
+
+  ConfigurationService& m_service;
+  std::size_t m_count;
+  std::function<void(Result<std::vector<AuditEntry>>)> m_on_done;
+  std::vector<AuditEntry> m_entries;
+};
+
+}  // namespace
+
+void TickConfiguration(ConfigurationService& service, TimePoint now) {
+  if (service.m_is_watching || now < service.m_watch_again_at) return;
+  // Before the first version is known, each node asks for itself.
+  const bool is_new = service.m_current.m_version == ConfigurationVersion();
+  if (!is_new && !IsWatcher(service)) return;
+  if (is_new && !IsWatcher(service)) {
+    service.m_watch_again_at = now + kWatchRetry;
+  }
+  service.m_is_watching = true;
+  // The document's version and the store's differ; a watch from version 0
+  // answers at once, and then waits from the entry that it found.
+  service.m_runtime.m_platform.m_watch(
+      kConfigurationKey, service.m_watched_version, kWatchWait,
+      [&service](Result<StoreEntry> result) {
+        if (result) {
+          service.m_watched_version = result.assume_value().m_version;
+        }
+        OnWatched(service, std::move(result));
+      });
+}
+
+void FetchConfiguration(ConfigurationService& service, const Member& peer) {
+  if (service.m_is_fetching) return;
+  service.m_is_fetching = true;
+  service.m_runtime.m_peers.m_call(
+      peer.m_mesh_address, "get_configuration", Json::object(), kFetchTimeout,
+      [&service, node = peer.m_node](const Result<Json>& result) {
+        service.m_is_fetching = false;
+        if (!result) return;
+        auto configuration = Decode<Configuration>(
+            result.assume_value(), "read configuration", node.value());
+        if (!configuration) {
+          return LogError("configuration_unreadable",
+                          configuration.assume_error());
+        }
+        Adopt(service, configuration.assume_value());
+      });
+}
+
+void ChangeConfiguration(ConfigurationService& service,
+                         const ConfigurationChange& change,
+                         std::function<void(Result<Configuration>)> on_done) {
+  std::make_shared<Change>(service, change, std::move(on_done))->Read();
+}
+
+void ReadAudit(ConfigurationService& service, std::size_t count,
+               std::function<void(Result<std::vector<AuditEntry>>)> on_done) {
+  std::make_shared<AuditReader>(service, count, std::move(on_done))->Start();
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/services/daisyarchd/gateway.cc
@@ -0,0 +1,490 @@
+#include "gateway.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+#include "error_response.h"
+#include "log/log.h"
+#include "wire/node_fields.h"
+
+namespace daisyarch {
+
+namespace {
+
+constexpr Duration kDefaultDeadline = std::chrono::seconds(30);
+constexpr Duration kLongestDeadline = std::chrono::minutes(10);
+/// An endpoint whose connection failed may go on with the request this long.
+constexpr Duration kHoldLostSlot = std::chrono::seconds(2);
+constexpr Duration kLoanInterval = std::chrono::milliseconds(250);
+constexpr Duration kLoanTimeout = std::chrono::seconds(1);
+constexpr Slots kLargestLoan{32};
+constexpr unsigned kFirstServerError = 500;
+
+Duration ParseDeadline(const std::string& text) {
+  std::int64_t milliseconds = 0;
+  const char* end = text.data() + text.size();
+  const auto [stop, code] = std::from_chars(text.data(), end, milliseconds);
+  if (code != std::errc() || stop != end || milliseconds <= 0) {
+    return Duration::zero();
+  }
+  return std::min(FromMilliseconds(milliseconds), kLongestDeadline);
+}
+
+std::string MemberLabel(const OpenRequest& open, const char* outcome) {
+  return "class=\"" + open.m_request.m_waiting.m_class.value() +
+         "\",member=\"" + open.m_request.m_waiting.m_member.value() +
+         "\",outcome=\"" + outcome + "\"";
+}
+
+// Each request is counted once for its member, served or not.
+void Finish(Gateway& gateway, OpenRequest& open, HttpResponse response,
+            const char* outcome) {
+  gateway.m_runtime.m_metrics.Count("requests_total",
+                                    MemberLabel(open, outcome));
+  const HttpResponder respond = std::move(open.m_respond);
+  respond(std::move(response));
+}
+
+std::string OwnerName(const Gateway& gateway, const OpenRequest& open) {
+  const Member& self = gateway.m_membership.m_table.m_self;
+  return self.m_node.value() + "/" +
+         std::to_string(self.m_incarnation.value()) + "/" +
+         std::to_string(open.m_request.m_waiting.m_id.value());
+}
+
+StepResult StepRequest(Gateway& gateway, Request& request, RequestEvent event,
+                       TimePoint now) {
+  RequestContext context{request, gateway.m_budget, now};
+  return gateway.m_runtime.m_machines.m_request.Step(request.m_state, event,
+                                                     context);
+}
+
+void StepEndpoint(Gateway& gateway, Endpoint& endpoint, EndpointEvent event,
+                  TimePoint now) {
+  EndpointContext context{endpoint, now};
+  gateway.m_runtime.m_machines.m_endpoint.Step(endpoint.m_state, event,
+                                               context);
+}
+
+// Answers a request that reached an end without an endpoint's answer.
+void Settle(Gateway& gateway, RequestId id, const Error& cause) {
+  const auto found = gateway.m_open.find(id);
+  OpenRequest open = std::move(found->second);
+  gateway.m_open.erase(found);
+  Error error = cause;
+  const bool is_refused = open.m_request.m_state == RequestState::kRefused;
+  error.m_code = is_refused ? ErrorCode::kNotRun : ErrorCode::kOutcomeUnknown;
+  if (is_refused && open.m_is_claimed) {
+    FreeOnce(gateway.m_claims, open.m_request.m_waiting.m_member,
+             open.m_once_key, OwnerName(gateway, open));
+  }
+  Finish(gateway, open, MakeErrorResponse(error),
+         is_refused ? "not_run" : "unknown");
+}
+
+// Goes on with a request after an event: waits again, or settles.
+void GoOn(Gateway& gateway, RequestId id, const Error& cause) {
+  OpenRequest& open = gateway.m_open.at(id);
+  if (open.m_request.m_state == RequestState::kWaiting) {
+    PutBack(gateway.m_admission, open.m_request.m_waiting);
+    return;
+  }
+  Settle(gateway, id, cause);
+}
+
+void FreeSlotOf(Gateway& gateway, const OpenRequest& open, bool is_certain,
+                TimePoint now) {
+  ReleaseSlot(gateway.m_admission, open.m_request.m_waiting.m_class);
+  if (is_certain) return ReturnSlot(gateway.m_ledger, open.m_endpoint);
+  gateway.m_held_slots.push_back(
+      HeldSlot{open.m_endpoint, now + kHoldLostSlot});
+}
+
+bool IsOwnAnswer(const OpenRequest& open, const HttpResponse& response) {
+  const std::string echoed = FindHeader(response.m_headers, kRequestHeader);
+  if (echoed.empty()) return true;
+  return echoed == FindHeader(open.m_message.m_headers, kRequestHeader);
+}
+
+void Deliver(Gateway& gateway, RequestId id, HttpResponse response,
+             TimePoint now) {
+  const auto found = gateway.m_open.find(id);
+  OpenRequest open = std::move(found->second);
+  gateway.m_open.erase(found);
+  const WaitingRequest& waiting = open.m_request.m_waiting;
+  const Duration latency = now - open.m_sent_at;
+  LearnServiceTime(gateway.m_admission, waiting.m_class, latency);
+  LearnLatency(gateway.m_endpoints.at(open.m_endpoint), latency, now);
+  gateway.m_runtime.m_metrics.RecordLatency(waiting.m_class.value(),
+                                            now - waiting.m_arrived_at);
+  Finish(gateway, open, std::move(response), "served");
+}
+
+void OnAnswer(Gateway& gateway, RequestId id, Result<HttpResponse> result) {
+  const TimePoint now = gateway.m_runtime.m_clock.m_now();
+  OpenRequest& open = gateway.m_open.at(id);
+  Endpoint& endpoint = gateway.m_endpoints.at(open.m_endpoint);
+  if (result && !IsOwnAnswer(open, result.assume_value())) {
+    result = Error{ErrorCode::kOutcomeUnknown, "read answer",
+                   open.m_endpoint.value(), "it answers another request"};
+  }
+  const bool is_unsent =
+      !result && result.assume_error().m_code == ErrorCode::kUnavailable;
+  FreeSlotOf(gateway, open, result || is_unsent, now);
+  const bool is_failure =
+      !result || result.assume_value().m_status >= kFirstServerError;
+  StepEndpoint(gateway, endpoint,
+               is_failure ? EndpointEvent::kFailed : EndpointEvent::kSucceeded,
+               now);
+  if (result) {
+    StepRequest(gateway, open.m_request, RequestEvent::kAnswered, now);
+    Deliver(gateway, id, std::move(result).assume_value(), now);
+  } else {
+    const RequestEvent event =
+        is_unsent ? RequestEvent::kUnsent : RequestEvent::kLost;
+    StepRequest(gateway, open.m_request, event, now);
+    GoOn(gateway, id, result.assume_error());
+  }
+  PumpRequests(gateway, now);
+}
+
+// The first try of a request that may be repeated leaves half of the time
+// for a second one: its connection may have gone silent.
+Duration AttemptTimeout(const OpenRequest& open, TimePoint now) {
+  const Request& request = open.m_request;
+  const Duration left = request.m_waiting.m_deadline - now;
+  const bool may_follow =
+      request.m_repeatable == Repeatable::kYes && request.m_sends <= 1;
+  return may_follow ? left / 2 : left;
+}
+
+void SendNow(Gateway& gateway, RequestId id, TimePoint now) {
+  OpenRequest& open = gateway.m_open.at(id);
+  StepRequest(gateway, open.m_request, RequestEvent::kDispatched, now);
+  open.m_sent_at = now;
+  gateway.m_runtime.m_endpoints.m_send(
+      gateway.m_addresses.at(open.m_endpoint), open.m_message,
+      AttemptTimeout(open, now), [&gateway, id](Result<HttpResponse> result) {
+        OnAnswer(gateway, id, std::move(result));
+      });
+}
+
+void OnClaimed(Gateway& gateway, RequestId id, ClaimResult claim) {
+  const TimePoint now = gateway.m_runtime.m_clock.m_now();
+  OpenRequest& open = gateway.m_open.at(id);
+  open.m_is_claimed = claim == ClaimResult::kClaimed;
+  if (open.m_is_claimed) return SendNow(gateway, id, now);
+  FreeSlotOf(gateway, open, true, now);
+  if (claim == ClaimResult::kTaken) {
+    OpenRequest taken = std::move(open);
+    gateway.m_open.erase(id);
+    const Error error{ErrorCode::kConflict, "claim key",
+                      taken.m_once_key.value(),
+                      "a request under this key was sent before; its outcome "
+                      "is not known here"};
+    Finish(gateway, taken, MakeErrorResponse(error), "repeated");
+    return PumpRequests(gateway, now);
+  }
+  open.m_request.m_state = RequestState::kRefused;
+  Settle(gateway, id,
+         Error{ErrorCode::kNotRun, "claim key", "store", "it does not answer"});
+  PumpRequests(gateway, now);
+}
+
+void Dispatch(Gateway& gateway, RequestId id, const EndpointId& endpoint,
+              TimePoint now) {
+  OpenRequest& open = gateway.m_open.at(id);
+  open.m_endpoint = endpoint;
+  const bool needs_claim =
+      open.m_once_key != IdempotencyKey() && !open.m_is_claimed;
+  if (!needs_claim) return SendNow(gateway, id, now);
+  ClaimOnce(
+      gateway.m_claims, open.m_request.m_waiting.m_member, open.m_once_key,
+      OwnerName(gateway, open),
+      [&gateway, id](ClaimResult claim) { OnClaimed(gateway, id, claim); });
+}
+
+HttpResponse Refuse(ErrorCode code, const HttpRequest& message,
+                    const std::string& detail) {
+  return MakeErrorResponse(Error{code, "read request", message.m_peer, detail});
+}
+
+struct RequestHead {
+  ClassId m_class;
+  MemberId m_member;
+  Duration m_deadline = kDefaultDeadline;
+};
+
+Result<RequestHead> ReadHead(const HttpRequest& message) {
+  RequestHead head;
+  head.m_class = ClassId(FindHeader(message.m_headers, kClassHeader));
+  head.m_member = MemberId(FindHeader(message.m_headers, kMemberHeader));
+  const std::string deadline = FindHeader(message.m_headers, kDeadlineHeader);
+  const auto fail = [&](const std::string& detail) {
+    return Error{ErrorCode::kInvalidArgument, "read request", message.m_peer,
+                 detail};
+  };
+  if (head.m_class == ClassId()) {
+    return fail(std::string("header ") + kClassHeader + " is missing");
+  }
+  if (head.m_member == MemberId()) {
+    return fail(std::string("header ") + kMemberHeader + " is missing");
+  }
+  if (deadline.empty()) return head;
+  head.m_deadline = ParseDeadline(deadline);
+  if (head.m_deadline > Duration::zero()) return head;
+  return fail(std::string("header ") + kDeadlineHeader +
+              " is not a positive number of milliseconds");
+}
+
+OpenRequest MakeOpenRequest(Gateway& gateway, const RequestHead& head,
+                            HttpRequest message, HttpResponder respond,
+                            TimePoint now) {
+  OpenRequest open;
+  WaitingRequest& waiting = open.m_request.m_waiting;
+  waiting.m_id = gateway.m_next_request;
+  gateway.m_next_request = Next(gateway.m_next_request);
+  waiting.m_class = head.m_class;
+  waiting.m_member = head.m_member;
+  waiting.m_arrived_at = now;
+  waiting.m_deadline = now + head.m_deadline;
+  open.m_once_key = IdempotencyKey(FindHeader(message.m_headers, kOnceHeader));
+  const bool is_once = open.m_once_key != IdempotencyKey();
+  open.m_request.m_repeatable = is_once ? Repeatable::kNo : Repeatable::kYes;
+  open.m_message = std::move(message);
+  auto& headers = open.m_message.m_headers;
+  headers.erase(std::remove_if(headers.begin(), headers.end(), IsHopByHop),
+                headers.end());
+  headers.emplace_back(kRequestHeader, OwnerName(gateway, open));
+  open.m_respond = std::move(respond);
+  return open;
+}
+
+Slots RoundUp(double slots) {
+  return Slots(static_cast<std::int64_t>(std::ceil(slots)));
+}
+
+Slots TotalNeed(const Gateway& gateway) {
+  double need = 0;
+  for (const auto& [class_id, queue] : gateway.m_admission.m_classes) {
+    need += queue.m_need;
+  }
+  return RoundUp(need);
+}
+
+Slots TotalWaiting(const Gateway& gateway) {
+  std::size_t waiting = 0;
+  for (const auto& [class_id, queue] : gateway.m_admission.m_classes) {
+    waiting += queue.m_waiting;
+  }
+  return Slots(static_cast<std::int64_t>(waiting));
+}
+
+Slots OwnShares(const Gateway& gateway) {
+  Slots sum;
+  for (const auto& [endpoint, account] : gateway.m_ledger.m_accounts) {
+    sum += account.m_share;
+  }
+  return sum;
+}
+
+const Peer* IdlestPeer(const Gateway& gateway) {
+  const Peer* best = nullptr;
+  for (const auto& [node, peer] : gateway.m_membership.m_table.m_peers) {
+    if (peer.m_state != PeerState::kAlive) continue;
+    if (peer.m_idle_slots <= Slots()) continue;
+    if (best == nullptr || best->m_idle_slots < peer.m_idle_slots) {
+      best = &peer;
+    }
+  }
+  return best;
+}
+
+void OnLoanGranted(Gateway& gateway, const NodeId& lender,
+                   const Result<Json>& result) {
+  gateway.m_loan_calls[lender].m_is_calling = false;
+  if (!result) return;
+  auto loans = Decode<std::vector<SlotLoan>>(result.assume_value(), "read loan",
+                                             lender.value());
+  if (!loans) return LogError("bad_loan", loans.assume_error());
+  AddLoans(gateway.m_ledger, lender, loans.assume_value());
+  PumpRequests(gateway, gateway.m_runtime.m_clock.m_now());
+}
+
+void Borrow(Gateway& gateway) {
+  const Slots waiting = TotalWaiting(gateway);
+  if (waiting == Slots()) return;
+  const Peer* peer = IdlestPeer(gateway);
+  if (peer == nullptr) return;
+  const NodeId lender = peer->m_member.m_node;
+  LoanCalls& calls = gateway.m_loan_calls[lender];
+  if (calls.m_is_calling) return;
+  calls.m_is_calling = true;
+  const LoanRequest request{gateway.m_ledger.m_node, ++calls.m_last,
+                            std::min(waiting, kLargestLoan)};
+  const Member member = peer->m_member;
+  const Incarnation own_run = gateway.m_membership.m_table.m_self.m_incarnation;
+  gateway.m_runtime.m_peers.m_call(
+      member.m_mesh_address, "lend_slots", Encode(request), kLoanTimeout,
+      [&gateway, member, own_run](const Result<Json>& result) {
+        // A loan between runs of which one was replaced meanwhile is void.
+        const Member* present =
+            FindMember(gateway.m_ledger.m_members, member.m_node);
+        const bool is_same_run =
+            present != nullptr &&
+            present->m_incarnation == member.m_incarnation &&
+            own_run == gateway.m_membership.m_table.m_self.m_incarnation;
+        if (!is_same_run) {
+          gateway.m_loan_calls[member.m_node].m_is_calling = false;
+          return;
+        }
+        OnLoanGranted(gateway, member.m_node, result);
+      });
+}
+
+// Every loan is reported while it lasts, and once more after its end: the
+// lender learns from the report what it may use again.
+void ReportAllLoans(Gateway& gateway) {
+  Slots keep = std::max(TotalNeed(gateway) - OwnShares(gateway), Slots());
+  for (auto& [lender, calls] : gateway.m_loan_calls) {
+    // While a call is open the lender may grant it after this report.
+    if (calls.m_is_calling) continue;
+    const auto peer = gateway.m_membership.m_table.m_peers.find(lender);
+    if (peer == gateway.m_membership.m_table.m_peers.end()) continue;
+    const LoanReport report =
+        ReportLoans(gateway.m_ledger, lender, keep, calls.m_last);
+    const LoanReturn message{gateway.m_ledger.m_node, report};
+    gateway.m_runtime.m_peers.m_call(
+        peer->second.m_member.m_mesh_address, "report_loans", Encode(message),
+        kLoanTimeout, [&gateway, lender = lender](const Result<Json>& result) {
+          if (!result || result.assume_value() != Json(true)) return;
+          RecallLoans(gateway.m_ledger, lender);
+        });
+  }
+}
+
+void TickLoans(Gateway& gateway, TimePoint now) {
+  if (now < gateway.m_loans_at) return;
+  gateway.m_loans_at = now + kLoanInterval;
+  ReportAllLoans(gateway);
+  Borrow(gateway);
+}
+
+void FreeHeldSlots(Gateway& gateway, TimePoint now) {
+  auto& held = gateway.m_held_slots;
+  const auto due = std::partition(
+      held.begin(), held.end(),
+      [now](const HeldSlot& slot) { return now < slot.m_until; });
+  for (auto slot = due; slot != held.end(); ++slot) {
+    ReturnSlot(gateway.m_ledger, slot->m_endpoint);
+  }
+  held.erase(due, held.end());
+}
+
+void SettleLate(Gateway& gateway, TimePoint now) {
+  for (const WaitingRequest& late : TakeLate(gateway.m_admission, now)) {
+    OpenRequest& open = gateway.m_open.at(late.m_id);
+    StepRequest(gateway, open.m_request, RequestEvent::kExpired, now);
+    Settle(gateway, late.m_id,
+           Error{ErrorCode::kNotRun, "wait for a slot", late.m_member.value(),
+                 "it can no longer be in time"});
+  }
+}
+
+}  // namespace
+
+void HandleRequest(Gateway& gateway, HttpRequest message,
+                   HttpResponder respond) {
+  const TimePoint now = gateway.m_runtime.m_clock.m_now();
+  const auto head = ReadHead(message);
+  if (!head) return respond(MakeErrorResponse(head.assume_error()));
+  if (!gateway.m_takes_requests) {
+    return respond(
+        Refuse(ErrorCode::kNotRun, message, "this node does not serve now"));
+  }
+  CountRequest(gateway.m_budget);
+  OpenRequest open =
+      MakeOpenRequest(gateway, head.assume_value(), std::move(message),
+                      std::move(respond), now);
+  const SlotSupply supply = CountSlots(gateway.m_endpoints, gateway.m_ledger);
+  const auto offered = OfferRequest(
+      gateway.m_admission, open.m_request.m_waiting, supply.m_entitled, now);
+  if (!offered) {
+    return Finish(gateway, open, MakeErrorResponse(offered.assume_error()),
+                  "not_run");
+  }
+  gateway.m_open.emplace(open.m_request.m_waiting.m_id, std::move(open));
+  PumpRequests(gateway, now);
+}
+
+void PumpRequests(Gateway& gateway, TimePoint now) {
+  if (!MayServe(gateway.m_membership.m_table, now)) return;
+  while (true) {
+    const SlotSupply supply = CountSlots(gateway.m_endpoints, gateway.m_ledger);
+    const auto next =
+        TakeNext(gateway.m_admission, supply.m_free, supply.m_entitled, now);
+    if (!next) return;
+    const auto endpoint = ChooseEndpoint(gateway.m_endpoints, gateway.m_ledger,
+                                         gateway.m_random, now);
+    const bool has_slot = endpoint && TakeSlot(gateway.m_ledger, *endpoint);
+    if (!has_slot) {
+      ReleaseSlot(gateway.m_admission, next->m_class);
+      PutBack(gateway.m_admission, *next);
+      return;
+    }
+    Dispatch(gateway, next->m_id, *endpoint, now);
+  }
+}
+
+void TickGateway(Gateway& gateway, TimePoint now) {
+  FreeHeldSlots(gateway, now);
+  for (auto& [id, endpoint] : gateway.m_endpoints) {
+    const bool is_due = endpoint.m_state == EndpointState::kEjected &&
+                        now >= endpoint.m_ejected_until;
+    if (!is_due) continue;
+    StepEndpoint(gateway, endpoint, EndpointEvent::kBackOffEnded, now);
+  }
+  SettleLate(gateway, now);
+  TickLoans(gateway, now);
+  PumpRequests(gateway, now);
+}
+
+void ApplyEndpoints(Gateway& gateway, const std::vector<ListedEndpoint>& listed,
+                    TimePoint now) {
+  std::map<EndpointId, EndpointEvent> events;
+  for (const auto& [id, endpoint] : gateway.m_endpoints) {
+    events[id] = EndpointEvent::kUnlisted;
+  }
+  for (const ListedEndpoint& entry : listed) {
+    const EndpointId& id = entry.m_endpoint;
+    gateway.m_endpoints[id].m_id = id;
+    gateway.m_addresses[id] = entry.m_address;
+    SetEndpointSlots(gateway.m_ledger, id, entry.m_slots);
+    events[id] = entry.m_is_leaving ? EndpointEvent::kListedLeaving
+                                    : EndpointEvent::kListedLive;
+  }
+  for (const auto& [id, event] : events) {
+    StepEndpoint(gateway, gateway.m_endpoints.at(id), event, now);
+  }
+}
+
+std::vector<SlotLoan> OnLoanRequest(Gateway& gateway, const NodeId& borrower,
+                                    std::uint64_t call, Slots wanted) {
+  const Slots need = TotalNeed(gateway);
+  Slots in_use;
+  for (const auto& [endpoint, account] : gateway.m_ledger.m_accounts) {
+    in_use += account.m_in_use;
+  }
+  const Slots reserve = std::max(need - in_use, Slots());
+  return LendSlots(gateway.m_ledger, borrower, call, wanted, reserve);
+}
+
+bool OnLoanReport(Gateway& gateway, const NodeId& borrower,
+                  const LoanReport& report) {
+  ApplyLoanReport(gateway.m_ledger, borrower, report);
+  return TotalWaiting(gateway) > Slots();
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/services/daisyarchd/main.cc
@@ -0,0 +1,59 @@
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <iostream>
+#include <string>
+
+#include "daemon.h"
+#include "log/log.h"
+#include "settings/settings.h"
+
+ABSL_FLAG(std::string, config, "", "settings file in YAML");
+ABSL_FLAG(bool, check_config, false, "check the settings and stop");
+
+namespace daisyarch {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailure = 1;
+constexpr int kExitBadSettings = 2;
+
+int Fail(const Error& error, int status) {
+  std::cerr << "daisyarchd: " << ToString(error) << "\n";
+  return status;
+}
+
+int Run() {
+  const auto settings = LoadSettings(absl::GetFlag(FLAGS_config));
+  if (!settings) return Fail(settings.assume_error(), kExitBadSettings);
+  if (absl::GetFlag(FLAGS_check_config)) {
+    std::cout << "the settings are valid\n";
+    return kExitOk;
+  }
+  StartLogging("daisyarchd");
+  boost::asio::io_context loop(1);
+  const auto daemon = Daemon::Create(loop, settings.assume_value());
+  if (!daemon) return Fail(daemon.assume_error(), kExitFailure);
+  boost::asio::signal_set signals(loop, SIGTERM, SIGINT);
+  signals.async_wait([&daemon](boost::system::error_code code, int) {
+    if (!code) daemon.assume_value()->StartDrain();
+  });
+  LogEvent(LogLevel::kInfo, "started",
+           {{"node", settings.assume_value().m_node.value()},
+            {"http", ToString(settings.assume_value().m_http_address)}});
+  loop.run();
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace daisyarch
+
+int main(int argument_count, char** arguments) {
+  absl::SetProgramUsageMessage("daisyarchd --config=FILE [--check_config]");
+  absl::ParseCommandLine(argument_count, arguments);
+  return daisyarch::Run();
+}
--- /dev/null
+++ b/services/daisyarchd/membership_service.cc
@@ -0,0 +1,364 @@
+#include "membership_service.h"
+
+#include <memory>
+#include <utility>
+
+#include "decisions/ownership/lease_deadline.h"
+#include "journal/partition_head.h"
+#include "log/log.h"
+#include "wire/node_fields.h"
+
+namespace daisyarch {
+
+namespace {
+
+constexpr const char* kMembersKey = "members";
+constexpr Duration kPeerCallTimeout = std::chrono::seconds(2);
+constexpr Duration kListReadInterval = std::chrono::seconds(10);
+constexpr Duration kHastyListReadInterval = std::chrono::seconds(2);
+constexpr std::int64_t kRenewalsPerTerm = 3;
+
+void AdoptList(MembershipService& service, const MemberList& list) {
+  const MemberListVersion before = service.m_table.m_members.m_version;
+  AdoptMembers(service.m_table, list, service.m_runtime.m_clock.m_now());
+  if (service.m_table.m_members.m_version == before) return;
+  LogEvent(LogLevel::kInfo, "members_adopted",
+           {{"version", list.m_version.value()},
+            {"members", static_cast<std::uint64_t>(list.m_members.size())}});
+  service.m_on_members();
+}
+
+bool IsListed(const MembershipService& service) {
+  const Member& self = service.m_table.m_self;
+  const Member* listed = FindMember(service.m_table.m_members, self.m_node);
+  return listed != nullptr && listed->m_incarnation == self.m_incarnation;
+}
+
+void GrantNodeLease(MembershipService& service) {
+  const TimePoint asked_at = service.m_runtime.m_clock.m_now();
+  const Duration term = service.m_runtime.m_settings.m_node_lease;
+  service.m_is_busy = true;
+  service.m_runtime.m_platform.m_grant_lease(
+      term, [&service, asked_at, term](Result<StoreLeaseId> result) {
+        service.m_is_busy = false;
+        if (!result)
+          return LogError("lease_not_granted", result.assume_error());
+        service.m_lease = result.assume_value();
+        service.m_granted_deadline = HolderDeadline(asked_at, term);
+        service.m_step = JoinStep::kWritePresence;
+      });
+}
+
+void OnPresenceWritten(MembershipService& service,
+                       const Result<SwapResult>& result) {
+  service.m_is_busy = false;
+  if (!result) return LogError("presence_not_written", result.assume_error());
+  const SwapResult& swap = result.assume_value();
+  const auto presence =
+      DecodeCbor<NodePresence>(swap.m_entry.m_value, "read presence", "store");
+  const bool is_own = presence && presence.assume_value().m_incarnation ==
+                                      service.m_table.m_self.m_incarnation;
+  // An earlier run's lease is waited for: that run may be paused, not dead.
+  if (!swap.m_is_swapped && !is_own) return;
+  service.m_table.m_lease_deadline = service.m_granted_deadline;
+  service.m_step = JoinStep::kJoinList;
+}
+
+void WritePresence(MembershipService& service) {
+  service.m_is_busy = true;
+  const NodePresence presence{service.m_table.m_self.m_incarnation};
+  service.m_runtime.m_platform.m_compare_and_swap(
+      PresenceKey(service.m_table.m_self.m_node), StoreVersion(),
+      WriteCbor(Encode(presence)), service.m_lease,
+      [&service](const Result<SwapResult>& result) {
+        OnPresenceWritten(service, result);
+      });
+}
+
+void ReadList(MembershipService& service, std::function<void()> on_read) {
+  service.m_list_read_at = service.m_runtime.m_clock.m_now();
+  service.m_runtime.m_platform.m_read(
+      kMembersKey,
+      [&service, on_read = std::move(on_read)](Result<StoreEntry> result) {
+        if (!result) {
+          service.m_is_busy = false;
+          return;
+        }
+        const StoreEntry& entry = result.assume_value();
+        service.m_list_version = entry.m_version;
+        if (entry.m_version != StoreVersion()) {
+          auto list =
+              DecodeCbor<MemberList>(entry.m_value, "read members", "store");
+          if (!list) {
+            service.m_is_busy = false;
+            return LogError("members_unreadable", list.assume_error());
+          }
+          AdoptList(service, list.assume_value());
+        }
+        on_read();
+      });
+}
+
+void WriteList(MembershipService& service, const MemberList& list,
+               std::function<void()> on_done) {
+  service.m_runtime.m_platform.m_compare_and_swap(
+      kMembersKey, service.m_list_version, WriteCbor(Encode(list)),
+      StoreLeaseId(),
+      [&service, list,
+       on_done = std::move(on_done)](const Result<SwapResult>& result) {
+        if (result && result.assume_value().m_is_swapped) {
+          service.m_list_version = result.assume_value().m_entry.m_version;
+          AdoptList(service, list);
+        }
+        on_done();
+      });
+}
+
+void JoinList(MembershipService& service) {
+  service.m_is_busy = true;
+  ReadList(service, [&service] {
+    if (IsListed(service)) {
+      service.m_is_busy = false;
+      service.m_step = JoinStep::kJoined;
+      return;
+    }
+    const MemberList joined =
+        WithMember(service.m_table.m_members, service.m_table.m_self);
+    // The next tick reads the list again, whatever came of the write.
+    WriteList(service, joined, [&service] { service.m_is_busy = false; });
+  });
+}
+
+void OnRenewed(MembershipService& service, TimePoint asked_at,
+               const Result<StoreLeaseId>& result) {
+  service.m_is_renewing = false;
+  if (result) {
+    service.m_table.m_lease_deadline =
+        HolderDeadline(asked_at, service.m_runtime.m_settings.m_node_lease);
+    return;
+  }
+  LogError("lease_not_renewed", result.assume_error());
+  if (result.assume_error().m_code != ErrorCode::kNotFound) return;
+  if (service.m_is_leaving) return;
+  service.m_step = JoinStep::kGrantLease;
+}
+
+void RenewNodeLease(MembershipService& service, TimePoint now) {
+  const Duration term = service.m_runtime.m_settings.m_node_lease;
+  service.m_renew_at = now + term / kRenewalsPerTerm;
+  service.m_is_renewing = true;
+  service.m_runtime.m_platform.m_renew_lease(
+      service.m_lease, [&service, now](const Result<StoreLeaseId>& result) {
+        OnRenewed(service, now, result);
+      });
+}
+
+void OnHeartbeatAnswered(MembershipService& service, const NodeId& node,
+                         TimePoint sent_at, const Result<Json>& result) {
+  if (!result) return;
+  const auto answer = Decode<HeartbeatAnswer>(
+      result.assume_value(), "read heartbeat answer", node.value());
+  if (!answer) return LogError("bad_heartbeat", answer.assume_error());
+  const HeartbeatAnswer& body = answer.assume_value();
+  ApplyAnswer(service.m_table, service.m_runtime.m_machines.m_peer, node, body,
+              sent_at, service.m_runtime.m_clock.m_now());
+  if (body.m_members > service.m_table.m_members.m_version) {
+    service.m_list_read_at = TimePoint();
+  }
+  const Member* member = FindMember(service.m_table.m_members, node);
+  Heartbeat own;
+  service.m_fill_heartbeat(own);
+  if (member != nullptr && body.m_configuration > own.m_configuration) {
+    service.m_on_later_configuration(*member);
+  }
+}
+
+void SendHeartbeats(MembershipService& service, TimePoint now) {
+  service.m_heartbeat_at = now + kHeartbeatInterval;
+  Heartbeat heartbeat;
+  heartbeat.m_node = service.m_table.m_self.m_node;
+  heartbeat.m_incarnation = service.m_table.m_self.m_incarnation;
+  heartbeat.m_members = service.m_table.m_members.m_version;
+  service.m_fill_heartbeat(heartbeat);
+  const Json body = Encode(heartbeat);
+  // A copy: an answer may change the table.
+  const auto peers = service.m_table.m_peers;
+  for (const auto& [node, peer] : peers) {
+    service.m_runtime.m_peers.m_call(
+        peer.m_member.m_mesh_address, "heartbeat", body, kPeerCallTimeout,
+        [&service, node = node, now](const Result<Json>& result) {
+          OnHeartbeatAnswered(service, node, now, result);
+        });
+  }
+}
+
+/// The votes for one removal, while they come in.
+struct Ballot {
+  Member m_candidate;
+  MemberList m_list;
+  std::size_t m_votes = 0;
+  std::size_t m_needed = 0;
+  bool m_is_decided = false;
+};
+
+void CountVote(MembershipService& service,
+               const std::shared_ptr<Ballot>& ballot) {
+  ++ballot->m_votes;
+  if (ballot->m_is_decided || ballot->m_votes < ballot->m_needed) return;
+  ballot->m_is_decided = true;
+  const NodeId& node = ballot->m_candidate.m_node;
+  if (service.m_table.m_members.m_version != ballot->m_list.m_version) return;
+  LogEvent(LogLevel::kWarning, "member_removed", {{"node", node.value()}});
+  WriteList(service, WithoutMember(ballot->m_list, node), [] {});
+}
+
+void CallForVotes(MembershipService& service, const Member& candidate,
+                  TimePoint now) {
+  const auto ballot = std::make_shared<Ballot>();
+  ballot->m_candidate = candidate;
+  ballot->m_list = service.m_table.m_members;
+  ballot->m_needed = Majority(ballot->m_list.m_members.size() - 1);
+  const RemovalVote vote{candidate.m_node, candidate.m_incarnation,
+                         ballot->m_list.m_version};
+  if (!VoteForRemoval(service.m_table, vote.m_node, vote.m_incarnation,
+                      vote.m_members, now)) {
+    return;
+  }
+  CountVote(service, ballot);
+  const auto peers = service.m_table.m_peers;
+  for (const auto& [node, peer] : peers) {
+    if (node == candidate.m_node) continue;
+    service.m_runtime.m_peers.m_call(
+        peer.m_member.m_mesh_address, "vote_removal", Encode(vote),
+        kPeerCallTimeout, [&service, ballot](const Result<Json>& result) {
+          if (result && result.assume_value() == Json(true)) {
+            CountVote(service, ballot);
+          }
+        });
+  }
+}
+
+// The lease decides first: while the store still knows it, the member may
+// serve on it alone.
+void CheckPresence(MembershipService& service, const Member& candidate) {
+  service.m_is_removing = true;
+  service.m_runtime.m_platform.m_read(
+      PresenceKey(candidate.m_node),
+      [&service, candidate](Result<StoreEntry> result) {
+        service.m_is_removing = false;
+        if (!result) return;
+        const StoreEntry& entry = result.assume_value();
+        if (entry.m_version != StoreVersion()) {
+          const auto presence = DecodeCbor<NodePresence>(
+              entry.m_value, "read presence", candidate.m_node.value());
+          if (!presence) return;
+          if (presence.assume_value().m_incarnation ==
+              candidate.m_incarnation) {
+            return;
+          }
+        }
+        CallForVotes(service, candidate, service.m_runtime.m_clock.m_now());
+      });
+}
+
+void RemoveTheDead(MembershipService& service, TimePoint now) {
+  if (service.m_is_removing) return;
+  for (const auto& [node, peer] : service.m_table.m_peers) {
+    if (now < peer.m_heard_at + kRemoveAfter) continue;
+    return CheckPresence(service, peer.m_member);
+  }
+}
+
+void RunJoinStep(MembershipService& service) {
+  if (service.m_is_busy || service.m_is_leaving) return;
+  switch (service.m_step) {
+    case JoinStep::kGrantLease:
+      return GrantNodeLease(service);
+    case JoinStep::kWritePresence:
+      return WritePresence(service);
+    case JoinStep::kJoinList:
+      return JoinList(service);
+    case JoinStep::kJoined:
+      return;
+  }
+}
+
+void RefreshList(MembershipService& service, TimePoint now) {
+  const bool is_sure = MayServe(service.m_table, now);
+  const Duration interval =
+      is_sure ? kListReadInterval : kHastyListReadInterval;
+  if (service.m_is_busy || now < service.m_list_read_at + interval) return;
+  service.m_is_busy = true;
+  ReadList(service, [&service] {
+    service.m_is_busy = false;
+    // Voted out: come back as a new run, so that nobody takes the old run's
+    // loans and partitions for the new one's.
+    if (!IsListed(service) && !service.m_is_leaving) StartMembership(service);
+  });
+}
+
+}  // namespace
+
+void StartMembership(MembershipService& service) {
+  Member& self = service.m_table.m_self;
+  const Settings& settings = service.m_runtime.m_settings;
+  const auto unix_milliseconds = static_cast<std::uint64_t>(
+      service.m_runtime.m_clock.m_unix_milliseconds());
+  self.m_node = settings.m_node;
+  self.m_incarnation =
+      Incarnation(std::max(unix_milliseconds, self.m_incarnation.value() + 1));
+  self.m_mesh_address = ToString(settings.m_mesh_address);
+  self.m_http_address = ToString(settings.m_http_address);
+  self.m_failure_domain = settings.m_failure_domain;
+  service.m_table.m_lease_deadline = TimePoint();
+  service.m_step = JoinStep::kGrantLease;
+  if (service.m_lease == StoreLeaseId()) return;
+  service.m_runtime.m_platform.m_revoke_lease(service.m_lease,
+                                              [](const auto&) {});
+  service.m_lease = StoreLeaseId();
+}
+
+void TickMembership(MembershipService& service, TimePoint now) {
+  RunJoinStep(service);
+  const bool has_lease = service.m_step == JoinStep::kJoinList ||
+                         service.m_step == JoinStep::kJoined;
+  if (has_lease && !service.m_is_renewing && now >= service.m_renew_at) {
+    RenewNodeLease(service, now);
+  }
+  if (service.m_step != JoinStep::kJoined) return;
+  CheckPeers(service.m_table, service.m_runtime.m_machines.m_peer, now);
+  if (now >= service.m_heartbeat_at) SendHeartbeats(service, now);
+  RefreshList(service, now);
+  RemoveTheDead(service, now);
+}
+
+void HastenHeartbeat(MembershipService& service) {
+  service.m_heartbeat_at = TimePoint();
+}
+
+void LeaveMembership(MembershipService& service,
+                     std::function<void()> on_done) {
+  service.m_is_leaving = true;
+  const MemberList left =
+      WithoutMember(service.m_table.m_members, service.m_table.m_self.m_node);
+  WriteList(service, left, [&service, on_done = std::move(on_done)] {
+    service.m_runtime.m_platform.m_revoke_lease(
+        service.m_lease, [on_done](const auto&) { on_done(); });
+  });
+}
+
+HeartbeatAnswer OnHeartbeat(MembershipService& service,
+                            const Heartbeat& heartbeat,
+                            ConfigurationVersion configuration, TimePoint now) {
+  if (heartbeat.m_members > service.m_table.m_members.m_version) {
+    service.m_list_read_at = TimePoint();
+  }
+  return AnswerHeartbeat(service.m_table, service.m_runtime.m_machines.m_peer,
+                         heartbeat, configuration, now);
+}
+
+bool HoldsLease(const MembershipService& service, TimePoint now) {
+  return now < service.m_table.m_lease_deadline;
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/services/daisyarchd/runtime.cc
@@ -0,0 +1,82 @@
+#include "runtime.h"
+
+#include <utility>
+
+namespace daisyarch {
+
+namespace {
+
+void StepStore(Runtime& runtime, bool is_failure, Duration elapsed) {
+  StoreEvent event = StoreEvent::kAnswered;
+  if (elapsed > kStoreLateAfter) event = StoreEvent::kAnsweredLate;
+  if (is_failure) event = StoreEvent::kFailed;
+  StoreContext context{runtime.m_store_health};
+  runtime.m_machines.m_store.Step(runtime.m_store_health.m_state, event,
+                                  context);
+}
+
+template <typename Value>
+bool IsFailure(const Result<Value>& result) {
+  if (result) return false;
+  const ErrorCode code = result.assume_error().m_code;
+  return code == ErrorCode::kUnavailable || code == ErrorCode::kOutcomeUnknown;
+}
+
+template <typename Value>
+PlatformAnswer<Value> Observe(Runtime& runtime,
+                              PlatformAnswer<Value> on_answer) {
+  const TimePoint asked_at = runtime.m_clock.m_now();
+  return [&runtime, asked_at,
+          on_answer = std::move(on_answer)](Result<Value> result) {
+    StepStore(runtime, IsFailure(result), runtime.m_clock.m_now() - asked_at);
+    on_answer(std::move(result));
+  };
+}
+
+}  // namespace
+
+Result<Machines> LoadMachines(const std::string& directory) {
+  TRY_ASSIGN(auto node, NodeMachine::Load(directory, "node", NodeBinding()));
+  TRY_ASSIGN(auto request,
+             RequestMachine::Load(directory, "request", RequestBinding()));
+  TRY_ASSIGN(auto endpoint,
+             EndpointMachine::Load(directory, "endpoint", EndpointBinding()));
+  TRY_ASSIGN(auto task, TaskMachine::Load(directory, "task", TaskBinding()));
+  TRY_ASSIGN(auto worker,
+             WorkerMachine::Load(directory, "worker", WorkerBinding()));
+  TRY_ASSIGN(auto partition, PartitionMachine::Load(directory, "partition",
+                                                    PartitionBinding()));
+  TRY_ASSIGN(auto peer, PeerMachine::Load(directory, "peer", PeerBinding()));
+  TRY_ASSIGN(auto store, StoreMachine::Load(directory, "configuration_store",
+                                            StoreBinding()));
+  return Machines{std::move(node),
+                  std::move(request),
+                  std::move(endpoint),
+                  PlacementMachines{std::move(task), std::move(worker)},
+                  std::move(partition),
+                  std::move(peer),
+                  std::move(store)};
+}
+
+Platform WatchHealth(const Platform& platform, Runtime& runtime) {
+  Platform watched = platform;
+  watched.m_read = [platform, &runtime](const std::string& key,
+                                        PlatformAnswer<StoreEntry> on_answer) {
+    platform.m_read(key, Observe(runtime, std::move(on_answer)));
+  };
+  watched.m_compare_and_swap =
+      [platform, &runtime](const std::string& key, StoreVersion expected,
+                           std::string value, StoreLeaseId lease,
+                           PlatformAnswer<SwapResult> on_answer) {
+        platform.m_compare_and_swap(key, expected, std::move(value), lease,
+                                    Observe(runtime, std::move(on_answer)));
+      };
+  watched.m_renew_lease = [platform, &runtime](
+                              StoreLeaseId lease,
+                              PlatformAnswer<StoreLeaseId> on_answer) {
+    platform.m_renew_lease(lease, Observe(runtime, std::move(on_answer)));
+  };
+  return watched;
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/standins/models/store_model.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "base/time.h"
+#include "platform/platform.h"
+
+namespace daisyarch {
+
+/// One lease of the stand-in store.
+struct StoreLease {
+  Duration m_term{};
+  TimePoint m_expires_at{};
+};
+
+struct StoredValue {
+  StoreEntry m_entry;
+  StoreLeaseId m_lease;
+};
+
+/// The stand-in for the platform's key-value service.
+struct StoreModel {
+  std::map<std::string, StoredValue> m_values;
+  std::map<StoreLeaseId, StoreLease> m_leases;
+  std::uint64_t m_revision = 0;
+  std::uint64_t m_next_lease = 1;
+  std::uint64_t m_reads = 0;   ///< Calls that read, watches included.
+  std::uint64_t m_writes = 0;  ///< Calls that write, leases included.
+};
+
+/// The largest value that the store takes, in bytes.
+constexpr std::size_t kMaximumStoreValueBytes = 1024 * 1024;
+
+/// Removes leases that ran out, and the keys bound to them.
+void ExpireLeases(StoreModel& store, TimePoint now);
+
+StoreEntry ReadValue(StoreModel& store, const std::string& key, TimePoint now);
+
+/// kInvalidArgument for a value over the limit, kNotFound for an unknown
+/// lease.
+Result<SwapResult> SwapValue(StoreModel& store, const std::string& key,
+                             StoreVersion expected, const std::string& value,
+                             StoreLeaseId lease, TimePoint now);
+
+StoreLeaseId GrantLease(StoreModel& store, Duration term, TimePoint now);
+
+/// kNotFound when the lease has lapsed.
+Result<StoreLeaseId> RenewLease(StoreModel& store, StoreLeaseId lease,
+                                TimePoint now);
+void RevokeLease(StoreModel& store, StoreLeaseId lease);
+
+}  // namespace daisyarch
--- a/tests/base/task_id_test.cc
+++ b/tests/base/task_id_test.cc
@@ -12,9 +12,9 @@
 }
 
 TEST_CASE("A malformed task id is refused") {
-  for (const char* text : {"", ".", "12.3", "00000000000000zz.1",
-                           "0000000000000001.", "0000000000000001.-1",
-                           "0000000000000001.1x"}) {
+  for (const char* text :
+       {"", ".", "12.3", "00000000000000zz.1", "0000000000000001.",
+        "0000000000000001.-1", "0000000000000001.1x"}) {
     const auto parsed = ParseTaskId(text);
     REQUIRE(!parsed);
     CHECK(parsed.assume_error().m_code == ErrorCode::kInvalidArgument);
--- a/tests/chart/chart_differential_test.cc
+++ b/tests/chart/chart_differential_test.cc
@@ -53,8 +53,7 @@
 NaiveStep CompiledStep(const CompiledChart& chart,
                        const ChartVocabulary& vocabulary, std::size_t state,
                        std::size_t event, bool guard) {
-  const CompiledCell cell =
-      chart.m_cells[state * chart.m_event_count + event];
+  const CompiledCell cell = chart.m_cells[state * chart.m_event_count + event];
   for (std::uint32_t offset = 0; offset < cell.m_count; ++offset) {
     const auto& transition = chart.m_transitions[cell.m_first + offset];
     if (transition.m_guard != CompiledTransition::kUnguarded && !guard) {
@@ -89,8 +88,7 @@
     if (!chart) FAIL(ToString(chart.assume_error()));
     ++charts;
     for (std::size_t state = 0; state < vocabulary.m_states.size(); ++state) {
-      for (std::size_t event = 0; event < vocabulary.m_events.size();
-           ++event) {
+      for (std::size_t event = 0; event < vocabulary.m_events.size(); ++event) {
         for (const bool guard : {false, true}) {
           const NaiveStep expected = NaiveChartStep(
               text, vocabulary.m_states[state], vocabulary.m_events[event],
--- a/tests/chart/chart_test.cc
+++ b/tests/chart/chart_test.cc
@@ -48,15 +48,16 @@
     return definition.assume_error().m_peer + " " +
            definition.assume_error().m_detail;
   }
-  const auto chart =
-      CompileChart(definition.assume_value(), DoorVocabulary());
+  const auto chart = CompileChart(definition.assume_value(), DoorVocabulary());
   if (chart) return "";
   return chart.assume_error().m_peer + " " + chart.assume_error().m_detail;
 }
 
 }  // namespace
 
-TEST_CASE("A well-formed chart compiles") { CHECK(CompileError(kDoor).empty()); }
+TEST_CASE("A well-formed chart compiles") {
+  CHECK(CompileError(kDoor).empty());
+}
 
 TEST_CASE("The loader refuses each kind of fault with file and line") {
   CHECK(CompileError(Replace(kDoor, "[ring]", "[sing]")) ==
@@ -80,7 +81,7 @@
         "door.yaml:18 \"locked\" can be reached from \"locked\"");
   CHECK(CompileError(Replace(kDoor, "  opened:", "  closed:")) ==
         "door.yaml:10 duplicate key \"closed\"");
-  CHECK(CompileError("chart: [") .find("door.yaml:") == 0);
+  CHECK(CompileError("chart: [").find("door.yaml:") == 0);
 }
 
 TEST_CASE("A diagram names each state and transition") {
--- a/tests/chart/naive_interpreter.cc
+++ b/tests/chart/naive_interpreter.cc
@@ -65,10 +65,9 @@
 
 }  // namespace
 
-NaiveStep NaiveChartStep(
-    const std::string& yaml, const std::string& state,
-    const std::string& event,
-    const std::function<bool(const std::string&)>& guard) {
+NaiveStep NaiveChartStep(const std::string& yaml, const std::string& state,
+                         const std::string& event,
+                         const std::function<bool(const std::string&)>& guard) {
   const YAML::Node root = YAML::Load(yaml);
   Path path;
   FindPath(root["states"], state, path);
--- /dev/null
+++ b/utilities/daisyarch_load/main.cc
@@ -0,0 +1,195 @@
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+
+#include <algorithm>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdio>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "http/http_client.h"
+
+ABSL_FLAG(std::string, daemon, "127.0.0.1:7000",
+          "HTTP addresses of daemons, with commas between them");
+ABSL_FLAG(std::string, request_class, "quotes", "class of the requests");
+ABSL_FLAG(int, members, 4, "members that send at equal rates");
+ABSL_FLAG(int, flood_factor, 1, "times the rate that the first member sends");
+ABSL_FLAG(double, rate, 200, "requests a second of all members together");
+ABSL_FLAG(int, seconds, 5, "how long to send");
+ABSL_FLAG(int, body_bytes, 100, "size of each request's body");
+ABSL_FLAG(int, seed, 1, "seed of the arrivals");
+
+namespace daisyarch {
+namespace {
+
+/// What became of one member's requests.
+struct MemberCount {
+  std::uint64_t m_served = 0;
+  std::uint64_t m_refused = 0;
+  std::uint64_t m_unknown = 0;
+};
+
+/// Sends requests at their own times, whatever became of those before.
+struct Load {
+  boost::asio::io_context& m_loop;
+  std::vector<std::unique_ptr<HttpClient>> m_clients;
+  Random m_random;
+  std::map<int, MemberCount> m_members;
+  std::vector<double> m_latencies;  ///< Milliseconds, of those served.
+  std::uint64_t m_sent = 0;
+  std::uint64_t m_open = 0;
+  std::uint64_t m_wrong = 0;  ///< Answers that are not the request's own.
+  bool m_is_sending = true;
+};
+
+constexpr Duration kAnswerTimeout = std::chrono::seconds(35);
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+void Record(Load& load, int member, const std::string& body,
+            std::chrono::steady_clock::time_point sent_at,
+            const Result<HttpResponse>& result) {
+  --load.m_open;
+  MemberCount& count = load.m_members[member];
+  if (!result || result.assume_value().m_status == 504) {
+    ++count.m_unknown;
+  } else if (result.assume_value().m_status != 200) {
+    ++count.m_refused;
+  } else {
+    ++count.m_served;
+    if (result.assume_value().m_body != body) ++load.m_wrong;
+    const std::chrono::duration<double, std::milli> latency =
+        std::chrono::steady_clock::now() - sent_at;
+    load.m_latencies.push_back(latency.count());
+  }
+  if (!load.m_is_sending && load.m_open == 0) load.m_loop.stop();
+}
+
+int ChooseMember(Load& load) {
+  const auto factor =
+      static_cast<std::uint64_t>(absl::GetFlag(FLAGS_flood_factor));
+  const auto others =
+      static_cast<std::uint64_t>(absl::GetFlag(FLAGS_members)) - 1;
+  const std::uint64_t draw = NextBelow(load.m_random, factor + others);
+  return draw < factor ? 0 : static_cast<int>(draw - factor + 1);
+}
+
+void SendOne(Load& load) {
+  const int member = ChooseMember(load);
+  const std::uint64_t number = ++load.m_sent;
+  std::string body = std::to_string(number);
+  body.resize(std::max<std::size_t>(
+                  body.size(),
+                  static_cast<std::size_t>(absl::GetFlag(FLAGS_body_bytes))),
+              '.');
+  HttpRequest request;
+  request.m_method = "POST";
+  request.m_target = "/";
+  request.m_headers.emplace_back("X-Daisyarch-Class",
+                                 absl::GetFlag(FLAGS_request_class));
+  request.m_headers.emplace_back("X-Daisyarch-Member",
+                                 "member-" + std::to_string(member));
+  request.m_body = body;
+  ++load.m_open;
+  const auto sent_at = std::chrono::steady_clock::now();
+  load.m_clients[number % load.m_clients.size()]->Send(
+      std::move(request), kAnswerTimeout,
+      [&load, member, body, sent_at](const Result<HttpResponse>& result) {
+        Record(load, member, body, sent_at, result);
+      });
+}
+
+double Quantile(std::vector<double>& sorted, double quantile) {
+  if (sorted.empty()) return 0;
+  const auto last = static_cast<double>(sorted.size() - 1);
+  return sorted[static_cast<std::size_t>(last * quantile)];
+}
+
+void Print(Load& load) {
+  std::sort(load.m_latencies.begin(), load.m_latencies.end());
+  std::printf("sent %llu wrong %llu\n",
+              static_cast<unsigned long long>(load.m_sent),
+              static_cast<unsigned long long>(load.m_wrong));
+  std::printf("latency_ms p50 %.2f p90 %.2f p99 %.2f max %.2f\n",
+              Quantile(load.m_latencies, 0.5), Quantile(load.m_latencies, 0.9),
+              Quantile(load.m_latencies, 0.99),
+              Quantile(load.m_latencies, 1.0));
+  for (const auto& [member, count] : load.m_members) {
+    std::printf("member-%d served %llu refused %llu unknown %llu\n", member,
+                static_cast<unsigned long long>(count.m_served),
+                static_cast<unsigned long long>(count.m_refused),
+                static_cast<unsigned long long>(count.m_unknown));
+  }
+}
+
+int OpenClients(Load& load) {
+  const std::string list = absl::GetFlag(FLAGS_daemon);
+  std::size_t start = 0;
+  while (start <= list.size()) {
+    const std::size_t comma = std::min(list.find(',', start), list.size());
+    const auto address = ParseAddress(list.substr(start, comma - start));
+    if (!address) {
+      std::cerr << "daisyarch_load: " << ToString(address.assume_error())
+                << "\n";
+      return 2;
+    }
+    load.m_clients.push_back(std::make_unique<HttpClient>(
+        load.m_loop, address.assume_value(), HttpClientLimits()));
+    start = comma + 1;
+  }
+  return 0;
+}
+
+int Run() {
+  const bool is_usable = absl::GetFlag(FLAGS_members) >= 1 &&
+                         absl::GetFlag(FLAGS_rate) > 0 &&
+                         absl::GetFlag(FLAGS_flood_factor) >= 1;
+  if (!is_usable) {
+    std::cerr << "daisyarch_load: members, rate and flood_factor must be "
+                 "positive\n";
+    return 2;
+  }
+  boost::asio::io_context loop(1);
+  Load load{loop};
+  load.m_random.m_state = static_cast<std::uint64_t>(absl::GetFlag(FLAGS_seed));
+  if (const int status = OpenClients(load); status != 0) return status;
+  const auto begin = std::chrono::steady_clock::now();
+  const auto end = begin + std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
+  auto next = begin;
+  boost::asio::steady_timer timer(loop);
+  // Arrivals keep their own schedule: a late wake-up sends all that is due.
+  std::function<void()> pump = [&] {
+    while (next <= std::chrono::steady_clock::now() && next < end) {
+      SendOne(load);
+      const double gap = NextExponential(
+          load.m_random, kMicrosecondsPerSecond / absl::GetFlag(FLAGS_rate));
+      next += Duration(static_cast<Duration::rep>(gap));
+    }
+    if (next >= end) {
+      load.m_is_sending = false;
+      if (load.m_open == 0) loop.stop();
+      return;
+    }
+    timer.expires_at(next);
+    timer.async_wait([&pump](boost::system::error_code) { pump(); });
+  };
+  pump();
+  loop.run();
+  Print(load);
+  return 0;
+}
+
+}  // namespace
+}  // namespace daisyarch
+
+int main(int argument_count, char** arguments) {
+  absl::SetProgramUsageMessage("daisyarch_load --daemon=IP:PORT[,IP:PORT]");
+  absl::ParseCommandLine(argument_count, arguments);
+  return daisyarch::Run();
+}
