daemon: Separate a node's services from its sockets

Cause: the failure tests need whole nodes on fakes, without sockets. Ruled out: testing through processes alone (no virtual time, no verdict that is the same on each run). Change: NodeServices holds the services and their ticks; Daemon gives them sockets and a timer. Conclusion: fakes can stand in at each interface.

--- a/libraries/base/time.h
+++ b/libraries/base/time.h
@@ -13,6 +13,8 @@
   using period = Duration::period;
   using duration = Duration;
   using time_point = std::chrono::time_point<LoopClock, Duration>;
+  // The standard library asks for this name.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 };
 
--- a/libraries/decisions/ownership/journal_writer.h
+++ b/libraries/decisions/ownership/journal_writer.h
@@ -14,7 +14,7 @@
 /// A snapshot is due after this many batches.
 constexpr std::uint64_t kBatchesPerSnapshot = 32;
 /// A batch stays well below the store's limit of 1 MB a value.
-constexpr std::size_t kMaximumBatchBytes = 512 * 1024;
+constexpr std::size_t kMaximumBatchBytes = 512UL * 1024;
 /// Two commits of a partition start at least this far apart under load.
 constexpr Duration kMinimumCommitInterval = std::chrono::milliseconds(250);
 
--- a/libraries/decisions/placement/headroom.cc
+++ b/libraries/decisions/placement/headroom.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::int64_t kAllPercent = 100;
+/// Waiting tasks of one team that count towards a need.
+constexpr std::size_t kTasksCounted = 64;
 
 Millicores Held(const PartitionState& state, const ClassId& class_id) {
   const auto usage = state.m_class_usage.find(class_id);
@@ -18,7 +20,6 @@
 // Sums the demand of the first tasks of each team only: the need is capped
 // by the kept share, so a long queue need not be walked to its end.
 Millicores Waiting(const PartitionState& state, const ClassId& class_id) {
-  constexpr std::size_t kTasksCounted = 64;
   Millicores sum;
   const auto teams = state.m_queue.m_classes.find(class_id);
   if (teams == state.m_queue.m_classes.end()) return sum;
--- /dev/null
+++ b/services/daisyarchd/node_services.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <functional>
+
+#include "configuration_service.h"
+#include "control_api.h"
+#include "gateway.h"
+#include "membership_service.h"
+#include "once_claims.h"
+#include "partition_service.h"
+#include "runtime.h"
+
+namespace daisyarch {
+
+/// The services of one node without its sockets: the daemon gives it real
+/// ones, tests give it fakes. Not movable, since the services refer to each
+/// other.
+struct NodeServices {
+  NodeServices(const Settings& settings, Machines machines);
+  NodeServices(const NodeServices&) = delete;
+  NodeServices& operator=(const NodeServices&) = delete;
+
+  Runtime m_runtime;
+  MembershipService m_membership;
+  OnceClaims m_claims;
+  ConfigurationService m_configuration;
+  Gateway m_gateway;
+  PartitionService m_partitions;
+  ControlApi m_control;
+  NodeState m_state = NodeState::kStarting;
+  NodeContext m_node;
+  TimePoint m_hosts_at{};
+  bool m_is_listing = false;
+  TimePoint m_drain_started_at{};
+  bool m_is_leaving = false;
+
+  /// The server stops taking connections; how many requests it has open.
+  std::function<void()> m_close_doors = [] {};
+  std::function<std::size_t()> m_open_requests = [] { return 0; };
+  /// Everything is handed over; the process may end.
+  std::function<void()> m_on_stopped = [] {};
+};
+
+/// Connects the services and begins to take part. The runtime's clock,
+/// platform and callers have to be set before.
+void StartNode(NodeServices& node);
+
+/// Does all that is due. To be called at short intervals.
+void TickNode(NodeServices& node, TimePoint now);
+
+/// Begins a graceful stop.
+void StartNodeDrain(NodeServices& node);
+
+/// Answers a caller's or an operator's request.
+void HandleNodeRequest(NodeServices& node, HttpRequest request,
+                       HttpResponder respond);
+
+/// Answers a call of another node.
+void HandleNodeCall(NodeServices& node, const std::string& method,
+                    const Json& body, const std::string& peer,
+                    MeshResponder respond);
+
+}  // namespace daisyarch
--- a/standins/models/store_model.h
+++ b/standins/models/store_model.h
@@ -31,7 +31,7 @@
 };
 
 /// The largest value that the store takes, in bytes.
-constexpr std::size_t kMaximumStoreValueBytes = 1024 * 1024;
+constexpr std::size_t kMaximumStoreValueBytes = 1024UL * 1024;
 
 /// Removes leases that ran out, and the keys bound to them.
 void ExpireLeases(StoreModel& store, TimePoint now);
