partitions: Mend what the task property test found

Cause: whole nodes on fakes, under kills, pauses, outages, lost answers and late writes, did not always come back. (4) By reading: a hand-over whose release had lost its answer could go back to owning. Ruled out: a fault of the fakes (each trace names the keys and versions), and a shorter lease (it hides the cases). Change: back to granting on a lapsed lease; release what may be held, by a write that outdates a late claim; nothing is done after a release is sent; join and removal steps wait between tries; a worker is lost only after two unanswered messages.

--- a/libraries/decisions/ownership/partition_chart.cc
+++ b/libraries/decisions/ownership/partition_chart.cc
@@ -5,7 +5,22 @@
 namespace {
 
 bool MayClaim(const PartitionContext& context) {
-  return context.m_now >= context.m_retry_at;
+  return context.m_now >= context.m_retry_at && !context.m_is_release_sent;
+}
+
+// A release whose answer is missing may land later; to go on as the owner
+// would be to go on beside the next one.
+bool MayKeep(const PartitionContext& context) {
+  return !context.m_is_release_sent;
+}
+
+bool MayHoldHead(const PartitionContext& context) {
+  return context.m_may_hold_head && context.m_now >= context.m_retry_at;
+}
+
+void BeginRelease(PartitionContext& context) {
+  context.m_should_release = true;
+  context.m_retry_at = context.m_now + kClaimRetryInterval;
 }
 
 void BeginClaim(PartitionContext& context) { context.m_should_claim = true; }
@@ -23,8 +38,11 @@
       {"following", "claiming", "owned", "handing_over"},
       {"assigned_here", "assigned_elsewhere", "claimed", "claim_failed",
        "handed_over", "fenced", "lease_lapsed"},
-      {{"may_claim", MayClaim}},
+      {{"may_claim", MayClaim},
+       {"may_keep", MayKeep},
+       {"may_hold_head", MayHoldHead}},
       {{"begin_claim", BeginClaim},
+       {"begin_release", BeginRelease},
        {"drop_state", DropState},
        {"wait_to_retry", WaitToRetry}},
   };
--- a/libraries/decisions/ownership/partition_chart.h
+++ b/libraries/decisions/ownership/partition_chart.h
@@ -29,9 +29,13 @@
 /// What the guards and actions of charts/partition.yaml read and change.
 struct PartitionContext {
   TimePoint m_now;
-  TimePoint m_retry_at{};       ///< No claim before this.
-  bool m_should_claim = false;  ///< Set by an action for the caller.
-  bool m_should_drop = false;   ///< Set by an action for the caller.
+  TimePoint m_retry_at{};        ///< No claim before this.
+  bool m_may_hold_head = false;  ///< The store may name this node as owner.
+  /// A release was sent and may land at any time.
+  bool m_is_release_sent = false;
+  bool m_should_release = false;  ///< Set by an action for the caller.
+  bool m_should_claim = false;    ///< Set by an action for the caller.
+  bool m_should_drop = false;     ///< Set by an action for the caller.
 };
 
 using PartitionMachine =
--- a/libraries/decisions/placement/worker.h
+++ b/libraries/decisions/placement/worker.h
@@ -39,9 +39,10 @@
   bool m_is_leaving = false;
   std::set<TaskId> m_tasks;  ///< Active here.
   Incarnation m_incarnation;
-  WorkerClock m_clock;        ///< The last reading; see WorkerControl.
-  TimePoint m_lease_base{};   ///< When that reading had arrived.
-  TimePoint m_answered_at{};  ///< When the last answer arrived.
+  WorkerClock m_clock;             ///< The last reading; see WorkerControl.
+  TimePoint m_lease_base{};        ///< When that reading had arrived.
+  TimePoint m_answered_at{};       ///< When the last answer arrived.
+  std::uint32_t m_unanswered = 0;  ///< Messages since the last answer.
   std::uint32_t m_failures_in_row = 0;
   std::uint32_t m_set_aside_count = 0;
   TimePoint m_set_aside_until{};
--- a/libraries/decisions/placement/worker_exchange.cc
+++ b/libraries/decisions/placement/worker_exchange.cc
@@ -164,6 +164,7 @@
   }
   const TimePoint base = std::max(worker.m_lease_base, engine.m_owned_since);
   if (now < LapseDeadline(base, lease_term)) return;
+  if (worker.m_unanswered < kUnansweredBeforeLapse) return;
   StepWorker(engine, machines, worker, WorkerEvent::kLeasesRanOut, now);
   if (worker.m_state != WorkerState::kLapsed) return;
   // A copy: ending a task takes it out of the worker's set.
@@ -237,11 +238,16 @@
     changed.m_clock = report.m_clock;
     changed.m_lease_base = now;
     changed.m_answered_at = now;
+    changed.m_unanswered = 0;
   });
   StepWorker(engine, machines, target, WorkerEvent::kAnswered, now);
   ReportApplier(engine, machines, target, now).Apply(report);
 }
 
+void NoteUnanswered(PartitionEngine& engine, const WorkerId& worker) {
+  ++engine.m_state.m_workers.at(worker).m_unanswered;
+}
+
 void CheckWorkers(PartitionEngine& engine, const PlacementMachines& machines,
                   Duration lease_term, TimePoint now) {
   for (auto& [id, worker] : engine.m_state.m_workers) {
--- a/libraries/decisions/placement/worker_exchange.h
+++ b/libraries/decisions/placement/worker_exchange.h
@@ -9,6 +9,10 @@
 /// A worker that leaves an exchange unanswered this long is silent.
 constexpr Duration kWorkerSilentAfter = std::chrono::seconds(5);
 
+/// A worker counts as lost only after this many messages in a row went
+/// unanswered: an owner that was paused asks before it judges.
+constexpr std::uint32_t kUnansweredBeforeLapse = 2;
+
 /// What the platform's list says of a worker.
 struct WorkerListing {
   WorkerId m_worker;
@@ -32,6 +36,9 @@
                  const WorkerId& worker, const WorkerReport& report,
                  TimePoint now);
 
+/// A message to the worker was not answered in time.
+void NoteUnanswered(PartitionEngine& engine, const WorkerId& worker);
+
 /// Finds workers that are silent, that are so for longer than any lease on
 /// them can last, and those whose time aside is over.
 void CheckWorkers(PartitionEngine& engine, const PlacementMachines& machines,
--- a/libraries/journal/partition_commit.cc
+++ b/libraries/journal/partition_commit.cc
@@ -228,16 +228,32 @@
   return journal.m_queue.empty() && journal.m_phase == JournalPhase::kIdle;
 }
 
-void ReleasePartition(const Platform& platform,
-                      const std::shared_ptr<OwnedPartition>& partition,
-                      std::function<void()> on_done) {
-  ClaimedPartition& claimed = partition->m_claimed;
-  PartitionHead head = claimed.m_head;
-  head.m_is_released = true;
-  platform.m_compare_and_swap(
-      HeadKey(claimed.m_engine.m_partition), claimed.m_head_version,
-      WriteCbor(Encode(head)), StoreLeaseId(),
-      [on_done = std::move(on_done)](const Result<SwapResult>&) { on_done(); });
+void ReleasePartition(const Platform& platform, const PartitionId& partition,
+                      const NodeId& node, Incarnation incarnation,
+                      std::function<void(bool is_released)> on_done) {
+  platform.m_read(HeadKey(partition), [&platform, partition, node, incarnation,
+                                       on_done = std::move(on_done)](
+                                          const Result<StoreEntry>& result) {
+    if (!result) return on_done(false);
+    const StoreEntry& entry = result.assume_value();
+    PartitionHead head;
+    if (entry.m_version != StoreVersion()) {
+      auto decoded = DecodeCbor<PartitionHead>(entry.m_value, "read head",
+                                               partition.value());
+      if (!decoded) return on_done(false);
+      head = std::move(decoded).assume_value();
+    }
+    const bool is_own =
+        head.m_owner == node && head.m_incarnation == incarnation;
+    // Another's head is written back as it is: a claim of this node whose
+    // answer was lost may still land, but not on a later version.
+    if (is_own) head.m_is_released = true;
+    platform.m_compare_and_swap(
+        HeadKey(partition), entry.m_version, WriteCbor(Encode(head)),
+        StoreLeaseId(), [on_done](const Result<SwapResult>& swap) {
+          on_done(swap && swap.assume_value().m_is_swapped);
+        });
+  });
 }
 
 }  // namespace daisyarch
--- a/libraries/journal/partition_commit.h
+++ b/libraries/journal/partition_commit.h
@@ -42,10 +42,11 @@
 /// True when nothing waits for the store.
 bool IsFlushed(const OwnedPartition& partition);
 
-/// Marks the partition as free for another owner; `on_done` is called in any
-/// case. Without it the lease has to lapse first.
-void ReleasePartition(const Platform& platform,
-                      const std::shared_ptr<OwnedPartition>& partition,
-                      std::function<void()> on_done);
+/// Marks the partition as free for another owner, if the store names this
+/// run as its owner. Answers true when the store certainly does not and will
+/// not name it any more; until then nobody else can claim the partition.
+void ReleasePartition(const Platform& platform, const PartitionId& partition,
+                      const NodeId& node, Incarnation incarnation,
+                      std::function<void(bool is_released)> on_done);
 
 }  // namespace daisyarch
--- a/services/daisyarchd/membership_service.cc
+++ b/services/daisyarchd/membership_service.cc
@@ -16,6 +16,8 @@
 constexpr Duration kPeerCallTimeout = std::chrono::seconds(2);
 constexpr Duration kListReadInterval = std::chrono::seconds(10);
 constexpr Duration kHastyListReadInterval = std::chrono::seconds(2);
+constexpr Duration kRemoveInterval = std::chrono::seconds(1);
+constexpr Duration kJoinRetryInterval = std::chrono::milliseconds(500);
 constexpr std::int64_t kRenewalsPerTerm = 3;
 
 void AdoptList(MembershipService& service, const MemberList& list) {
@@ -52,7 +54,13 @@
 void OnPresenceWritten(MembershipService& service,
                        const Result<SwapResult>& result) {
   service.m_is_busy = false;
-  if (!result) return LogError("presence_not_written", result.assume_error());
+  if (!result) {
+    LogError("presence_not_written", result.assume_error());
+    // The lease lapsed while the store did not answer: a new one is needed.
+    const bool is_lapsed = result.assume_error().m_code == ErrorCode::kNotFound;
+    if (is_lapsed) service.m_step = JoinStep::kGrantLease;
+    return;
+  }
   const SwapResult& swap = result.assume_value();
   const auto presence =
       DecodeCbor<NodePresence>(swap.m_entry.m_value, "read presence", "store");
@@ -109,6 +117,9 @@
         if (result && result.assume_value().m_is_swapped) {
           service.m_list_version = result.assume_value().m_entry.m_version;
           AdoptList(service, list);
+        } else {
+          // Another node came first, or the answer was lost: read again.
+          service.m_list_read_at = TimePoint();
         }
         on_done();
       });
@@ -208,7 +219,7 @@
   ballot->m_is_decided = true;
   const NodeId& node = ballot->m_candidate.m_node;
   if (service.m_table.m_members.m_version != ballot->m_list.m_version) return;
-  LogEvent(LogLevel::kWarning, "member_removed", {{"node", node.value()}});
+  LogEvent(LogLevel::kWarning, "removal_voted", {{"node", node.value()}});
   WriteList(service, WithoutMember(ballot->m_list, node), [] {});
 }
 
@@ -262,15 +273,22 @@
 }
 
 void RemoveTheDead(MembershipService& service, TimePoint now) {
-  if (service.m_is_removing) return;
+  if (service.m_is_removing || now < service.m_remove_at) return;
+  service.m_remove_at = now + kRemoveInterval;
   for (const auto& [node, peer] : service.m_table.m_peers) {
     if (now < peer.m_heard_at + kRemoveAfter) continue;
     return CheckPresence(service, peer.m_member);
   }
 }
 
-void RunJoinStep(MembershipService& service) {
+void RunJoinStep(MembershipService& service, TimePoint now) {
   if (service.m_is_busy || service.m_is_leaving) return;
+  // Steps that succeed follow each other at once; one that does not is
+  // tried again after a while.
+  const bool is_repeat = service.m_step == service.m_last_step;
+  if (is_repeat && now < service.m_step_at + kJoinRetryInterval) return;
+  service.m_last_step = service.m_step;
+  service.m_step_at = now;
   switch (service.m_step) {
     case JoinStep::kGrantLease:
       return GrantNodeLease(service);
@@ -319,7 +337,7 @@
 }
 
 void TickMembership(MembershipService& service, TimePoint now) {
-  RunJoinStep(service);
+  RunJoinStep(service, now);
   const bool has_lease = service.m_step == JoinStep::kJoinList ||
                          service.m_step == JoinStep::kJoined;
   if (has_lease && !service.m_is_renewing && now >= service.m_renew_at) {
--- a/services/daisyarchd/membership_service.h
+++ b/services/daisyarchd/membership_service.h
@@ -17,6 +17,8 @@
   Runtime& m_runtime;
   PeerTable m_table;
   JoinStep m_step = JoinStep::kGrantLease;
+  JoinStep m_last_step = JoinStep::kJoined;
+  TimePoint m_step_at{};
   bool m_is_busy = false;  ///< A join step is on its way.
   bool m_is_renewing = false;
   bool m_is_leaving = false;
@@ -26,6 +28,7 @@
   TimePoint m_renew_at{};
   TimePoint m_heartbeat_at{};
   TimePoint m_list_read_at{};
+  TimePoint m_remove_at{};
   StoreVersion m_list_version;
 
   /// What the daemon adds to each heartbeat.
--- a/services/daisyarchd/partition_service.cc
+++ b/services/daisyarchd/partition_service.cc
@@ -61,7 +61,7 @@
   entry.m_owned->m_is_dropped = true;
   entry.m_owned.reset();
   entry.m_links.clear();
-  entry.m_is_releasing = false;
+  entry.m_is_release_sent = false;
   FailTickets(service, entry.m_id);
 }
 
@@ -96,7 +96,7 @@
 }
 
 void Pump(PartitionService& service, PartitionEntry& entry) {
-  if (!entry.m_owned) return;
+  if (!entry.m_owned || entry.m_is_release_sent) return;
   // The lease is checked at the last moment: the process may have been
   // paused since the event began.
   if (!HoldsLease(service.m_membership, service.m_runtime.m_clock.m_now())) {
@@ -168,6 +168,7 @@
   parameters.m_machines = &service.m_runtime.m_machines.m_placement;
   parameters.m_now = service.m_runtime.m_clock.m_now;
   const std::uint64_t claim = ++entry.m_claim;
+  entry.m_may_hold_head = true;
   ClaimPartition(service.m_runtime.m_platform, parameters,
                  [&service, partition = entry.m_id,
                   claim](Result<ClaimedPartition> result) {
@@ -175,11 +176,28 @@
                  });
 }
 
+void Release(PartitionService& service, PartitionEntry& entry) {
+  if (entry.m_is_releasing) return;
+  entry.m_is_releasing = true;
+  const Member& self = service.m_membership.m_table.m_self;
+  ReleasePartition(
+      service.m_runtime.m_platform, entry.m_id, self.m_node, self.m_incarnation,
+      [&service, partition = entry.m_id](bool is_released) {
+        PartitionEntry& released = service.m_entries.at(partition);
+        released.m_is_releasing = false;
+        if (!is_released) return;
+        released.m_may_hold_head = false;
+        StepPartition(service, released, PartitionEvent::kHandedOver);
+      });
+}
+
 void StepPartition(PartitionService& service, PartitionEntry& entry,
                    PartitionEvent event) {
   PartitionContext context;
   context.m_now = service.m_runtime.m_clock.m_now();
   context.m_retry_at = entry.m_retry_at;
+  context.m_may_hold_head = entry.m_may_hold_head;
+  context.m_is_release_sent = entry.m_is_releasing || entry.m_is_release_sent;
   service.m_runtime.m_machines.m_partition.Step(entry.m_phase, event, context);
   entry.m_retry_at = context.m_retry_at;
   if (context.m_should_drop) {
@@ -187,6 +205,7 @@
     DropPartition(service, entry);
   }
   if (context.m_should_claim) Claim(service, entry);
+  if (context.m_should_release) Release(service, entry);
 }
 
 void OnExchanged(PartitionService& service, const PartitionId& partition,
@@ -194,10 +213,12 @@
                  const WorkerId& worker, const Result<WorkerReport>& result) {
   PartitionEntry& entry = service.m_entries.at(partition);
   if (entry.m_owned != owned || owned->m_is_dropped) return;
+  if (entry.m_is_release_sent) return;
   const TimePoint now = service.m_runtime.m_clock.m_now();
   entry.m_links[worker].m_is_busy = false;
   if (!HoldsLease(service.m_membership, now)) return;
   if (!result) {
+    NoteUnanswered(EngineOf(entry), worker);
     service.m_runtime.m_metrics.Count("worker_exchanges_total",
                                       "outcome=\"failed\"");
     return;
@@ -234,6 +255,7 @@
 }
 
 void RunOwned(PartitionService& service, PartitionEntry& entry, TimePoint now) {
+  if (entry.m_is_release_sent) return;
   const PlacementMachines& machines = service.m_runtime.m_machines.m_placement;
   PartitionEngine& engine = EngineOf(entry);
   CheckWorkers(engine, machines, service.m_runtime.m_settings.m_worker_lease,
@@ -251,16 +273,12 @@
   ExchangeDue(service, entry, now);
 }
 
-void RunHandOver(PartitionService& service, PartitionEntry& entry) {
-  if (entry.m_is_releasing || !IsFlushed(*entry.m_owned)) return;
-  entry.m_is_releasing = true;
-  ReleasePartition(service.m_runtime.m_platform, entry.m_owned,
-                   [&service, owned = entry.m_owned, partition = entry.m_id] {
-                     PartitionEntry& released = service.m_entries.at(partition);
-                     if (released.m_owned != owned) return;
-                     StepPartition(service, released,
-                                   PartitionEvent::kHandedOver);
-                   });
+void RunHandOver(PartitionService& service, PartitionEntry& entry,
+                 TimePoint now) {
+  if (!IsFlushed(*entry.m_owned) || now < entry.m_retry_at) return;
+  entry.m_retry_at = now + kClaimRetryInterval;
+  entry.m_is_release_sent = true;
+  Release(service, entry);
 }
 
 void Reassign(PartitionService& service) {
@@ -288,7 +306,8 @@
   const PartitionId home = HomeOf(service, job);
   PartitionEntry& entry = service.m_entries.at(home);
   const TimePoint now = service.m_runtime.m_clock.m_now();
-  const bool is_owner = entry.m_owned && HoldsLease(service.m_membership, now);
+  const bool is_owner = entry.m_phase == PartitionPhase::kOwned &&
+                        HoldsLease(service.m_membership, now);
   if (is_owner) return &entry;
   return Error{ErrorCode::kNotOwner, step, home.value(),
                "this node does not own the partition"};
@@ -374,7 +393,7 @@
     RunOwned(service, entry, now);
     if (!entry.m_owned) continue;
     if (entry.m_phase == PartitionPhase::kHandingOver) {
-      RunHandOver(service, entry);
+      RunHandOver(service, entry, now);
     }
   }
 }
--- a/services/daisyarchd/partition_service.h
+++ b/services/daisyarchd/partition_service.h
@@ -29,6 +29,10 @@
   std::shared_ptr<OwnedPartition> m_owned;
   std::map<WorkerId, WorkerLink> m_links;
   bool m_is_releasing = false;
+  /// A release of the owned partition was sent and may land at any time:
+  /// nothing more is done as its owner.
+  bool m_is_release_sent = false;
+  bool m_may_hold_head = false;  ///< The store may name this node as owner.
 };
 
 /// What a submitter or operator is told about a job.
--- a/standins/models/worker_model.cc
+++ b/standins/models/worker_model.cc
@@ -121,6 +121,7 @@
     if (attempt.m_left == Duration::zero()) {
       attempt.m_status = AttemptStatus::kFinished;
       ++worker.m_finishes;
+      ++worker.m_finishes_of[task];
     }
     if (now >= worker.m_lease_until) StopAttempt(attempt);
   }
--- a/standins/models/worker_model.h
+++ b/standins/models/worker_model.h
@@ -34,6 +34,7 @@
   double m_speed = 1;  ///< Work done in a unit of time.
   std::uint64_t m_starts = 0;
   std::uint64_t m_finishes = 0;
+  std::map<TaskId, std::uint64_t> m_finishes_of;  ///< By task.
   std::string m_violation;  ///< The first broken invariant, or "".
 };
 
--- /dev/null
+++ b/tests/fakes/fake_fleet.cc
@@ -0,0 +1,360 @@
+#include "fakes/fake_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace daisyarch {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(20);
+constexpr Duration kShortestHop = std::chrono::microseconds(500);
+constexpr Duration kLongestHop = std::chrono::milliseconds(3);
+constexpr Duration kLatestMessage = std::chrono::seconds(12);
+
+Duration Hop(FakeLoop& loop) {
+  return DelayBetween(loop, kShortestHop, kLongestHop);
+}
+
+// Runs an event inside a node: never when it is dead, later when paused.
+void RunInNode(FakeFleet& fleet, FakeNode& node, std::function<void()> event) {
+  if (!node.m_is_alive) return;
+  if (fleet.m_loop.m_now >= node.m_paused_until) return event();
+  RunAfter(fleet.m_loop, node.m_paused_until - fleet.m_loop.m_now,
+           [&fleet, &node, event = std::move(event)] {
+             RunInNode(fleet, node, event);
+           });
+}
+
+FakeNode* FindNode(FakeFleet& fleet, const std::string& address) {
+  for (auto node = fleet.m_nodes.rbegin(); node != fleet.m_nodes.rend();
+       ++node) {
+    const bool is_it =
+        (*node)->m_is_alive && (*node)->m_mesh_address == address;
+    if (is_it) return node->get();
+  }
+  return nullptr;
+}
+
+bool IsCut(const FakeFleet& fleet, const std::string& left,
+           const std::string& right) {
+  return fleet.m_cuts.count({left, right}) != 0 ||
+         fleet.m_cuts.count({right, left}) != 0;
+}
+
+/// Calls its answer once: with the first of an answer and a timeout.
+template <typename Value>
+class OneAnswer {
+ public:
+  OneAnswer(FakeFleet& fleet, FakeNode& node,
+            std::function<void(Result<Value>)> on_answer)
+      : m_fleet(fleet), m_node(node), m_on_answer(std::move(on_answer)) {}
+
+  void Give(Result<Value> result) {
+    if (!m_on_answer) return;
+    auto on_answer = std::move(m_on_answer);
+    m_on_answer = nullptr;
+    RunInNode(m_fleet, m_node,
+              [on_answer = std::move(on_answer), result = std::move(result)] {
+                on_answer(result);
+              });
+  }
+
+ private:
+  FakeFleet& m_fleet;
+  FakeNode& m_node;
+  std::function<void(Result<Value>)> m_on_answer;
+};
+
+Error TimedOut(const std::string& peer) {
+  return Error{ErrorCode::kOutcomeUnknown, "call", peer, "timed out"};
+}
+
+template <typename Value>
+std::shared_ptr<OneAnswer<Value>> AwaitAnswer(
+    FakeFleet& fleet, FakeNode& node, const std::string& peer, Duration timeout,
+    std::function<void(Result<Value>)> on_answer) {
+  auto answer =
+      std::make_shared<OneAnswer<Value>>(fleet, node, std::move(on_answer));
+  RunAfter(fleet.m_loop, timeout,
+           [answer, peer] { answer->Give(TimedOut(peer)); });
+  return answer;
+}
+
+void CallPeer(FakeFleet& fleet, FakeNode& node, const std::string& address,
+              const std::string& method, const Json& body, Duration timeout,
+              MeshResponder on_answer) {
+  const auto answer =
+      AwaitAnswer<Json>(fleet, node, address, timeout, std::move(on_answer));
+  if (IsCut(fleet, node.m_mesh_address, address)) return;
+  RunAfter(
+      fleet.m_loop, Hop(fleet.m_loop),
+      [&fleet, &node, address, method, body, answer] {
+        FakeNode* peer = FindNode(fleet, address);
+        if (peer == nullptr) return;
+        RunInNode(fleet, *peer, [&fleet, &node, peer, method, body, answer] {
+          HandleNodeCall(
+              *peer->m_services, method, body, node.m_mesh_address,
+              [&fleet, &node, peer, answer](const Result<Json>& result) {
+                if (!peer->m_is_alive) return;
+                if (IsCut(fleet, node.m_mesh_address, peer->m_mesh_address)) {
+                  return;
+                }
+                RunAfter(fleet.m_loop, Hop(fleet.m_loop),
+                         [answer, result] { answer->Give(result); });
+              });
+        });
+      });
+}
+
+void DeliverControl(FakeFleet& fleet, const WorkerId& id,
+                    const WorkerControl& control,
+                    const std::shared_ptr<OneAnswer<WorkerReport>>& answer) {
+  FakeWorker& worker = fleet.m_workers.at(id);
+  if (fleet.m_loop.m_now < worker.m_silent_until) return;
+  const WorkerReport report =
+      ObeyControl(worker.m_model, control, fleet.m_loop.m_now);
+  if (Chance(fleet.m_loop, fleet.m_lose_worker_answer)) return;
+  RunAfter(fleet.m_loop, Hop(fleet.m_loop),
+           [answer, report] { answer->Give(report); });
+}
+
+void CallWorker(FakeFleet& fleet, FakeNode& node, const WorkerId& worker,
+                const WorkerControl& control, Duration timeout,
+                std::function<void(Result<WorkerReport>)> on_answer) {
+  const auto answer = AwaitAnswer<WorkerReport>(fleet, node, worker.value(),
+                                                timeout, std::move(on_answer));
+  const bool is_late = Chance(fleet.m_loop, fleet.m_delay_worker_message);
+  const Duration delay =
+      is_late ? DelayBetween(fleet.m_loop, timeout, kLatestMessage)
+              : Hop(fleet.m_loop);
+  RunAfter(fleet.m_loop, delay, [&fleet, worker, control, answer] {
+    DeliverControl(fleet, worker, control, answer);
+  });
+}
+
+HttpResponse EndpointAnswer(FakeFleet& fleet, const FakeEndpoint& endpoint,
+                            const HttpRequest& request) {
+  HttpResponse response;
+  std::string id = FindHeader(request.m_headers, kRequestHeader);
+  response.m_body = request.m_body;
+  if (Chance(fleet.m_loop, endpoint.m_answers_crossed)) {
+    id += "-crossed";
+    response.m_body = "the answer to another request";
+  }
+  response.m_headers.emplace_back(kRequestHeader, id);
+  return response;
+}
+
+Duration ServiceTime(FakeFleet& fleet, const FakeEndpoint& endpoint) {
+  const auto base = static_cast<double>(endpoint.m_service_time.count());
+  const double noise =
+      NextExponential(fleet.m_loop.m_random, base * endpoint.m_jitter);
+  return Duration(
+      static_cast<Duration::rep>(base * (1 - endpoint.m_jitter) + noise));
+}
+
+void ServeAtEndpoint(FakeFleet& fleet, FakeEndpoint& endpoint,
+                     const HttpRequest& request,
+                     const std::shared_ptr<OneAnswer<HttpResponse>>& answer) {
+  ++endpoint.m_requests;
+  ++fleet.m_deliveries[request.m_body];
+  ++endpoint.m_in_use;
+  endpoint.m_most_in_use = std::max(endpoint.m_most_in_use, endpoint.m_in_use);
+  const bool is_silent = Chance(fleet.m_loop, endpoint.m_goes_silent);
+  RunAfter(fleet.m_loop, ServiceTime(fleet, endpoint),
+           [&fleet, &endpoint, request, answer, is_silent] {
+             --endpoint.m_in_use;
+             if (is_silent) return;
+             const HttpResponse response =
+                 EndpointAnswer(fleet, endpoint, request);
+             RunAfter(fleet.m_loop, Hop(fleet.m_loop),
+                      [answer, response] { answer->Give(response); });
+           });
+}
+
+void CallEndpoint(FakeFleet& fleet, FakeNode& node, const EndpointId& id,
+                  const HttpRequest& request, Duration timeout,
+                  HttpAnswer on_answer) {
+  const auto answer = AwaitAnswer<HttpResponse>(fleet, node, id.value(),
+                                                timeout, std::move(on_answer));
+  FakeEndpoint& endpoint = fleet.m_endpoints.at(id);
+  if (endpoint.m_refuses) {
+    return RunAfter(fleet.m_loop, Hop(fleet.m_loop), [answer, id] {
+      answer->Give(
+          Error{ErrorCode::kUnavailable, "connect", id.value(), "refused"});
+    });
+  }
+  RunAfter(fleet.m_loop, Hop(fleet.m_loop),
+           [&fleet, &endpoint, request, answer] {
+             ServeAtEndpoint(fleet, endpoint, request, answer);
+           });
+}
+
+void ScheduleNodeTick(FakeFleet& fleet, FakeNode& node) {
+  RunAfter(fleet.m_loop, kTick, [&fleet, &node] {
+    RunInNode(fleet, node, [&fleet, &node] {
+      TickNode(*node.m_services, fleet.m_loop.m_now);
+      ScheduleNodeTick(fleet, node);
+    });
+  });
+}
+
+void ConnectNode(FakeFleet& fleet, FakeNode& node) {
+  Runtime& runtime = node.m_services->m_runtime;
+  runtime.m_clock.m_now = [&fleet] { return fleet.m_loop.m_now; };
+  runtime.m_clock.m_unix_milliseconds = [&fleet] {
+    return InMilliseconds(fleet.m_loop.m_now.time_since_epoch());
+  };
+  runtime.m_platform = WatchHealth(
+      MakeFakePlatform(fleet.m_platform,
+                       [&fleet, &node](std::function<void()> event) {
+                         RunInNode(fleet, node, std::move(event));
+                       }),
+      runtime);
+  runtime.m_peers.m_call = [&fleet, &node](const std::string& address,
+                                           const std::string& method,
+                                           const Json& body, Duration timeout,
+                                           MeshResponder on_answer) {
+    CallPeer(fleet, node, address, method, body, timeout, std::move(on_answer));
+  };
+  runtime.m_workers.m_exchange =
+      [&fleet, &node](const std::string& /*address*/, const WorkerId& worker,
+                      const WorkerControl& control, Duration timeout,
+                      std::function<void(Result<WorkerReport>)> on_answer) {
+        CallWorker(fleet, node, worker, control, timeout, std::move(on_answer));
+      };
+  runtime.m_endpoints.m_send =
+      [&fleet, &node](const std::string& address, const HttpRequest& request,
+                      Duration timeout, HttpAnswer on_answer) {
+        CallEndpoint(fleet, node, EndpointId(address), request, timeout,
+                     std::move(on_answer));
+      };
+  node.m_services->m_open_requests = [&node] { return node.m_open_requests; };
+  node.m_services->m_close_doors = [&node] { node.m_has_closed_doors = true; };
+  node.m_services->m_on_stopped = [&node] { node.m_is_alive = false; };
+}
+
+}  // namespace
+
+Settings MakeTestSettings(const std::string& node, const std::string& domain,
+                          const std::vector<std::string>& domains) {
+  Settings settings;
+  settings.m_node = NodeId(node);
+  settings.m_failure_domain = FailureDomainId(domain);
+  // The fakes find a node by its mesh address alone.
+  settings.m_mesh_address = Address{node, 1};
+  settings.m_http_address = Address{node, 2};
+  for (const std::string& name : domains) {
+    settings.m_failure_domains.emplace_back(name);
+  }
+  settings.m_node_lease = std::chrono::seconds(5);
+  settings.m_worker_lease = std::chrono::seconds(6);
+  settings.m_worker_poll_interval = std::chrono::milliseconds(500);
+  settings.m_drain_timeout = std::chrono::seconds(60);
+  return settings;
+}
+
+void AddWorker(FakeFleet& fleet, const std::string& name,
+               const std::string& domain, const Resources& capacity) {
+  FakeWorker worker;
+  worker.m_model.m_capacity = capacity;
+  fleet.m_workers[WorkerId(name)] = worker;
+  ListedWorker listed;
+  listed.m_worker = WorkerId(name);
+  listed.m_address = name;
+  listed.m_failure_domain = FailureDomainId(domain);
+  listed.m_rack = "rack";
+  listed.m_capacity = capacity;
+  fleet.m_platform.m_hosts.m_workers.push_back(listed);
+}
+
+void AddEndpoint(FakeFleet& fleet, const std::string& name) {
+  fleet.m_endpoints[EndpointId(name)] = FakeEndpoint();
+  ListedEndpoint listed;
+  listed.m_endpoint = EndpointId(name);
+  listed.m_address = name;
+  listed.m_slots = Slots(8);
+  fleet.m_platform.m_hosts.m_endpoints.push_back(listed);
+}
+
+FakeNode& AddNode(FakeFleet& fleet, const Settings& settings) {
+  auto machines = LoadMachines(DAISYARCH_CHARTS);
+  auto node = std::make_unique<FakeNode>();
+  node->m_mesh_address = ToString(settings.m_mesh_address);
+  node->m_services = std::make_unique<NodeServices>(
+      settings, std::move(machines).assume_value());
+  ConnectNode(fleet, *node);
+  StartNode(*node->m_services);
+  ScheduleNodeTick(fleet, *node);
+  fleet.m_nodes.push_back(std::move(node));
+  return *fleet.m_nodes.back();
+}
+
+void KillNode(FakeNode& node) { node.m_is_alive = false; }
+
+void PauseNode(FakeFleet& fleet, FakeNode& node, Duration duration) {
+  node.m_paused_until = fleet.m_loop.m_now + duration;
+}
+
+void CutNodes(FakeFleet& fleet, const FakeNode& left, const FakeNode& right) {
+  fleet.m_cuts.emplace(left.m_mesh_address, right.m_mesh_address);
+}
+
+void SendRequest(FakeNode& node, HttpRequest request, HttpResponder respond) {
+  ++node.m_open_requests;
+  HandleNodeRequest(*node.m_services, std::move(request),
+                    [&node, respond = std::move(respond)](HttpResponse answer) {
+                      --node.m_open_requests;
+                      respond(std::move(answer));
+                    });
+}
+
+void SetTarget(FakeFleet& fleet, FakeNode& node, const ClassTarget& target) {
+  bool is_done = false;
+  ConfigurationChange change;
+  change.m_operator = "test";
+  change.m_body = SetClassTarget{target};
+  static std::uint64_t number = 0;
+  change.m_id = "test-" + std::to_string(++number);
+  ChangeConfiguration(node.m_services->m_configuration, change,
+                      [&is_done](const Result<Configuration>& result) {
+                        is_done = static_cast<bool>(result);
+                      });
+  RunUntilTrue(fleet.m_loop, std::chrono::seconds(20),
+               [&is_done] { return is_done; });
+}
+
+bool OwnsPartitions(const FakeNode& node, std::size_t count) {
+  if (!node.m_is_alive) return false;
+  return OwnedPartitions(node.m_services->m_partitions).size() >= count;
+}
+
+std::string FindWorkerViolation(FakeFleet& fleet) {
+  std::map<TaskId, WorkerId> places;
+  for (auto& [id, worker] : fleet.m_workers) {
+    AdvanceWorker(worker.m_model, fleet.m_loop.m_now);
+    if (!worker.m_model.m_violation.empty()) {
+      return id.value() + ": " + worker.m_model.m_violation;
+    }
+    for (const AttemptId& attempt : RunningAttempts(worker.m_model)) {
+      const auto [place, is_new] = places.emplace(attempt.m_task, id);
+      if (is_new) continue;
+      return "task " + ToString(attempt.m_task) + " runs on " +
+             place->second.value() + " and " + id.value();
+    }
+  }
+  return "";
+}
+
+std::string FindSlotViolation(const FakeFleet& fleet) {
+  for (const auto& [id, endpoint] : fleet.m_endpoints) {
+    if (endpoint.m_most_in_use > endpoint.m_slots.value()) {
+      return id.value() + " had " + std::to_string(endpoint.m_most_in_use) +
+             " requests at once";
+    }
+  }
+  return "";
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/tests/fakes/fake_platform.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <functional>
+
+#include "fakes/fake_loop.h"
+#include "models/store_model.h"
+#include "platform/platform.h"
+
+namespace daisyarch {
+
+/// The platform's service over a store model, with faults.
+struct FakePlatform {
+  FakeLoop& m_loop;
+  StoreModel m_store;
+  HostList m_hosts;
+  double m_lose_answer = 0;  ///< Of a call that took effect.
+  double m_apply_late = 0;   ///< A write that times out and lands later.
+  double m_refuse = 0;       ///< Certainly without effect.
+  TimePoint m_outage_until{};
+  Duration m_longest_delay = std::chrono::milliseconds(5);
+  /// Counts down with each call; at zero the caller is gone: see m_on_crash.
+  std::int64_t m_crash_after = -1;
+  std::function<void()> m_on_crash;
+};
+
+/// Delivers an answer to the caller, or drops it when the caller is gone.
+using Deliver = std::function<void(std::function<void()>)>;
+
+Platform MakeFakePlatform(FakePlatform& fake, Deliver deliver);
+
+}  // namespace daisyarch
