gateway: Claim keys before requests wait for a slot

Ruled out: too few slots (the same load without keys passes), and the majority rule of membership (MayServe held on every node). Change: the key is claimed before the request waits; while the store is down such requests are refused at once. Settings may name peers, so that a node restarted in an outage learns the configuration.

--- a/libraries/settings/settings.cc
+++ b/libraries/settings/settings.cc
@@ -32,12 +32,13 @@
   explicit Reader(std::string file) : m_file(std::move(file)) {}
 
   Result<Settings> Run(const YAML::Node& root) {
-    TRY(CheckKeys(
-        root, "",
-        {"node", "listen", "platform", "charts", "workers", "timing"}));
+    TRY(CheckKeys(root, "",
+                  {"node", "listen", "platform", "peers", "charts", "workers",
+                   "timing"}));
     Settings settings;
     TRY(ReadNode(root, settings));
     TRY(ReadAddresses(root, settings));
+    TRY(ReadPeers(root, settings));
     TRY(ReadCharts(root, settings));
     TRY(ReadWorkers(root, settings));
     TRY(ReadTiming(root, settings));
@@ -137,6 +138,21 @@
     return Success();
   }
 
+  Result<void> ReadPeers(const YAML::Node& root, Settings& settings) const {
+    const YAML::Node peers = root["peers"];
+    if (!peers) return Success();
+    if (!peers.IsSequence()) {
+      return Fail(peers, "peers", "expected a list of IP:port");
+    }
+    for (const YAML::Node& peer : peers) {
+      if (!peer.IsScalar()) return Fail(peer, "peers", "expected IP:port");
+      auto address = ParseAddress(peer.Scalar());
+      if (!address) return Fail(peer, "peers", "expected IP:port");
+      settings.m_peers.push_back(address.assume_value());
+    }
+    return Success();
+  }
+
   Result<void> ReadCharts(const YAML::Node& root, Settings& settings) const {
     settings.m_charts_directory = "charts";
     const YAML::Node charts = root["charts"];
--- a/libraries/settings/settings.h
+++ b/libraries/settings/settings.h
@@ -17,6 +17,8 @@
   Address m_http_address;
   Address m_mesh_address;
   Address m_platform_address;
+  /// Mesh addresses to ask for the configuration while the store is down.
+  std::vector<Address> m_peers;
   std::string m_charts_directory;
   /// The failure domains that hold workers, the same on every node.
   std::vector<FailureDomainId> m_failure_domains;
--- a/services/daisyarchd/configuration_service.cc
+++ b/services/daisyarchd/configuration_service.cc
@@ -69,6 +69,17 @@
   Adopt(service, configuration.assume_value());
 }
 
+// A node that starts while the store is down knows no members yet; the
+// settings name peers that may hold the configuration.
+void AskPeers(ConfigurationService& service, TimePoint now) {
+  const std::vector<Address>& peers = service.m_runtime.m_settings.m_peers;
+  const bool is_new = service.m_current.m_version == ConfigurationVersion();
+  if (!is_new || peers.empty() || now < service.m_ask_peers_at) return;
+  service.m_ask_peers_at = now + kWatchRetry;
+  const Address& peer = peers[service.m_next_peer++ % peers.size()];
+  FetchConfiguration(service, ToString(peer));
+}
+
 /// One change on its way to the store.
 class Change : public std::enable_shared_from_this<Change> {
  public:
@@ -235,6 +246,7 @@
 }  // namespace
 
 void TickConfiguration(ConfigurationService& service, TimePoint now) {
+  AskPeers(service, now);
   if (service.m_is_watching || now < service.m_watch_again_at) return;
   // Before the first version is known, each node asks for itself.
   const bool is_new = service.m_current.m_version == ConfigurationVersion();
@@ -255,16 +267,17 @@
       });
 }
 
-void FetchConfiguration(ConfigurationService& service, const Member& peer) {
+void FetchConfiguration(ConfigurationService& service,
+                        const std::string& mesh_address) {
   if (service.m_is_fetching) return;
   service.m_is_fetching = true;
   service.m_runtime.m_peers.m_call(
-      peer.m_mesh_address, "get_configuration", Json::object(), kFetchTimeout,
-      [&service, node = peer.m_node](const Result<Json>& result) {
+      mesh_address, "get_configuration", Json::object(), kFetchTimeout,
+      [&service, mesh_address](const Result<Json>& result) {
         service.m_is_fetching = false;
         if (!result) return;
         auto configuration = Decode<Configuration>(
-            result.assume_value(), "read configuration", node.value());
+            result.assume_value(), "read configuration", mesh_address);
         if (!configuration) {
           return LogError("configuration_unreadable",
                           configuration.assume_error());
--- a/services/daisyarchd/configuration_service.h
+++ b/services/daisyarchd/configuration_service.h
@@ -20,6 +20,8 @@
   bool m_is_watching = false;
   bool m_is_fetching = false;
   TimePoint m_watch_again_at{};
+  TimePoint m_ask_peers_at{};
+  std::size_t m_next_peer = 0;
   std::function<void()> m_on_adopted;
 };
 
@@ -28,7 +30,8 @@
 void TickConfiguration(ConfigurationService& service, TimePoint now);
 
 /// Fetches the configuration of a peer that holds a later one.
-void FetchConfiguration(ConfigurationService& service, const Member& peer);
+void FetchConfiguration(ConfigurationService& service,
+                        const std::string& mesh_address);
 
 /// Makes a change durable and puts it in force here. kConflict names the
 /// winner's version and field; kOutcomeUnknown when the store does not tell.
--- a/services/daisyarchd/gateway.cc
+++ b/services/daisyarchd/gateway.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <memory>
 #include <utility>
 
 #include "error_response.h"
@@ -54,6 +55,13 @@
          std::to_string(open.m_request.m_waiting.m_id.value());
 }
 
+// A key whose request certainly was not sent may be used again.
+void FreeKey(Gateway& gateway, const OpenRequest& open) {
+  if (open.m_once_key == IdempotencyKey()) return;
+  FreeOnce(gateway.m_claims, open.m_request.m_waiting.m_member, open.m_once_key,
+           OwnerName(gateway, open));
+}
+
 StepResult StepRequest(Gateway& gateway, Request& request, RequestEvent event,
                        TimePoint now) {
   RequestContext context{request, gateway.m_budget, now};
@@ -76,10 +84,7 @@
   Error error = cause;
   const bool is_refused = open.m_request.m_state == RequestState::kRefused;
   error.m_code = is_refused ? ErrorCode::kNotRun : ErrorCode::kOutcomeUnknown;
-  if (is_refused && open.m_is_claimed) {
-    FreeOnce(gateway.m_claims, open.m_request.m_waiting.m_member,
-             open.m_once_key, OwnerName(gateway, open));
-  }
+  if (is_refused) FreeKey(gateway, open);
   Finish(gateway, open, MakeErrorResponse(error),
          is_refused ? "not_run" : "unknown");
 }
@@ -171,39 +176,10 @@
       });
 }
 
-void OnClaimed(Gateway& gateway, RequestId id, ClaimResult claim) {
-  const TimePoint now = gateway.m_runtime.m_clock.m_now();
-  OpenRequest& open = gateway.m_open.at(id);
-  open.m_is_claimed = claim == ClaimResult::kClaimed;
-  if (open.m_is_claimed) return SendNow(gateway, id, now);
-  FreeSlotOf(gateway, open, true, now);
-  if (claim == ClaimResult::kTaken) {
-    OpenRequest taken = std::move(open);
-    gateway.m_open.erase(id);
-    const Error error{ErrorCode::kConflict, "claim key",
-                      taken.m_once_key.value(),
-                      "a request under this key was sent before; its outcome "
-                      "is not known here"};
-    Finish(gateway, taken, MakeErrorResponse(error), "repeated");
-    return PumpRequests(gateway, now);
-  }
-  open.m_request.m_state = RequestState::kRefused;
-  Settle(gateway, id,
-         Error{ErrorCode::kNotRun, "claim key", "store", "it does not answer"});
-  PumpRequests(gateway, now);
-}
-
 void Dispatch(Gateway& gateway, RequestId id, const EndpointId& endpoint,
               TimePoint now) {
-  OpenRequest& open = gateway.m_open.at(id);
-  open.m_endpoint = endpoint;
-  const bool needs_claim =
-      open.m_once_key != IdempotencyKey() && !open.m_is_claimed;
-  if (!needs_claim) return SendNow(gateway, id, now);
-  ClaimOnce(
-      gateway.m_claims, open.m_request.m_waiting.m_member, open.m_once_key,
-      OwnerName(gateway, open),
-      [&gateway, id](ClaimResult claim) { OnClaimed(gateway, id, claim); });
+  gateway.m_open.at(id).m_endpoint = endpoint;
+  SendNow(gateway, id, now);
 }
 
 HttpResponse Refuse(ErrorCode code, const HttpRequest& message,
@@ -393,6 +369,50 @@
   }
 }
 
+void Admit(Gateway& gateway, OpenRequest open) {
+  const TimePoint now = gateway.m_runtime.m_clock.m_now();
+  const SlotSupply supply = CountSlots(gateway.m_endpoints, gateway.m_ledger);
+  const auto offered = OfferRequest(
+      gateway.m_admission, open.m_request.m_waiting, supply.m_entitled, now);
+  if (!offered) {
+    FreeKey(gateway, open);
+    return Finish(gateway, open, MakeErrorResponse(offered.assume_error()),
+                  "not_run");
+  }
+  gateway.m_open.emplace(open.m_request.m_waiting.m_id, std::move(open));
+  PumpRequests(gateway, now);
+}
+
+void OnClaimed(Gateway& gateway, OpenRequest& open, ClaimResult claim) {
+  if (claim == ClaimResult::kClaimed) return Admit(gateway, std::move(open));
+  if (claim == ClaimResult::kTaken) {
+    const Error error{ErrorCode::kConflict, "claim key",
+                      open.m_once_key.value(),
+                      "a request under this key was sent before; its outcome "
+                      "is not known here"};
+    return Finish(gateway, open, MakeErrorResponse(error), "repeated");
+  }
+  const Error error{ErrorCode::kNotRun, "claim key", "store",
+                    "it does not answer"};
+  Finish(gateway, open, MakeErrorResponse(error), "not_run");
+}
+
+// The key is claimed before the request waits for a slot: a slow store then
+// holds no slot back from the requests that do not need it.
+void ClaimAndAdmit(Gateway& gateway, OpenRequest open) {
+  if (gateway.m_runtime.m_store_health.m_state == StoreState::kDown) {
+    return OnClaimed(gateway, open, ClaimResult::kUnavailable);
+  }
+  const MemberId member = open.m_request.m_waiting.m_member;
+  const IdempotencyKey key = open.m_once_key;
+  const std::string owner = OwnerName(gateway, open);
+  const auto held = std::make_shared<OpenRequest>(std::move(open));
+  ClaimOnce(gateway.m_claims, member, key, owner,
+            [&gateway, held](ClaimResult claim) {
+              OnClaimed(gateway, *held, claim);
+            });
+}
+
 }  // namespace
 
 void HandleRequest(Gateway& gateway, HttpRequest message,
@@ -408,15 +428,10 @@
   OpenRequest open =
       MakeOpenRequest(gateway, head.assume_value(), std::move(message),
                       std::move(respond), now);
-  const SlotSupply supply = CountSlots(gateway.m_endpoints, gateway.m_ledger);
-  const auto offered = OfferRequest(
-      gateway.m_admission, open.m_request.m_waiting, supply.m_entitled, now);
-  if (!offered) {
-    return Finish(gateway, open, MakeErrorResponse(offered.assume_error()),
-                  "not_run");
+  if (open.m_once_key == IdempotencyKey()) {
+    return Admit(gateway, std::move(open));
   }
-  gateway.m_open.emplace(open.m_request.m_waiting.m_id, std::move(open));
-  PumpRequests(gateway, now);
+  ClaimAndAdmit(gateway, std::move(open));
 }
 
 void PumpRequests(Gateway& gateway, TimePoint now) {
--- a/services/daisyarchd/gateway.h
+++ b/services/daisyarchd/gateway.h
@@ -23,7 +23,6 @@
   HttpRequest m_message;
   HttpResponder m_respond;
   IdempotencyKey m_once_key;  ///< Set for one that is not to be repeated.
-  bool m_is_claimed = false;  ///< The store holds the key for this request.
   EndpointId m_endpoint;
   TimePoint m_sent_at{};
 };
--- a/services/daisyarchd/node_services.cc
+++ b/services/daisyarchd/node_services.cc
@@ -36,7 +36,7 @@
     HastenHeartbeat(node.m_membership);
   };
   node.m_membership.m_on_later_configuration = [&node](const Member& peer) {
-    FetchConfiguration(node.m_configuration, peer);
+    FetchConfiguration(node.m_configuration, peer.m_mesh_address);
   };
   node.m_configuration.m_on_adopted = [&node] {
     ApplyTargets(node.m_gateway.m_admission, node.m_configuration.m_current);
--- /dev/null
+++ b/tests/invariants/request_property_test.cc
@@ -0,0 +1,302 @@
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+#include "fakes/fake_fleet.h"
+#include "wire/json.h"
+
+namespace daisyarch {
+
+namespace {
+
+constexpr std::uint64_t kSeeds = 40;
+constexpr std::uint64_t kRounds = 16;
+constexpr int kRequestsPerRound = 150;
+constexpr unsigned kStatusOk = 200;
+
+/// One request as its caller knows it.
+struct Sent {
+  std::string m_body;
+  std::string m_once_key;
+  FakeNode* m_node = nullptr;
+  int m_answers = 0;
+  HttpResponse m_answer;
+};
+
+struct RequestWorld {
+  explicit RequestWorld(std::uint64_t seed) : m_fleet(seed) {
+    for (int index = 0; index < 5; ++index) {
+      AddEndpoint(m_fleet, "e" + std::to_string(index));
+    }
+    for (auto& [id, endpoint] : m_fleet.m_endpoints) {
+      endpoint.m_service_time = std::chrono::milliseconds(40);
+      endpoint.m_jitter = 0.5;
+    }
+  }
+
+  FakeFleet m_fleet;
+  std::vector<std::unique_ptr<Sent>> m_sent;
+  std::vector<std::string> m_keys;
+};
+
+FakeNode& StartTestNode(RequestWorld& world, const std::string& name) {
+  return AddNode(world.m_fleet, MakeTestSettings(name, "a", {"a"}));
+}
+
+std::vector<FakeNode*> LivingNodes(RequestWorld& world) {
+  std::vector<FakeNode*> living;
+  for (const auto& node : world.m_fleet.m_nodes) {
+    const bool runs = node->m_is_alive && !node->m_has_closed_doors &&
+                      world.m_fleet.m_loop.m_now >= node->m_paused_until;
+    if (runs) living.push_back(node.get());
+  }
+  return living;
+}
+
+void SendOne(RequestWorld& world) {
+  FakeLoop& loop = world.m_fleet.m_loop;
+  const auto living = LivingNodes(world);
+  if (living.empty()) return;
+  // Entry load is unequal: the first living node gets half of it.
+  FakeNode& node = Chance(loop, 0.5)
+                       ? *living[0]
+                       : *living[NextBelow(loop.m_random, living.size())];
+  auto sent = std::make_unique<Sent>();
+  sent->m_body = "request-" + std::to_string(world.m_sent.size());
+  sent->m_node = &node;
+  HttpRequest request;
+  request.m_method = "POST";
+  request.m_target = "/";
+  request.m_body = sent->m_body;
+  request.m_headers.emplace_back(kClassHeader, "quotes");
+  request.m_headers.emplace_back(
+      kMemberHeader, "m" + std::to_string(NextBelow(loop.m_random, 3)));
+  request.m_headers.emplace_back(kDeadlineHeader, "3000");
+  if (Chance(loop, 0.3)) {
+    // Some repeat a key that was used before, through any node; a member
+    // header that differs would make it another key.
+    const bool is_repeat = !world.m_keys.empty() && Chance(loop, 0.4);
+    sent->m_once_key =
+        is_repeat ? world.m_keys[NextBelow(loop.m_random, world.m_keys.size())]
+                  : "key-" + std::to_string(world.m_sent.size());
+    if (!is_repeat) world.m_keys.push_back(sent->m_once_key);
+    request.m_headers[1].second = "m0";
+    request.m_headers.emplace_back(kOnceHeader, sent->m_once_key);
+  }
+  Sent* entry = sent.get();
+  world.m_sent.push_back(std::move(sent));
+  SendRequest(node, std::move(request), [entry](HttpResponse answer) {
+    ++entry->m_answers;
+    entry->m_answer = std::move(answer);
+  });
+}
+
+void SendRound(RequestWorld& world) {
+  FakeLoop& loop = world.m_fleet.m_loop;
+  for (int index = 0; index < kRequestsPerRound; ++index) {
+    SendOne(world);
+    RunFor(loop, DelayBetween(loop, std::chrono::milliseconds(0),
+                              std::chrono::milliseconds(20)));
+  }
+}
+
+FakeEndpoint& AnyEndpoint(RequestWorld& world) {
+  auto& endpoints = world.m_fleet.m_endpoints;
+  auto endpoint = endpoints.begin();
+  std::advance(endpoint,
+               NextBelow(world.m_fleet.m_loop.m_random, endpoints.size()));
+  return endpoint->second;
+}
+
+void InjectFault(RequestWorld& world) {
+  FakeFleet& fleet = world.m_fleet;
+  FakeLoop& loop = fleet.m_loop;
+  const auto living = LivingNodes(world);
+  if (living.empty()) return;
+  FakeNode& node = *living[NextBelow(loop.m_random, living.size())];
+  switch (NextBelow(loop.m_random, 8)) {
+    case 0:
+      KillNode(node);
+      StartTestNode(world,
+                    node.m_services->m_runtime.m_settings.m_node.value());
+      return;
+    case 1:
+      PauseNode(fleet, node,
+                DelayBetween(loop, std::chrono::seconds(1),
+                             std::chrono::seconds(30)));
+      return;
+    case 2:
+      fleet.m_platform.m_outage_until =
+          loop.m_now +
+          DelayBetween(loop, std::chrono::seconds(1), std::chrono::seconds(30));
+      return;
+    case 3:
+      AnyEndpoint(world).m_refuses ^= true;
+      return;
+    case 4:
+      AnyEndpoint(world).m_goes_silent = 0.2;
+      return;
+    case 5:
+      AnyEndpoint(world).m_answers_crossed = 0.2;
+      return;
+    case 6:
+      if (living.size() > 1) CutNodes(fleet, *living[0], *living[1]);
+      return;
+    default:
+      fleet.m_cuts.clear();
+      for (auto& [id, endpoint] : fleet.m_endpoints) {
+        endpoint.m_refuses = false;
+        endpoint.m_goes_silent = 0;
+        endpoint.m_answers_crossed = 0;
+      }
+      return;
+  }
+}
+
+std::string CodeOf(const HttpResponse& answer) {
+  const auto body = ParseJson(answer.m_body, "", "");
+  if (!body || !body.assume_value().is_object()) return "";
+  return body.assume_value().value("code", "");
+}
+
+// Checks one answer; returns what it says: served, not_run or another code.
+std::string CheckAnswer(const RequestWorld& world, const Sent& sent) {
+  if (sent.m_answer.m_status == kStatusOk) {
+    CHECK(sent.m_answer.m_body == sent.m_body);
+    return "served";
+  }
+  const std::string code = CodeOf(sent.m_answer);
+  if (code == "not_run") {
+    CHECK(world.m_fleet.m_deliveries.count(sent.m_body) == 0);
+  }
+  return code;
+}
+
+void CheckOnce(const RequestWorld& world) {
+  std::map<std::string, int> deliveries;
+  for (const auto& sent : world.m_sent) {
+    if (sent->m_once_key.empty()) continue;
+    const auto found = world.m_fleet.m_deliveries.find(sent->m_body);
+    if (found == world.m_fleet.m_deliveries.end()) continue;
+    deliveries[sent->m_once_key] += found->second;
+  }
+  for (const auto& [key, count] : deliveries) {
+    INFO(key);
+    CHECK(count <= 1);
+  }
+}
+
+void RunWorld(std::uint64_t seed) {
+  INFO("seed " << seed);
+  RequestWorld world(seed);
+  FakeFleet& fleet = world.m_fleet;
+  FakeNode& first = StartTestNode(world, "n1");
+  for (const char* name : {"n2", "n3", "n4"}) StartTestNode(world, name);
+  RunFor(fleet.m_loop, std::chrono::seconds(6));
+  SetTarget(fleet, first,
+            ClassTarget{ClassId("quotes"), ClassKind::kRequest,
+                        std::chrono::seconds(2)});
+  RunFor(fleet.m_loop, std::chrono::seconds(5));
+  fleet.m_platform.m_lose_answer = 0.03;
+  fleet.m_platform.m_apply_late = 0.03;
+  for (std::uint64_t round = 0; round < kRounds; ++round) {
+    SendRound(world);
+    InjectFault(world);
+  }
+  RunFor(fleet.m_loop, std::chrono::seconds(60));
+  std::map<std::string, int> outcomes;
+  for (const auto& sent : world.m_sent) {
+    // The caller of a node that died sees its connection end.
+    if (!sent->m_node->m_is_alive) {
+      CHECK(sent->m_answers <= 1);
+      continue;
+    }
+    CHECK(sent->m_answers == 1);
+    ++outcomes[CheckAnswer(world, *sent)];
+  }
+  CheckOnce(world);
+  CHECK(FindSlotViolation(fleet) == "");
+  // The checks above must have had something to check.
+  CHECK(outcomes["served"] > 100);
+}
+
+}  // namespace
+
+TEST_CASE(
+    "Answers are whole and their own, refusals are true, and slots are kept, "
+    "whatever fails",
+    "[invariant]") {
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) RunWorld(seed);
+}
+
+TEST_CASE("A planned stop cuts no request in flight", "[invariant]") {
+  RequestWorld world(7);
+  FakeFleet& fleet = world.m_fleet;
+  FakeNode& first = StartTestNode(world, "n1");
+  FakeNode& second = StartTestNode(world, "n2");
+  RunFor(fleet.m_loop, std::chrono::seconds(8));
+  SetTarget(fleet, first,
+            ClassTarget{ClassId("quotes"), ClassKind::kRequest,
+                        std::chrono::seconds(2)});
+  RunFor(fleet.m_loop, std::chrono::seconds(3));
+  SendRound(world);
+  StartNodeDrain(*first.m_services);
+  // The balancer goes on for a while until it notices.
+  SendRound(world);
+  RunFor(fleet.m_loop, std::chrono::seconds(10));
+  CHECK(!first.m_is_alive);
+  CHECK(second.m_is_alive);
+  for (const auto& sent : world.m_sent) {
+    CHECK(sent->m_answers == 1);
+    // A key that is used a second time is refused, as it should be.
+    if (CheckAnswer(world, *sent) == "conflict") continue;
+    CHECK(sent->m_answer.m_status == kStatusOk);
+  }
+  CHECK(FindSlotViolation(fleet) == "");
+}
+
+TEST_CASE("A leaving endpoint gets nothing new after 5 s", "[invariant]") {
+  RequestWorld world(11);
+  FakeFleet& fleet = world.m_fleet;
+  FakeNode& first = StartTestNode(world, "n1");
+  StartTestNode(world, "n2");
+  RunFor(fleet.m_loop, std::chrono::seconds(8));
+  SetTarget(fleet, first,
+            ClassTarget{ClassId("quotes"), ClassKind::kRequest,
+                        std::chrono::seconds(2)});
+  RunFor(fleet.m_loop, std::chrono::seconds(3));
+  SendRound(world);
+  FakeEndpoint& leaving = fleet.m_endpoints.begin()->second;
+  CHECK(leaving.m_requests > 0);
+  fleet.m_platform.m_hosts.m_endpoints[0].m_is_leaving = true;
+  const TimePoint end = fleet.m_loop.m_now + std::chrono::seconds(5);
+  while (fleet.m_loop.m_now < end) SendRound(world);
+  const std::uint64_t before = leaving.m_requests;
+  for (int round = 0; round < 5; ++round) SendRound(world);
+  CHECK(leaving.m_requests == before);
+}
+
+TEST_CASE("Requests go on through a store outage of minutes", "[invariant]") {
+  RequestWorld world(13);
+  FakeFleet& fleet = world.m_fleet;
+  FakeNode& first = StartTestNode(world, "n1");
+  StartTestNode(world, "n2");
+  StartTestNode(world, "n3");
+  RunFor(fleet.m_loop, std::chrono::seconds(8));
+  SetTarget(fleet, first,
+            ClassTarget{ClassId("quotes"), ClassKind::kRequest,
+                        std::chrono::seconds(2)});
+  RunFor(fleet.m_loop, std::chrono::seconds(3));
+  fleet.m_platform.m_outage_until =
+      fleet.m_loop.m_now + std::chrono::minutes(5);
+  while (fleet.m_loop.m_now < fleet.m_platform.m_outage_until) {
+    SendRound(world);
+    RunFor(fleet.m_loop, std::chrono::seconds(10));
+  }
+  for (const auto& sent : world.m_sent) {
+    if (!sent->m_once_key.empty()) continue;
+    CHECK(sent->m_answer.m_status == kStatusOk);
+  }
+}
+
+}  // namespace daisyarch
