--- a/libraries/decisions/placement/worker_chart.cc
+++ b/libraries/decisions/placement/worker_chart.cc
@@ -12,6 +12,14 @@
   return context.m_worker.m_failures_in_row + 1 >= kFailuresBeforeSetAside;
 }
 
+bool BackOffLasts(const WorkerContext& context) {
+  return context.m_now < context.m_worker.m_set_aside_until;
+}
+
+bool WasSetAside(const WorkerContext& context) {
+  return context.m_worker.m_set_aside_count > 0;
+}
+
 void CountFailure(WorkerContext& context) {
   ++context.m_worker.m_failures_in_row;
 }
@@ -41,7 +49,9 @@
       {"unseen", "ready", "probing", "set_aside", "silent", "lapsed"},
       {"answered", "missed", "leases_ran_out", "task_finished", "task_failed",
        "back_off_ended"},
-      {{"fails_everything", FailsEverything}},
+      {{"fails_everything", FailsEverything},
+       {"back_off_lasts", BackOffLasts},
+       {"was_set_aside", WasSetAside}},
       {{"count_failure", CountFailure},
        {"clear_failures", ClearFailures},
        {"forget_set_asides", ForgetSetAsides},
--- /dev/null
+++ b/tests/decisions/membership/peer_table_test.cc
@@ -0,0 +1,93 @@
+#include "decisions/membership/peer_table.h"
+
+#include <catch2/catch.hpp>
+
+#include "runtime.h"
+
+namespace daisyarch {
+
+namespace {
+
+constexpr TimePoint kStart{std::chrono::seconds(100)};
+
+MemberList MakeMembers(std::size_t count) {
+  MemberList list;
+  list.m_version = MemberListVersion(1);
+  for (std::size_t index = 0; index < count; ++index) {
+    list.m_members.push_back(Member{
+        NodeId("n" + std::to_string(index)), Incarnation(1), "", "", {}});
+  }
+  return list;
+}
+
+PeerTable MakeTable(const MemberList& members, std::size_t self) {
+  PeerTable table;
+  table.m_self = members.m_members[self];
+  AdoptMembers(table, members, kStart);
+  return table;
+}
+
+void Acknowledge(PeerTable& table, const PeerMachine& machine,
+                 const std::string& node, TimePoint sent_at) {
+  HeartbeatAnswer answer;
+  answer.m_incarnation = Incarnation(1);
+  answer.m_is_acknowledged = true;
+  ApplyAnswer(table, machine, NodeId(node), answer, sent_at, sent_at);
+}
+
+}  // namespace
+
+TEST_CASE("The majorities for serving and for removal share a node") {
+  for (std::size_t others = 1; others <= 50; ++others) {
+    CHECK(2 * Majority(others) > others);
+  }
+}
+
+TEST_CASE("Without its lease a node serves while a majority acknowledges it") {
+  const auto machines = LoadMachines(DAISYARCH_CHARTS);
+  REQUIRE(machines);
+  const PeerMachine& machine = machines.assume_value().m_peer;
+  PeerTable table = MakeTable(MakeMembers(5), 0);
+  CHECK(!MayServe(table, kStart));
+  Acknowledge(table, machine, "n1", kStart);
+  Acknowledge(table, machine, "n2", kStart);
+  CHECK(!MayServe(table, kStart));
+  Acknowledge(table, machine, "n3", kStart);
+  CHECK(MayServe(table, kStart));
+  CHECK(!MayServe(table, kStart + kAcknowledgementTerm));
+  table.m_lease_deadline = kStart + std::chrono::minutes(1);
+  CHECK(MayServe(table, kStart + kAcknowledgementTerm));
+}
+
+TEST_CASE("Who votes for a removal acknowledges no more") {
+  const auto machines = LoadMachines(DAISYARCH_CHARTS);
+  REQUIRE(machines);
+  const PeerMachine& machine = machines.assume_value().m_peer;
+  PeerTable table = MakeTable(MakeMembers(3), 0);
+  Heartbeat heartbeat;
+  heartbeat.m_node = NodeId("n1");
+  heartbeat.m_incarnation = Incarnation(1);
+  const MemberListVersion version(1);
+  CHECK(
+      AnswerHeartbeat(table, machine, heartbeat, {}, kStart).m_is_acknowledged);
+  CHECK(!VoteForRemoval(table, NodeId("n1"), Incarnation(1), version,
+                        kStart + kRemoveAfter - Duration(1)));
+  CHECK(!VoteForRemoval(table, NodeId("n1"), Incarnation(2), version,
+                        kStart + kRemoveAfter));
+  CHECK(VoteForRemoval(table, NodeId("n1"), Incarnation(1), version,
+                       kStart + kRemoveAfter));
+  CHECK(!AnswerHeartbeat(table, machine, heartbeat, {}, kStart + kRemoveAfter)
+             .m_is_acknowledged);
+  // A later list settles the vote, whatever it holds.
+  MemberList later = MakeMembers(3);
+  later.m_version = MemberListVersion(2);
+  AdoptMembers(table, later, kStart + kRemoveAfter);
+  CHECK(AnswerHeartbeat(table, machine, heartbeat, {}, kStart + kRemoveAfter)
+            .m_is_acknowledged);
+}
+
+TEST_CASE("Votes wait for longer than a right to serve can last") {
+  CHECK(kRemoveAfter > kAcknowledgementTerm + kSettleTime);
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/tests/decisions/routing/slot_ledger_test.cc
@@ -0,0 +1,128 @@
+#include "decisions/routing/slot_ledger.h"
+
+#include <catch2/catch.hpp>
+
+namespace daisyarch {
+
+namespace {
+
+const EndpointId kEndpoint("e");
+constexpr Slots kTotal{8};
+
+MemberList MakeMembers(std::uint64_t version,
+                       const std::vector<std::string>& nodes,
+                       std::uint64_t incarnation) {
+  MemberList list;
+  list.m_version = MemberListVersion(version);
+  for (const std::string& node : nodes) {
+    list.m_members.push_back(
+        Member{NodeId(node), Incarnation(incarnation), "", "", {}});
+  }
+  return list;
+}
+
+SlotLedger MakeLedger(const std::string& node, const MemberList& members) {
+  SlotLedger ledger;
+  ledger.m_node = NodeId(node);
+  AdoptMembers(ledger, members);
+  SetEndpointSlots(ledger, kEndpoint, kTotal);
+  CompleteShares(ledger);
+  return ledger;
+}
+
+Slots FreeAt(const SlotLedger& ledger) {
+  return FreeSlots(ledger.m_accounts.at(kEndpoint));
+}
+
+}  // namespace
+
+TEST_CASE("Base shares add up to the endpoint's slots") {
+  for (std::uint64_t count = 1; count <= 12; ++count) {
+    std::vector<std::string> nodes;
+    for (std::uint64_t index = 0; index < count; ++index) {
+      nodes.push_back("n" + std::to_string(100 + index));
+    }
+    const MemberList members = MakeMembers(1, nodes, 1);
+    for (const char* endpoint : {"e1", "e2", "e3"}) {
+      Slots sum;
+      for (const std::string& node : nodes) {
+        sum += BaseShare(members, NodeId(node), EndpointId(endpoint), kTotal);
+      }
+      CHECK(sum == kTotal);
+    }
+  }
+}
+
+TEST_CASE("A share that shrinks does so at once, one that grows waits") {
+  const MemberList one = MakeMembers(1, {"a"}, 1);
+  const MemberList two = MakeMembers(2, {"a", "b"}, 1);
+  SlotLedger ledger = MakeLedger("a", one);
+  for (int index = 0; index < 6; ++index) {
+    REQUIRE(TakeSlot(ledger, kEndpoint));
+  }
+  AdoptMembers(ledger, two);
+  CHECK(!IsSettled(ledger));
+  CHECK(!TakeSlot(ledger, kEndpoint));
+  ReturnSlot(ledger, kEndpoint);
+  ReturnSlot(ledger, kEndpoint);
+  CHECK(IsSettled(ledger));
+  AdoptMembers(ledger, MakeMembers(3, {"a"}, 1));
+  CHECK(FreeAt(ledger) == Slots(0));
+  CompleteShares(ledger);
+  CHECK(FreeAt(ledger) == Slots(4));
+}
+
+TEST_CASE("A loan whose answer was lost comes back with the next report") {
+  const MemberList two = MakeMembers(1, {"a", "b"}, 1);
+  SlotLedger lender = MakeLedger("a", two);
+  SlotLedger borrower = MakeLedger("b", two);
+  REQUIRE(LendSlots(lender, NodeId("b"), 1, Slots(3), Slots()).size() == 1);
+  CHECK(FreeAt(lender) == Slots(1));
+  ApplyLoanReport(lender, NodeId("b"),
+                  ReportLoans(borrower, NodeId("a"), Slots(8), 1));
+  CHECK(FreeAt(lender) == Slots(4));
+  // The request itself may arrive late: its call is closed.
+  CHECK(LendSlots(lender, NodeId("b"), 1, Slots(3), Slots()).empty());
+}
+
+TEST_CASE("A report that was sent before a loan does not undo it") {
+  const MemberList two = MakeMembers(1, {"a", "b"}, 1);
+  SlotLedger lender = MakeLedger("a", two);
+  SlotLedger borrower = MakeLedger("b", two);
+  const LoanReport early = ReportLoans(borrower, NodeId("a"), Slots(8), 0);
+  AddLoans(borrower, NodeId("a"),
+           LendSlots(lender, NodeId("b"), 1, Slots(3), Slots()));
+  ApplyLoanReport(lender, NodeId("b"), early);
+  CHECK(FreeAt(lender) + FreeAt(borrower) == kTotal);
+}
+
+TEST_CASE("A recalled loan goes back as its requests end") {
+  const MemberList two = MakeMembers(1, {"a", "b"}, 1);
+  SlotLedger lender = MakeLedger("a", two);
+  SlotLedger borrower = MakeLedger("b", two);
+  AddLoans(borrower, NodeId("a"),
+           LendSlots(lender, NodeId("b"), 1, Slots(4), Slots()));
+  for (int index = 0; index < 8; ++index) {
+    REQUIRE(TakeSlot(borrower, kEndpoint));
+  }
+  RecallLoans(borrower, NodeId("a"));
+  CHECK(!TakeSlot(borrower, kEndpoint));
+  ReturnSlot(borrower, kEndpoint);
+  ApplyLoanReport(lender, NodeId("b"),
+                  ReportLoans(borrower, NodeId("a"), Slots(8), 1));
+  CHECK(FreeAt(lender) == Slots(1));
+  CHECK(FreeAt(borrower) <= Slots(0));
+}
+
+TEST_CASE("A run that is replaced loses its loans in both directions") {
+  const MemberList two = MakeMembers(1, {"a", "b"}, 1);
+  SlotLedger lender = MakeLedger("a", two);
+  REQUIRE(!LendSlots(lender, NodeId("b"), 1, Slots(2), Slots()).empty());
+  MemberList next = two;
+  next.m_version = MemberListVersion(2);
+  next.m_members[1].m_incarnation = Incarnation(2);
+  AdoptMembers(lender, next);
+  CHECK(FreeAt(lender) == Slots(4));
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/tests/journal/partition_recovery_test.cc
@@ -0,0 +1,91 @@
+#include <catch2/catch.hpp>
+#include <map>
+
+#include "fakes/fake_fleet.h"
+
+namespace daisyarch {
+
+namespace {
+
+constexpr std::int64_t kCallsBetweenStartAndSnapshot = 150;
+
+JobRequest MakeJob(int number) {
+  JobRequest request;
+  request.m_member = MemberId("shop");
+  request.m_team = TeamId("shop");
+  request.m_class = ClassId("settlements");
+  request.m_key = IdempotencyKey("order-" + std::to_string(number));
+  request.m_demand = Resources{Millicores(500), Mebibytes(100), Accelerators()};
+  request.m_run_time = std::chrono::milliseconds(700);
+  return request;
+}
+
+// Submits a job every 200 ms for a while and notes which are accepted.
+void SubmitJobs(FakeFleet& fleet, FakeNode& node,
+                std::map<int, bool>& accepted) {
+  constexpr int kJobs = 50;
+  for (int number = 0; number < kJobs; ++number) {
+    if (!node.m_is_alive) return;
+    SubmitJobAnywhere(node.m_services->m_partitions, MakeJob(number),
+                      [&accepted, number](const Result<JobStatus>& result) {
+                        if (result) accepted[number] = true;
+                      });
+    RunFor(fleet.m_loop, std::chrono::milliseconds(250));
+  }
+}
+
+void CheckAccepted(FakeNode& node, const std::map<int, bool>& accepted) {
+  for (const auto& [number, is_accepted] : accepted) {
+    const JobRequest request = MakeJob(number);
+    bool is_finished = false;
+    FindJobHere(node.m_services->m_partitions,
+                DeriveJobId(request.m_member, request.m_key),
+                [&is_finished](const Result<JobStatus>& result) {
+                  is_finished =
+                      result && result.assume_value().m_job.m_finished == 1;
+                });
+    INFO("job " << number);
+    CHECK(is_finished);
+  }
+}
+
+std::uint64_t SnapshotOf(const FakeNode& node) {
+  const auto& entry = node.m_services->m_partitions.m_entries.begin()->second;
+  if (!entry.m_owned) return 0;
+  return entry.m_owned->m_claimed.m_head.m_snapshot_through.value();
+}
+
+}  // namespace
+
+// The owner dies at each of its calls on the store in turn: between each two
+// steps of claim, commit and snapshot.
+TEST_CASE("Accepted jobs survive a crash between every two store calls",
+          "[invariant]") {
+  std::uint64_t most_snapshots = 0;
+  for (std::int64_t calls = 0; calls < kCallsBetweenStartAndSnapshot; ++calls) {
+    INFO("crash after " << calls << " calls");
+    FakeFleet fleet(static_cast<std::uint64_t>(calls) + 1);
+    AddWorker(fleet, "w1", "a",
+              Resources{Millicores(8000), Mebibytes(8000), Accelerators()});
+    FakeNode& first = AddNode(fleet, MakeTestSettings("n1", "a", {"a"}));
+    RunUntilTrue(fleet.m_loop, std::chrono::seconds(5),
+                 [&first] { return OwnsPartitions(first, 1); });
+    fleet.m_platform.m_crash_after = calls;
+    fleet.m_platform.m_on_crash = [&first] { KillNode(first); };
+    std::map<int, bool> accepted;
+    SubmitJobs(fleet, first, accepted);
+    most_snapshots = std::max(most_snapshots, SnapshotOf(first));
+    KillNode(first);
+    fleet.m_platform.m_crash_after = -1;
+    FakeNode& second = AddNode(fleet, MakeTestSettings("n2", "a", {"a"}));
+    CHECK(RunUntilTrue(fleet.m_loop, std::chrono::seconds(30),
+                       [&second] { return OwnsPartitions(second, 1); }));
+    RunFor(fleet.m_loop, std::chrono::seconds(20));
+    CHECK(FindWorkerViolation(fleet) == "");
+    CheckAccepted(second, accepted);
+  }
+  // Some of the crashes came after a snapshot had replaced journal records.
+  CHECK(most_snapshots > 0);
+}
+
+}  // namespace daisyarch
