admission: Bound each member's waiting requests by the room left

Ruled out: the order of turns (Jain's index among the others was 1.000) and the expected wait (it is counted by turns). Change: a member may wait with as many requests as there is room left, so a flood takes half of the room at most.

--- a/libraries/decisions/admission/admission.cc
+++ b/libraries/decisions/admission/admission.cc
@@ -133,6 +133,17 @@
   return std::min(queue.m_waiting, (place + 1) * members - 1);
 }
 
+// A member may wait with as many requests as there is room left. One that
+// floods then takes half of the room at most, and the others find some.
+bool HasRoom(const ClassQueue& queue, const MemberId& member) {
+  const auto entry = queue.m_members.find(member);
+  const std::size_t held =
+      entry == queue.m_members.end() ? 0 : entry->second.m_waiting.size();
+  const std::size_t room = kMaximumWaitingPerClass -
+                           std::min(kMaximumWaitingPerClass, queue.m_waiting);
+  return held < room;
+}
+
 // The slots that the class can count on.
 double ExpectedSlots(const ClassQueue& queue, Slots slots) {
   const double kept = KeptSlots(queue, slots);
@@ -199,8 +210,9 @@
                        "\" of requests has a target");
   }
   ClassQueue& queue = found->second;
-  if (queue.m_waiting >= kMaximumWaitingPerClass) {
-    return Refusal(ErrorCode::kNotRun, request, "the class's queue is full");
+  if (!HasRoom(queue, request.m_member)) {
+    return Refusal(ErrorCode::kNotRun, request,
+                   "too many requests of the member wait");
   }
   const Duration wait = ExpectedWait(queue, request.m_member, slots);
   const TimePoint answered = now + wait + UpperBound(queue.m_service_time);
