placement: Look past a task that fits nowhere

Ruled out: the order of the index (tightest by processors, as the scan). Change: up to 32 jobs of a team are looked at for one place.

--- a/libraries/decisions/placement/place_tasks.cc
+++ b/libraries/decisions/placement/place_tasks.cc
@@ -10,6 +10,8 @@
 
 /// Places of one round; the rest wait for the next group commit.
 constexpr std::size_t kMaximumPlacesPerRound = 1000;
+/// Jobs of one team that are looked at for one place.
+constexpr std::size_t kJobsTriedPerTeam = 32;
 
 struct Round {
   PartitionEngine& m_engine;
@@ -115,24 +117,40 @@
   engine.m_queued_effects.emplace_back(HeldStart{id, task.m_attempt});
 }
 
-// Places the first task of the first team that can have one.
-bool PlaceOne(Round& round, const ClassId& class_id) {
+// Places the first of the team's oldest jobs that fits somewhere. A task too
+// large for any room at present does not hold smaller ones back.
+bool PlaceOfTeam(Round& round, const ClassId& class_id, const TeamId& team) {
   PartitionState& state = round.m_engine.m_state;
-  for (const TeamId& team : OrderTeams(round, class_id)) {
-    const TaskId task =
-        state.m_queue.m_classes.at(class_id).at(team).m_tasks.begin()->second;
+  const auto& tasks = state.m_queue.m_classes.at(class_id).at(team).m_tasks;
+  std::size_t jobs_tried = 0;
+  JobId tried;
+  for (const auto& [start_by, task] : tasks) {
+    // Tasks of one job are alike.
+    if (jobs_tried > 0 && task.m_job == tried) continue;
+    if (++jobs_tried > kJobsTriedPerTeam) return false;
+    tried = task.m_job;
     const Resources demand = state.m_jobs.at(task.m_job).m_request.m_demand;
     if (!HasQuota(round, team, demand)) continue;
     if (!LeavesHeadroom(round, class_id, demand)) continue;
     const auto worker = FindTightestFit(state.m_index, demand);
     if (!worker) continue;
-    Assign(round, task, *worker);
+    // A copy: placing the task takes it out of the queue.
+    const TaskId placed = task;
+    Assign(round, placed, *worker);
     round.m_free -= demand.m_processors;
     return true;
   }
   return false;
 }
 
+// Places a task of the first team that can have one.
+bool PlaceOne(Round& round, const ClassId& class_id) {
+  for (const TeamId& team : OrderTeams(round, class_id)) {
+    if (PlaceOfTeam(round, class_id, team)) return true;
+  }
+  return false;
+}
+
 bool PlaceFromAnyClass(Round& round) {
   for (const ClassCandidate& candidate : OrderClasses(round)) {
     if (PlaceOne(round, candidate.m_class)) return true;
