benchmarks: Measure each decision against a naive version

Ruled out: wall-clock bounds; all bounded figures are in virtual time or counts. Change: meta/bench; the fakes learn cuts between one node and the store or a worker, and count a waiting watch as one call.

--- /dev/null
+++ b/benchmarks/main.cc
@@ -0,0 +1,28 @@
+#include <cstdio>
+#include <string>
+
+#include "bench_table.h"
+#include "flood_bench.h"
+#include "log/log.h"
+#include "membership_bench.h"
+#include "placement_bench.h"
+#include "routing_bench.h"
+
+int main(int argument_count, char** arguments) {
+  daisyarch::StartLogging("daisyarch_bench", daisyarch::LogOutput::kNone);
+  daisyarch::BenchTable table;
+  for (int index = 1; index < argument_count; ++index) {
+    if (std::string(arguments[index]) == "--short") table.m_is_short = true;
+  }
+  daisyarch::BenchRouting(table);
+  daisyarch::BenchFloods(table);
+  daisyarch::BenchRetries(table);
+  daisyarch::BenchMembership(table);
+  daisyarch::BenchHeartbeats(table);
+  daisyarch::BenchPlacement(table);
+  daisyarch::BenchStoreCalls(table);
+  daisyarch::BenchChart(table);
+  const int broken = daisyarch::PrintTable(table);
+  std::printf("%d bounds broken\n", broken);
+  return broken == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/benchmarks/placement_bench.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "bench_table.h"
+
+namespace daisyarch {
+
+/// Cost of a start by the number of workers, packing against a naive scan,
+/// and the start of urgent work in a flood.
+void BenchPlacement(BenchTable& table);
+
+/// Calls on the store by task starts and by nodes.
+void BenchStoreCalls(BenchTable& table);
+
+/// The time of a chart's step against a walk of strings.
+void BenchChart(BenchTable& table);
+
+}  // namespace daisyarch
--- a/libraries/log/log.cc
+++ b/libraries/log/log.cc
@@ -55,11 +55,13 @@
 
 }  // namespace
 
-void StartLogging(const std::string& program) {
+void StartLogging(const std::string& program, LogOutput output) {
   el::Configurations configuration;
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  const bool is_shown = output == LogOutput::kStandardOutput;
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput,
+                            is_shown ? "true" : "false");
   configuration.setGlobally(
       el::ConfigurationType::Format,
       "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} program=" + program + " %msg");
--- a/libraries/log/log.h
+++ b/libraries/log/log.h
@@ -24,8 +24,11 @@
 
 enum class LogLevel { kInfo, kWarning, kError };
 
+enum class LogOutput { kStandardOutput, kNone };
+
 /// Sends logs to standard output, a line an event; no file is written.
-void StartLogging(const std::string& program);
+void StartLogging(const std::string& program,
+                  LogOutput output = LogOutput::kStandardOutput);
 
 /// Writes one line of key=value pairs; values are quoted where needed.
 void LogEvent(LogLevel level, const char* event,
--- a/tests/fakes/fake_fleet.cc
+++ b/tests/fakes/fake_fleet.cc
@@ -124,6 +124,7 @@
                 std::function<void(Result<WorkerReport>)> on_answer) {
   const auto answer = AwaitAnswer<WorkerReport>(fleet, node, worker.value(),
                                                 timeout, std::move(on_answer));
+  if (fleet.m_worker_cuts.count({node.m_mesh_address, worker}) != 0) return;
   const bool is_late = Chance(fleet.m_loop, fleet.m_delay_worker_message);
   const Duration delay =
       is_late ? DelayBetween(fleet.m_loop, timeout, kLatestMessage)
@@ -206,12 +207,16 @@
   runtime.m_clock.m_unix_milliseconds = [&fleet] {
     return InMilliseconds(fleet.m_loop.m_now.time_since_epoch());
   };
-  runtime.m_platform = WatchHealth(
-      MakeFakePlatform(fleet.m_platform,
-                       [&fleet, &node](std::function<void()> event) {
-                         RunInNode(fleet, node, std::move(event));
-                       }),
-      runtime);
+  runtime.m_platform =
+      WatchHealth(MakeFakePlatform(
+                      fleet.m_platform,
+                      [&fleet, &node](std::function<void()> event) {
+                        RunInNode(fleet, node, std::move(event));
+                      },
+                      [&fleet, &node] {
+                        return fleet.m_loop.m_now < node.m_store_cut_until;
+                      }),
+                  runtime);
   runtime.m_peers.m_call = [&fleet, &node](const std::string& address,
                                            const std::string& method,
                                            const Json& body, Duration timeout,
--- a/tests/fakes/fake_fleet.h
+++ b/tests/fakes/fake_fleet.h
@@ -38,6 +38,7 @@
   std::unique_ptr<NodeServices> m_services;
   bool m_is_alive = true;
   TimePoint m_paused_until{};
+  TimePoint m_store_cut_until{};  ///< This node alone misses the store.
   std::uint64_t m_open_requests = 0;
   bool m_has_closed_doors = false;
 };
@@ -52,6 +53,8 @@
   std::map<EndpointId, FakeEndpoint> m_endpoints;
   std::vector<std::unique_ptr<FakeNode>> m_nodes;
   std::set<std::pair<std::string, std::string>> m_cuts;  ///< Mesh addresses.
+  /// Mesh address of a node and a worker that it cannot reach.
+  std::set<std::pair<std::string, WorkerId>> m_worker_cuts;
   double m_lose_worker_answer = 0;
   double m_delay_worker_message = 0;  ///< Arrives after its sender gave up.
   /// Times that each body reached an endpoint.
--- a/tests/fakes/fake_platform.cc
+++ b/tests/fakes/fake_platform.cc
@@ -47,10 +47,11 @@
 // Sends a call to the model and its answer back, as its fate has it.
 template <typename Value>
 void Call(FakePlatform& fake, const Deliver& deliver,
+          const std::function<bool()>& is_cut,
           std::function<Result<Value>()> effect,
           PlatformAnswer<Value> on_answer) {
   if (!CountCall(fake)) return;
-  const Fate fate = ChooseFate(fake);
+  const Fate fate = is_cut() ? Fate::kDrop : ChooseFate(fake);
   const auto answer = [deliver, on_answer](Result<Value> result) {
     deliver([on_answer, result = std::move(result)] { on_answer(result); });
   };
@@ -81,7 +82,10 @@
 void Poll(FakePlatform& fake, const std::string& key, StoreVersion known,
           TimePoint until, const PlatformAnswer<StoreEntry>& on_answer) {
   constexpr Duration kPollInterval = std::chrono::milliseconds(50);
+  // A waiting watch counts as one call, however often the fake looks.
+  const std::uint64_t reads = fake.m_store.m_reads;
   const StoreEntry entry = ReadValue(fake.m_store, key, fake.m_loop.m_now);
+  fake.m_store.m_reads = reads;
   if (entry.m_version > known || fake.m_loop.m_now >= until) {
     return on_answer(entry);
   }
@@ -92,33 +96,36 @@
 
 }  // namespace
 
-Platform MakeFakePlatform(FakePlatform& fake, Deliver deliver) {
+Platform MakeFakePlatform(FakePlatform& fake, Deliver deliver,
+                          std::function<bool()> is_cut) {
   Platform platform;
-  platform.m_read = [&fake, deliver](const std::string& key,
-                                     PlatformAnswer<StoreEntry> on_answer) {
+  platform.m_read = [&fake, deliver, is_cut](
+                        const std::string& key,
+                        PlatformAnswer<StoreEntry> on_answer) {
     Call<StoreEntry>(
-        fake, deliver,
+        fake, deliver, is_cut,
         [&fake, key]() -> Result<StoreEntry> {
           return ReadValue(fake.m_store, key, fake.m_loop.m_now);
         },
         std::move(on_answer));
   };
   platform.m_compare_and_swap =
-      [&fake, deliver](const std::string& key, StoreVersion expected,
-                       const std::string& value, StoreLeaseId lease,
-                       PlatformAnswer<SwapResult> on_answer) {
+      [&fake, deliver, is_cut](const std::string& key, StoreVersion expected,
+                               const std::string& value, StoreLeaseId lease,
+                               PlatformAnswer<SwapResult> on_answer) {
         Call<SwapResult>(
-            fake, deliver,
+            fake, deliver, is_cut,
             [&fake, key, expected, value, lease] {
               return SwapValue(fake.m_store, key, expected, value, lease,
                                fake.m_loop.m_now);
             },
             std::move(on_answer));
       };
-  platform.m_watch = [&fake, deliver](const std::string& key,
-                                      StoreVersion known, Duration wait,
-                                      PlatformAnswer<StoreEntry> on_answer) {
-    if (fake.m_loop.m_now < fake.m_outage_until) {
+  platform.m_watch = [&fake, deliver, is_cut](
+                         const std::string& key, StoreVersion known,
+                         Duration wait, PlatformAnswer<StoreEntry> on_answer) {
+    ++fake.m_store.m_reads;
+    if (is_cut() || fake.m_loop.m_now < fake.m_outage_until) {
       return RunAfter(fake.m_loop, kCallTimeout, [deliver, on_answer] {
         deliver([on_answer] { on_answer(Unknown<StoreEntry>()); });
       });
@@ -128,39 +135,45 @@
            deliver([on_answer, result] { on_answer(result); });
          });
   };
-  platform.m_grant_lease =
-      [&fake, deliver](Duration term, PlatformAnswer<StoreLeaseId> on_answer) {
-        Call<StoreLeaseId>(
-            fake, deliver,
-            [&fake, term]() -> Result<StoreLeaseId> {
-              return GrantLease(fake.m_store, term, fake.m_loop.m_now);
-            },
-            std::move(on_answer));
-      };
-  platform.m_renew_lease = [&fake, deliver](
+  platform.m_grant_lease = [&fake, deliver, is_cut](
+                               Duration term,
+                               PlatformAnswer<StoreLeaseId> on_answer) {
+    Call<StoreLeaseId>(
+        fake, deliver, is_cut,
+        [&fake, term]() -> Result<StoreLeaseId> {
+          return GrantLease(fake.m_store, term, fake.m_loop.m_now);
+        },
+        std::move(on_answer));
+  };
+  platform.m_renew_lease = [&fake, deliver, is_cut](
                                StoreLeaseId lease,
                                PlatformAnswer<StoreLeaseId> on_answer) {
     Call<StoreLeaseId>(
-        fake, deliver,
+        fake, deliver, is_cut,
         [&fake, lease] {
           return RenewLease(fake.m_store, lease, fake.m_loop.m_now);
         },
         std::move(on_answer));
   };
-  platform.m_revoke_lease = [&fake, deliver](
+  platform.m_revoke_lease = [&fake, deliver, is_cut](
                                 StoreLeaseId lease,
                                 PlatformAnswer<StoreLeaseId> on_answer) {
     Call<StoreLeaseId>(
-        fake, deliver,
+        fake, deliver, is_cut,
         [&fake, lease]() -> Result<StoreLeaseId> {
           RevokeLease(fake.m_store, lease);
           return lease;
         },
         std::move(on_answer));
   };
-  platform.m_list_hosts = [&fake, deliver](PlatformAnswer<HostList> on_answer) {
+  platform.m_list_hosts = [&fake, deliver,
+                           is_cut](PlatformAnswer<HostList> on_answer) {
     Call<HostList>(
-        fake, deliver, [&fake]() -> Result<HostList> { return fake.m_hosts; },
+        fake, deliver, is_cut,
+        [&fake]() -> Result<HostList> {
+          ++fake.m_store.m_reads;
+          return fake.m_hosts;
+        },
         std::move(on_answer));
   };
   return platform;
--- a/tests/fakes/fake_platform.h
+++ b/tests/fakes/fake_platform.h
@@ -26,6 +26,8 @@
 /// Delivers an answer to the caller, or drops it when the caller is gone.
 using Deliver = std::function<void(std::function<void()>)>;
 
-Platform MakeFakePlatform(FakePlatform& fake, Deliver deliver);
+/// `is_cut` tells whether the caller alone misses the service at present.
+Platform MakeFakePlatform(FakePlatform& fake, Deliver deliver,
+                          std::function<bool()> is_cut);
 
 }  // namespace daisyarch
--- a/tests/invariants/task_property_test.cc
+++ b/tests/invariants/task_property_test.cc
@@ -195,9 +195,20 @@
         RestartWorker(worker->second.m_model);
       }
       return;
-    default:
+    case 6:
       if (living.size() > 1) CutNodes(fleet, *living[0], *living[1]);
       return;
+    default:
+      if (node == nullptr) return;
+      node->m_store_cut_until =
+          fleet.m_loop.m_now + DelayBetween(fleet.m_loop,
+                                            std::chrono::seconds(5),
+                                            std::chrono::seconds(60));
+      for (FakeNode* other : living) {
+        if (other == node || worker_faults == WorkerFaults::kNone) continue;
+        fleet.m_worker_cuts.emplace(other->m_mesh_address, worker->first);
+      }
+      return;
   }
 }
 
@@ -226,6 +237,7 @@
   }
   // The faults end; everything that was accepted has to come to its end.
   fleet.m_cuts.clear();
+  fleet.m_worker_cuts.clear();
   fleet.m_platform.m_lose_answer = 0;
   fleet.m_platform.m_apply_late = 0;
   fleet.m_platform.m_refuse = 0;
