partitions: Spread the workers' messages over the interval

Cause: with 1000 workers at a message a second, quotes at the same daemon had a p99 of 18.2, 20.7 and 23.2 ms at 200, 500 and 1000 requests a second (p50 1.3 to 1.5 ms): all messages fell due in one tick and held the loop. Ruled out: the endpoints (1 ms of service, slots free) and the store (idle). Change: each worker has its own place in the interval, by its hash, and keeps it. Measured: meta/measure, p99 2.57, 2.67 and 4.13 ms after; processor time a message is as before within noise (74 and 66 ms/s at 1000 workers).

--- a/services/daisyarchd/partition_service.cc
+++ b/services/daisyarchd/partition_service.cc
@@ -1,7 +1,9 @@
 #include "partition_service.h"
 
+#include <algorithm>
 #include <utility>
 
+#include "base/stable_hash.h"
 #include "decisions/ownership/partition_assignment.h"
 #include "decisions/placement/worker_exchange.h"
 #include "job_status_fields.h"
@@ -121,6 +123,17 @@
   return listing;
 }
 
+// Workers are asked one after the other over the interval. All at once they
+// would hold the loop up, and with it the requests' answers.
+TimePoint FirstExchange(const PartitionService& service,
+                        const ListedWorker& worker) {
+  const Duration interval = service.m_runtime.m_settings.m_worker_poll_interval;
+  const auto offset = StableHash(worker.m_worker.value()) %
+                      static_cast<std::uint64_t>(interval.count());
+  return service.m_runtime.m_clock.m_now() +
+         Duration(static_cast<Duration::rep>(offset));
+}
+
 void ListWorkersOf(PartitionService& service, PartitionEntry& entry) {
   if (!entry.m_owned || service.m_workers.empty()) return;
   ApplyListing(EngineOf(entry), service.m_runtime.m_machines.m_placement,
@@ -129,7 +142,9 @@
     const PartitionId home = PartitionOf(
         service.m_runtime.m_settings, worker.m_failure_domain, worker.m_rack);
     if (home != entry.m_id) continue;
-    entry.m_links[worker.m_worker].m_address = worker.m_address;
+    const auto [link, is_new] = entry.m_links.try_emplace(worker.m_worker);
+    link->second.m_address = worker.m_address;
+    if (is_new) link->second.m_next_at = FirstExchange(service, worker);
   }
 }
 
@@ -232,7 +247,9 @@
               const WorkerId& worker, WorkerLink& link, TimePoint now) {
   const Settings& settings = service.m_runtime.m_settings;
   link.m_is_busy = true;
-  link.m_next_at = now + settings.m_worker_poll_interval;
+  // Counted from when it was due, so that workers keep apart.
+  link.m_next_at = std::max(link.m_next_at + settings.m_worker_poll_interval,
+                            now + settings.m_worker_poll_interval / 2);
   const WorkerControl control =
       BuildControl(EngineOf(entry), worker, settings.m_worker_lease);
   service.m_runtime.m_workers.m_exchange(
