--- a/benchmarks/main.cc
+++ b/benchmarks/main.cc
@@ -21,6 +21,7 @@
   daisyarch::BenchHeartbeats(table);
   daisyarch::BenchPlacement(table);
   daisyarch::BenchStoreCalls(table);
+  daisyarch::BenchMessages(table);
   daisyarch::BenchChart(table);
   const int broken = daisyarch::PrintTable(table);
   std::printf("%d bounds broken\n", broken);
--- a/benchmarks/placement_bench.cc
+++ b/benchmarks/placement_bench.cc
@@ -7,8 +7,10 @@
 #include "chart/chart_structure.h"
 #include "decisions/placement/worker_exchange.h"
 #include "fakes/fake_fleet.h"
+#include "journal/partition_snapshot.h"
 #include "models/worker_model.h"
 #include "runtime.h"
+#include "wire/placement_fields.h"
 
 namespace daisyarch {
 
@@ -282,6 +284,45 @@
   }
 }
 
+void BenchMessages(BenchTable& table) {
+  const TaskId task{JobId(0x123456789abcdef0ULL), 1000};
+  WorkerReport report;
+  report.m_incarnation = Incarnation(1796369729193ULL);
+  const auto empty = static_cast<double>(Encode(report).dump().size());
+  constexpr int kAttempts = 20;
+  for (int index = 0; index < kAttempts; ++index) {
+    report.m_attempts.push_back(
+        AttemptReport{AttemptId{task, Attempt(1)}, AttemptStatus::kRunning,
+                      100});
+  }
+  const auto full = static_cast<double>(Encode(report).dump().size());
+  AddFigure(table, "messages", "a worker's report without tasks", empty, "B");
+  AddFigure(table, "messages", "each attempt in a report",
+            (full - empty) / kAttempts, "B");
+  AddFigure(table, "messages", "a control message without orders",
+            static_cast<double>(Encode(WorkerControl()).dump().size()), "B");
+  JournalBatch batch;
+  const auto bare = static_cast<double>(WriteCbor(Encode(batch)).size());
+  batch.m_records.emplace_back(TaskAssigned{
+      task, Attempt(1), WorkerId("richmond-r12-w34"), Incarnation(1796369U)});
+  batch.m_records.emplace_back(
+      AttemptEnded{task, Attempt(1), AttemptEnd::kFinished, 100});
+  AddFigure(table, "messages", "a start and its end in the journal",
+            static_cast<double>(WriteCbor(Encode(batch)).size()) - bare, "B");
+  PartitionState state;
+  Job job;
+  job.m_id = task.m_job;
+  job.m_request.m_task_count = 1000;
+  state.m_jobs[job.m_id] = job;
+  for (std::uint32_t index = 0; index < 1000; ++index) {
+    Task entry;
+    entry.m_id = TaskId{job.m_id, index};
+    state.m_tasks[entry.m_id] = entry;
+  }
+  AddFigure(table, "messages", "a task in a snapshot",
+            static_cast<double>(EncodeSnapshot(state)[0].size()) / 1000, "B");
+}
+
 void BenchChart(BenchTable& table) {
   constexpr int kSteps = 200000;
   const auto machines = LoadMachines(DAISYARCH_CHARTS);
--- a/benchmarks/placement_bench.h
+++ b/benchmarks/placement_bench.h
@@ -11,6 +11,9 @@
 /// Calls on the store by task starts and by nodes.
 void BenchStoreCalls(BenchTable& table);
 
+/// Bytes of the messages that the target's size multiplies.
+void BenchMessages(BenchTable& table);
+
 /// The time of a chart's step against a walk of strings.
 void BenchChart(BenchTable& table);
 
