tests: Prove that an owner past its lease does nothing

Cause: the change that ignores the lease survived every property test: its tasks ended within 3.5 s, long before a take-over could collide with them. Ruled out: that the rule is not needed; with the assignment and the check both ignored, the new test finds one task on two workers. Change: two focused tests with a task of minutes; the mutation takes out all the defences that overlap.

--- /dev/null
+++ b/tests/invariants/lease_lapse_test.cc
@@ -0,0 +1,104 @@
+#include <catch2/catch.hpp>
+
+#include "fakes/fake_fleet.h"
+
+namespace daisyarch {
+
+namespace {
+
+const Resources kCapacity{Millicores(4000), Mebibytes(4000), Accelerators()};
+
+/// Two nodes, two workers, and a long task that runs on one of them.
+struct LapseWorld {
+  explicit LapseWorld(std::uint64_t seed) : m_fleet(seed) {
+    AddWorker(m_fleet, "w1", "a", kCapacity);
+    AddWorker(m_fleet, "w2", "a", kCapacity);
+    for (const char* name : {"n1", "n2", "n3"}) {
+      AddNode(m_fleet, MakeTestSettings(name, "a", {"a"}));
+    }
+    m_fleet.m_loop.m_check = [this] {
+      if (m_violation.empty()) m_violation = FindWorkerViolation(m_fleet);
+    };
+    RunFor(m_fleet.m_loop, std::chrono::seconds(10));
+  }
+
+  FakeNode& Owner() {
+    for (const auto& node : m_fleet.m_nodes) {
+      if (OwnsPartitions(*node, 1)) return *node;
+    }
+    FAIL("no node owns the partition");
+    return *m_fleet.m_nodes.front();
+  }
+
+  void StartLongTask() {
+    JobRequest request;
+    request.m_member = MemberId("shop");
+    request.m_class = ClassId("watches");
+    request.m_key = IdempotencyKey("long");
+    request.m_demand = kCapacity;
+    request.m_run_time = std::chrono::minutes(5);
+    SubmitJobAnywhere(Owner().m_services->m_partitions, request,
+                      [](const auto&) {});
+    RunFor(m_fleet.m_loop, std::chrono::seconds(3));
+  }
+
+  WorkerId Place() {
+    for (const auto& [id, worker] : m_fleet.m_workers) {
+      if (!RunningAttempts(worker.m_model).empty()) return id;
+    }
+    return WorkerId();
+  }
+
+  FakeFleet m_fleet;
+  std::string m_violation;
+};
+
+}  // namespace
+
+// The owner misses the store and goes on reaching the worker; the next owner
+// cannot reach that worker and has to rely on the leases.
+TEST_CASE("An owner renews nothing once its own lease is over", "[invariant]") {
+  LapseWorld world(1);
+  FakeFleet& fleet = world.m_fleet;
+  world.StartLongTask();
+  FakeNode& owner = world.Owner();
+  const WorkerId first = world.Place();
+  REQUIRE(first != WorkerId());
+  owner.m_store_cut_until = fleet.m_loop.m_now + std::chrono::minutes(2);
+  for (const auto& node : fleet.m_nodes) {
+    if (node.get() == &owner) continue;
+    fleet.m_worker_cuts.emplace(node->m_mesh_address, first);
+  }
+  RunFor(fleet.m_loop, std::chrono::seconds(60));
+  CHECK(world.m_violation == "");
+  // It was taken over, and resumed on the other worker.
+  CHECK(world.Place() != WorkerId());
+  CHECK(world.Place() != first);
+}
+
+TEST_CASE("An owner that was paused past its lease does nothing when it wakes",
+          "[invariant]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    LapseWorld world(seed);
+    FakeFleet& fleet = world.m_fleet;
+    world.StartLongTask();
+    FakeNode& owner = world.Owner();
+    const WorkerId first = world.Place();
+    fleet.m_delay_worker_message = 0.3;
+    PauseNode(fleet, owner,
+              DelayBetween(fleet.m_loop, std::chrono::seconds(4),
+                           std::chrono::seconds(40)));
+    for (const auto& node : fleet.m_nodes) {
+      if (node.get() == &owner) continue;
+      fleet.m_worker_cuts.emplace(node->m_mesh_address, first);
+    }
+    RunFor(fleet.m_loop, std::chrono::seconds(90));
+    CHECK(world.m_violation == "");
+    // It moves at times, as messages are lost; it never stays away.
+    CHECK(RunUntilTrue(fleet.m_loop, std::chrono::seconds(30),
+                       [&world] { return world.Place() != WorkerId(); }));
+  }
+}
+
+}  // namespace daisyarch
