gateway: End requests in flight with the right to serve

Cause: by reading, kSettleTime stood in the code and nothing kept it. A new test with requests of 30 s in flight at a node that loses store and peers found 10 at an endpoint with 8 slots once the others took its slots over. Ruled out: a longer wait before a removal (requests may last 10 minutes).

--- a/benchmarks/placement_bench.cc
+++ b/benchmarks/placement_bench.cc
@@ -291,9 +291,8 @@
   const auto empty = static_cast<double>(Encode(report).dump().size());
   constexpr int kAttempts = 20;
   for (int index = 0; index < kAttempts; ++index) {
-    report.m_attempts.push_back(
-        AttemptReport{AttemptId{task, Attempt(1)}, AttemptStatus::kRunning,
-                      100});
+    report.m_attempts.push_back(AttemptReport{AttemptId{task, Attempt(1)},
+                                              AttemptStatus::kRunning, 100});
   }
   const auto full = static_cast<double>(Encode(report).dump().size());
   AddFigure(table, "messages", "a worker's report without tasks", empty, "B");
--- a/libraries/decisions/admission/admission.cc
+++ b/libraries/decisions/admission/admission.cc
@@ -250,23 +250,6 @@
   ++queue.m_waiting;
 }
 
-bool RemoveWaiting(Admission& admission, const ClassId& class_id,
-                   const MemberId& member, RequestId request) {
-  const auto queue = admission.m_classes.find(class_id);
-  if (queue == admission.m_classes.end()) return false;
-  const auto entry = queue->second.m_members.find(member);
-  if (entry == queue->second.m_members.end()) return false;
-  auto& waiting = entry->second.m_waiting;
-  const auto place = std::find_if(
-      waiting.begin(), waiting.end(),
-      [request](const WaitingRequest& other) { return other.m_id == request; });
-  if (place == waiting.end()) return false;
-  waiting.erase(place);
-  --queue->second.m_waiting;
-  Deactivate(queue->second, member);
-  return true;
-}
-
 void ReleaseSlot(Admission& admission, const ClassId& class_id) {
   --admission.m_classes.at(class_id).m_in_use;
 }
--- a/libraries/decisions/admission/admission.h
+++ b/libraries/decisions/admission/admission.h
@@ -77,10 +77,6 @@
 /// Queues a request again, ahead of its member's others; it holds no slot.
 void PutBack(Admission& admission, const WaitingRequest& request);
 
-/// Takes a waiting request out; false when it does not wait.
-bool RemoveWaiting(Admission& admission, const ClassId& class_id,
-                   const MemberId& member, RequestId request);
-
 /// Frees the slot of a request that was taken.
 void ReleaseSlot(Admission& admission, const ClassId& class_id);
 
--- a/libraries/decisions/placement/partition_engine.cc
+++ b/libraries/decisions/placement/partition_engine.cc
@@ -91,13 +91,12 @@
 }
 
 void RequestStop(PartitionEngine& engine, const PlacementMachines& machines,
-                 Task& task, StopReason reason) {
+                 Task& task) {
   const WorkerId worker = task.m_worker;
   const StepResult step =
       StepTask(engine.m_state, machines.m_task, task, TaskEvent::kStopRequested,
                AttemptEnd::kStopped, 0);
   if (step == StepResult::kIgnored) return;
-  task.m_stop_reason = reason;
   engine.m_urgent_exchanges.insert(worker);
 }
 
@@ -144,7 +143,7 @@
        ++index) {
     const auto task = engine.m_state.m_tasks.find(TaskId{job, index});
     if (task == engine.m_state.m_tasks.end()) continue;
-    RequestStop(engine, machines, task->second, StopReason::kCancelled);
+    RequestStop(engine, machines, task->second);
   }
   return true;
 }
--- a/libraries/decisions/placement/partition_engine.h
+++ b/libraries/decisions/placement/partition_engine.h
@@ -71,7 +71,7 @@
 
 /// Asks for an active task's attempt to be stopped on its worker.
 void RequestStop(PartitionEngine& engine, const PlacementMachines& machines,
-                 Task& task, StopReason reason);
+                 Task& task);
 
 /// What a submission came to at once.
 struct JobKnown {
--- a/libraries/decisions/placement/task.h
+++ b/libraries/decisions/placement/task.h
@@ -31,14 +31,6 @@
   kCancelled,
 };
 
-/// Why the owner wants an attempt off its worker.
-enum class StopReason : std::uint8_t {
-  kNone,
-  kCancelled,
-  kEvicted,
-  kNotKnown,  ///< The worker no longer reports it.
-};
-
 /// One task of a job. What the journal holds comes first; the rest is
 /// learnt anew by each owner.
 struct Task {
@@ -52,7 +44,6 @@
 
   bool m_is_durable = true;  ///< The journal holds the last assignment.
   bool m_is_sent = false;    ///< The start may have left this node.
-  StopReason m_stop_reason = StopReason::kNone;
 };
 
 /// True while the task may be on a worker.
--- a/libraries/decisions/placement/task_chart.cc
+++ b/libraries/decisions/placement/task_chart.cc
@@ -32,7 +32,6 @@
   Task& task = context.m_task;
   task.m_attempt = Next(task.m_attempt);
   task.m_worker = WorkerId();
-  task.m_stop_reason = StopReason::kNone;
   task.m_is_sent = false;
   task.m_start_incarnation = Incarnation();
   PushTask(context.m_state.m_queue, PlaceOf(context.m_job), task.m_id);
--- a/libraries/decisions/placement/worker_exchange.cc
+++ b/libraries/decisions/placement/worker_exchange.cc
@@ -147,7 +147,7 @@
     // A start that is not there yet is sent again. One that ran and is
     // forgotten has to be confirmed as stopped first.
     if (task.m_state != TaskState::kRunning) return;
-    RequestStop(m_engine, m_machines, task, StopReason::kNotKnown);
+    RequestStop(m_engine, m_machines, task);
   }
 
   PartitionEngine& m_engine;
@@ -260,8 +260,7 @@
 
 void EvictTask(PartitionEngine& engine, const PlacementMachines& machines,
                const TaskId& task) {
-  RequestStop(engine, machines, engine.m_state.m_tasks.at(task),
-              StopReason::kEvicted);
+  RequestStop(engine, machines, engine.m_state.m_tasks.at(task));
 }
 
 void ResumeOwnership(PartitionEngine& engine, const PlacementMachines& machines,
@@ -270,7 +269,7 @@
   for (auto& [id, task] : engine.m_state.m_tasks) {
     task.m_is_sent = true;
     if (!engine.m_state.m_jobs.at(id.m_job).m_is_cancelled) continue;
-    RequestStop(engine, machines, task, StopReason::kCancelled);
+    RequestStop(engine, machines, task);
   }
 }
 
--- a/libraries/http/http_client.cc
+++ b/libraries/http/http_client.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -26,7 +27,7 @@
   Address m_address;
   HttpClientLimits m_limits;
   std::vector<std::shared_ptr<Connection>> m_idle;
-  std::size_t m_connections = 0;
+  std::set<std::shared_ptr<Connection>> m_busy;
   bool m_is_closed = false;
 };
 
@@ -35,14 +36,10 @@
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   explicit Connection(std::shared_ptr<HttpClient::State> state)
-      : m_stream(state->m_loop), m_state(std::move(state)) {
-    ++m_state->m_connections;
-  }
-  ~Connection() { --m_state->m_connections; }
-  Connection(const Connection&) = delete;
-  Connection& operator=(const Connection&) = delete;
+      : m_stream(state->m_loop), m_state(std::move(state)) {}
 
   void Run(HttpRequest request, Duration timeout, HttpAnswer on_answer) {
+    m_state->m_busy.insert(shared_from_this());
     m_request = std::move(request);
     m_timeout = timeout;
     m_on_answer = std::move(on_answer);
@@ -167,6 +164,7 @@
   }
 
   void Finish(Result<HttpResponse> result) {
+    m_state->m_busy.erase(shared_from_this());
     HttpAnswer on_answer = std::move(m_on_answer);
     m_on_answer = nullptr;
     on_answer(std::move(result));
@@ -212,7 +210,14 @@
   connection->Run(std::move(request), timeout, std::move(on_answer));
 }
 
-std::size_t HttpClient::connections() const { return m_state->m_connections; }
+void HttpClient::DropAll() {
+  const auto idle = std::move(m_state->m_idle);
+  m_state->m_idle.clear();
+  for (const auto& connection : idle) connection->Close();
+  // A copy: a connection that ends takes itself out of the set.
+  const auto busy = m_state->m_busy;
+  for (const auto& connection : busy) connection->Close();
+}
 
 const Address& HttpClient::address() const { return m_state->m_address; }
 
--- a/libraries/http/http_client.h
+++ b/libraries/http/http_client.h
@@ -38,8 +38,9 @@
   /// timeout.
   void Send(HttpRequest request, Duration timeout, HttpAnswer on_answer);
 
-  /// Open connections, idle ones included.
-  std::size_t connections() const;
+  /// Closes every connection; requests in flight end with kOutcomeUnknown,
+  /// or kUnavailable where no byte was sent.
+  void DropAll();
 
   const Address& address() const;
 
--- a/libraries/mesh/mesh_client.cc
+++ b/libraries/mesh/mesh_client.cc
@@ -39,7 +39,6 @@
   std::uint64_t m_link_number = 0;
   std::uint64_t m_next_number = 1;
   std::map<std::uint64_t, PendingCall> m_calls;
-  std::uint64_t m_bytes = 0;
 };
 
 namespace {
@@ -84,7 +83,6 @@
 
 void SendCall(const StatePointer& state, PendingCall& call) {
   websocketpp::lib::error_code code;
-  state->m_bytes += call.m_payload.size();
   call.m_is_sent = true;
   state->m_client.send(state->m_connection, call.m_payload,
                        websocketpp::frame::opcode::binary, code);
@@ -92,7 +90,6 @@
 }
 
 void OnMessage(const StatePointer& state, const std::string& payload) {
-  state->m_bytes += payload.size();
   const auto envelope = DecodeCbor<MeshEnvelope>(payload, "read peer answer",
                                                  ToString(state->m_address));
   if (!envelope) return CloseLink(state, "malformed answer");
@@ -192,6 +189,4 @@
   if (m_state->m_link == LinkState::kClosed) OpenLink(m_state);
 }
 
-std::uint64_t MeshClient::bytes() const { return m_state->m_bytes; }
-
 }  // namespace daisyarch
--- a/libraries/mesh/mesh_client.h
+++ b/libraries/mesh/mesh_client.h
@@ -27,9 +27,6 @@
   void Call(const std::string& method, Json body, Duration timeout,
             MeshResponder on_answer);
 
-  /// Bytes sent and received, without the frames' own headers.
-  std::uint64_t bytes() const;
-
   struct State;
 
  private:
--- a/libraries/wire/field_codec.h
+++ b/libraries/wire/field_codec.h
@@ -115,8 +115,6 @@
     }
   }
 
-  const std::string& fault() const { return m_fault; }
-
   /// Empty, or what is wrong with `json` as a Value.
   template <typename Value>
   static std::string Read(const Json& json, Value& value) {
--- a/services/daisyarchd/control_api.cc
+++ b/services/daisyarchd/control_api.cc
@@ -240,9 +240,27 @@
   respond(MakeErrorResponse(NoSuchPath(request)));
 }
 
+void SetGauges(ControlApi& api) {
+  Metrics& metrics = api.m_runtime.m_metrics;
+  const auto count = [](std::size_t value) {
+    return static_cast<double>(value);
+  };
+  metrics.Set("open_requests", count(api.m_gateway.m_open.size()));
+  metrics.Set("owned_partitions",
+              count(OwnedPartitions(api.m_partitions).size()));
+  metrics.Set("members",
+              count(api.m_membership.m_table.m_members.m_members.size()));
+  metrics.Set(
+      "configuration_version",
+      static_cast<double>(api.m_configuration.m_current.m_version.value()));
+  const StoreState store = api.m_runtime.m_store_health.m_state;
+  metrics.Set("store_down", store == StoreState::kDown ? 1 : 0);
+}
+
 void HandleHealth(ControlApi& api, const HttpRequest& request,
                   const HttpResponder& respond) {
   if (request.m_target == "/metrics") {
+    SetGauges(api);
     return respond(MakeTextResponse(api.m_runtime.m_metrics.Render()));
   }
   const bool is_ready = request.m_target == "/healthz" || api.m_is_ready();
--- a/services/daisyarchd/daemon.cc
+++ b/services/daisyarchd/daemon.cc
@@ -115,6 +115,11 @@
         if (client == nullptr) return on_answer(BadAddress(address));
         client->Send(std::move(request), timeout, std::move(on_answer));
       };
+  state.m_node.m_runtime.m_endpoints.m_drop_all = [&state] {
+    for (auto& entry : state.m_endpoint_clients.m_clients) {
+      entry.second->DropAll();
+    }
+  };
 }
 
 void ConnectDoors(State& state) {
--- a/services/daisyarchd/gateway.cc
+++ b/services/daisyarchd/gateway.cc
@@ -353,6 +353,19 @@
   Borrow(gateway);
 }
 
+// The others may share this node's slots out once it was removed, so what is
+// in flight has to end before that can be.
+void SettleWithoutRight(Gateway& gateway, TimePoint now) {
+  if (MayServe(gateway.m_membership.m_table, now)) {
+    gateway.m_could_serve_at = now;
+    return;
+  }
+  if (now < gateway.m_could_serve_at + kSettleTime) return;
+  // The next time is a whole settle time away.
+  gateway.m_could_serve_at = now;
+  gateway.m_runtime.m_endpoints.m_drop_all();
+}
+
 void FreeHeldSlots(Gateway& gateway, TimePoint now) {
   auto& held = gateway.m_held_slots;
   const auto due = std::partition(
@@ -459,6 +472,7 @@
 }
 
 void TickGateway(Gateway& gateway, TimePoint now) {
+  SettleWithoutRight(gateway, now);
   FreeHeldSlots(gateway, now);
   for (auto& [id, endpoint] : gateway.m_endpoints) {
     const bool is_due = endpoint.m_state == EndpointState::kEjected &&
--- a/services/daisyarchd/gateway.h
+++ b/services/daisyarchd/gateway.h
@@ -56,6 +56,7 @@
   Random m_random;
   RequestId m_next_request{1};
   TimePoint m_loans_at{};
+  TimePoint m_could_serve_at{};  ///< When the right to serve last held.
   bool m_takes_requests = false;
 };
 
--- a/services/daisyarchd/node_services.cc
+++ b/services/daisyarchd/node_services.cc
@@ -118,6 +118,7 @@
   node.m_gateway.m_random.m_state =
       static_cast<std::uint64_t>(node.m_runtime.m_clock.m_unix_milliseconds());
   ConnectServices(node);
+  node.m_runtime.m_machines.m_node.Enter(node.m_state, node.m_node);
   StartMembership(node.m_membership);
   StartPartitions(node.m_partitions);
 }
--- a/services/daisyarchd/runtime.h
+++ b/services/daisyarchd/runtime.h
@@ -45,6 +45,9 @@
   std::function<void(const std::string& address, HttpRequest request,
                      Duration timeout, HttpAnswer on_answer)>
       m_send;
+  /// Closes every connection to endpoints; what is in flight ends without an
+  /// answer.
+  std::function<void()> m_drop_all = [] {};
 };
 
 /// Every chart of the daemon, compiled.
--- a/tests/fakes/fake_fleet.cc
+++ b/tests/fakes/fake_fleet.cc
@@ -155,17 +155,28 @@
       static_cast<Duration::rep>(base * (1 - endpoint.m_jitter) + noise));
 }
 
-void ServeAtEndpoint(FakeFleet& fleet, FakeEndpoint& endpoint,
+// An endpoint gives a slot back when it answers, or its caller is gone.
+void EndService(FakeService& service) {
+  if (service.m_is_over) return;
+  service.m_is_over = true;
+  --service.m_endpoint->m_in_use;
+}
+
+void ServeAtEndpoint(FakeFleet& fleet, FakeNode& node, FakeEndpoint& endpoint,
                      const HttpRequest& request,
                      const std::shared_ptr<OneAnswer<HttpResponse>>& answer) {
   ++endpoint.m_requests;
   ++fleet.m_deliveries[request.m_body];
   ++endpoint.m_in_use;
   endpoint.m_most_in_use = std::max(endpoint.m_most_in_use, endpoint.m_in_use);
+  const auto service = std::make_shared<FakeService>();
+  service->m_endpoint = &endpoint;
+  service->m_drop = [answer] { answer->Give(TimedOut("endpoint")); };
+  node.m_services_in_flight.push_back(service);
   const bool is_silent = Chance(fleet.m_loop, endpoint.m_goes_silent);
   RunAfter(fleet.m_loop, ServiceTime(fleet, endpoint),
-           [&fleet, &endpoint, request, answer, is_silent] {
-             --endpoint.m_in_use;
+           [&fleet, &endpoint, request, answer, is_silent, service] {
+             EndService(*service);
              if (is_silent) return;
              const HttpResponse response =
                  EndpointAnswer(fleet, endpoint, request);
@@ -174,6 +185,17 @@
            });
 }
 
+// The connections of a node end: by its own will, or with its process.
+void DropServices(FakeNode& node) {
+  const auto services = std::move(node.m_services_in_flight);
+  node.m_services_in_flight.clear();
+  for (const auto& service : services) {
+    if (service->m_is_over) continue;
+    EndService(*service);
+    service->m_drop();
+  }
+}
+
 void CallEndpoint(FakeFleet& fleet, FakeNode& node, const EndpointId& id,
                   const HttpRequest& request, Duration timeout,
                   HttpAnswer on_answer) {
@@ -187,8 +209,8 @@
     });
   }
   RunAfter(fleet.m_loop, Hop(fleet.m_loop),
-           [&fleet, &endpoint, request, answer] {
-             ServeAtEndpoint(fleet, endpoint, request, answer);
+           [&fleet, &node, &endpoint, request, answer] {
+             ServeAtEndpoint(fleet, node, endpoint, request, answer);
            });
 }
 
@@ -235,6 +257,7 @@
         CallEndpoint(fleet, node, EndpointId(address), request, timeout,
                      std::move(on_answer));
       };
+  runtime.m_endpoints.m_drop_all = [&node] { DropServices(node); };
   node.m_services->m_open_requests = [&node] { return node.m_open_requests; };
   node.m_services->m_close_doors = [&node] { node.m_has_closed_doors = true; };
   node.m_services->m_on_stopped = [&node] { node.m_is_alive = false; };
@@ -296,7 +319,10 @@
   return *fleet.m_nodes.back();
 }
 
-void KillNode(FakeNode& node) { node.m_is_alive = false; }
+void KillNode(FakeNode& node) {
+  node.m_is_alive = false;
+  DropServices(node);
+}
 
 void PauseNode(FakeFleet& fleet, FakeNode& node, Duration duration) {
   node.m_paused_until = fleet.m_loop.m_now + duration;
--- a/tests/fakes/fake_fleet.h
+++ b/tests/fakes/fake_fleet.h
@@ -32,6 +32,13 @@
   std::uint64_t m_requests = 0;
 };
 
+/// A request that an endpoint works on.
+struct FakeService {
+  FakeEndpoint* m_endpoint = nullptr;
+  bool m_is_over = false;
+  std::function<void()> m_drop;  ///< The caller's connection ends.
+};
+
 /// A node on fakes. A dead node stays in memory, since events refer to it.
 struct FakeNode {
   std::string m_mesh_address;
@@ -39,6 +46,7 @@
   bool m_is_alive = true;
   TimePoint m_paused_until{};
   TimePoint m_store_cut_until{};  ///< This node alone misses the store.
+  std::vector<std::shared_ptr<FakeService>> m_services_in_flight;
   std::uint64_t m_open_requests = 0;
   bool m_has_closed_doors = false;
 };
--- a/tests/invariants/request_property_test.cc
+++ b/tests/invariants/request_property_test.cc
@@ -297,6 +297,48 @@
   CHECK(most_in_use == 8);
 }
 
+// A node that lost its right to serve has requests of 30 s in flight; the
+// others take its slots over meanwhile.
+TEST_CASE("Requests in flight end with the right to serve", "[invariant]") {
+  RequestWorld world(17);
+  FakeFleet& fleet = world.m_fleet;
+  for (auto& [id, endpoint] : fleet.m_endpoints) {
+    endpoint.m_service_time = std::chrono::seconds(30);
+    endpoint.m_jitter = 0;
+  }
+  FakeNode& first = StartTestNode(world, "n1");
+  FakeNode& second = StartTestNode(world, "n2");
+  FakeNode& third = StartTestNode(world, "n3");
+  RunFor(fleet.m_loop, std::chrono::seconds(8));
+  SetTarget(fleet, first,
+            ClassTarget{ClassId("quotes"), ClassKind::kRequest,
+                        std::chrono::seconds(100)});
+  RunFor(fleet.m_loop, std::chrono::seconds(3));
+  const auto send = [&world](FakeNode& node) {
+    HttpRequest request;
+    request.m_body = "long-" + std::to_string(world.m_sent.size());
+    request.m_headers.emplace_back(kClassHeader, "quotes");
+    request.m_headers.emplace_back(kMemberHeader, "m");
+    request.m_headers.emplace_back(kDeadlineHeader, "100000");
+    world.m_sent.push_back(std::make_unique<Sent>());
+    SendRequest(node, std::move(request), [](const HttpResponse&) {});
+  };
+  for (int index = 0; index < 30; ++index) send(first);
+  first.m_store_cut_until = fleet.m_loop.m_now + std::chrono::minutes(2);
+  CutNodes(fleet, first, second);
+  CutNodes(fleet, first, third);
+  for (int round = 0; round < 40; ++round) {
+    RunFor(fleet.m_loop, std::chrono::milliseconds(500));
+    for (int index = 0; index < 3; ++index) {
+      send(second);
+      send(third);
+    }
+  }
+  CHECK(second.m_services->m_membership.m_table.m_members.m_members.size() ==
+        2);
+  CHECK(FindSlotViolation(fleet) == "");
+}
+
 TEST_CASE("A planned stop cuts no request in flight", "[invariant]") {
   RequestWorld world(7);
   FakeFleet& fleet = world.m_fleet;
