daemon: Give slot loans and job calls files of their own

Ruled out: nothing moved between layers. Change: slot_loans and job_calls; no behaviour changes. Measured: 50 unit cases, 14 failure cases and 10 path checks pass as before.

--- a/benchmarks/placement_bench.cc
+++ b/benchmarks/placement_bench.cc
@@ -7,6 +7,7 @@
 #include "chart/chart_structure.h"
 #include "decisions/placement/worker_exchange.h"
 #include "fakes/fake_fleet.h"
+#include "job_calls.h"
 #include "journal/partition_snapshot.h"
 #include "models/worker_model.h"
 #include "runtime.h"
--- a/services/daisyarchd/control_api.cc
+++ b/services/daisyarchd/control_api.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "error_response.h"
+#include "job_calls.h"
 #include "job_status_fields.h"
 #include "wire/configuration_fields.h"
 #include "wire/node_fields.h"
--- a/services/daisyarchd/gateway.cc
+++ b/services/daisyarchd/gateway.cc
@@ -2,13 +2,11 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <memory>
 #include <utility>
 
 #include "error_response.h"
-#include "log/log.h"
-#include "wire/node_fields.h"
+#include "slot_loans.h"
 
 namespace daisyarch {
 
@@ -18,9 +16,6 @@
 constexpr Duration kLongestDeadline = std::chrono::minutes(10);
 /// An endpoint whose connection failed may go on with the request this long.
 constexpr Duration kHoldLostSlot = std::chrono::seconds(2);
-constexpr Duration kLoanInterval = std::chrono::milliseconds(250);
-constexpr Duration kLoanTimeout = std::chrono::seconds(1);
-constexpr Slots kLargestLoan{32};
 constexpr unsigned kFirstServerError = 500;
 
 Duration ParseDeadline(const std::string& text) {
@@ -238,121 +233,6 @@
   return open;
 }
 
-Slots RoundUp(double slots) {
-  return Slots(static_cast<std::int64_t>(std::ceil(slots)));
-}
-
-Slots TotalNeed(const Gateway& gateway) {
-  double need = 0;
-  for (const auto& [class_id, queue] : gateway.m_admission.m_classes) {
-    need += queue.m_need;
-  }
-  return RoundUp(need);
-}
-
-Slots TotalWaiting(const Gateway& gateway) {
-  std::size_t waiting = 0;
-  for (const auto& [class_id, queue] : gateway.m_admission.m_classes) {
-    waiting += queue.m_waiting;
-  }
-  return Slots(static_cast<std::int64_t>(waiting));
-}
-
-Slots OwnShares(const Gateway& gateway) {
-  Slots sum;
-  for (const auto& [endpoint, account] : gateway.m_ledger.m_accounts) {
-    sum += account.m_share;
-  }
-  return sum;
-}
-
-const Peer* IdlestPeer(const Gateway& gateway) {
-  const Peer* best = nullptr;
-  for (const auto& [node, peer] : gateway.m_membership.m_table.m_peers) {
-    if (peer.m_state != PeerState::kAlive) continue;
-    if (peer.m_idle_slots <= Slots()) continue;
-    if (best == nullptr || best->m_idle_slots < peer.m_idle_slots) {
-      best = &peer;
-    }
-  }
-  return best;
-}
-
-void OnLoanGranted(Gateway& gateway, const NodeId& lender,
-                   const Result<Json>& result) {
-  gateway.m_loan_calls[lender].m_is_calling = false;
-  if (!result) return;
-  auto loans = Decode<std::vector<SlotLoan>>(result.assume_value(), "read loan",
-                                             lender.value());
-  if (!loans) return LogError("bad_loan", loans.assume_error());
-  AddLoans(gateway.m_ledger, lender, loans.assume_value());
-  PumpRequests(gateway, gateway.m_runtime.m_clock.m_now());
-}
-
-Borrower OwnRun(const Gateway& gateway) {
-  const Member& self = gateway.m_membership.m_table.m_self;
-  return Borrower{self.m_node, self.m_incarnation};
-}
-
-void Borrow(Gateway& gateway) {
-  const Slots waiting = TotalWaiting(gateway);
-  if (waiting == Slots()) return;
-  const Peer* peer = IdlestPeer(gateway);
-  if (peer == nullptr) return;
-  const NodeId lender = peer->m_member.m_node;
-  LoanCalls& calls = gateway.m_loan_calls[lender];
-  if (calls.m_is_calling) return;
-  calls.m_is_calling = true;
-  const LoanRequest request{OwnRun(gateway), ++calls.m_last,
-                            std::min(waiting, kLargestLoan)};
-  const Member member = peer->m_member;
-  const Incarnation own_run = gateway.m_membership.m_table.m_self.m_incarnation;
-  gateway.m_runtime.m_peers.m_call(
-      member.m_mesh_address, "lend_slots", Encode(request), kLoanTimeout,
-      [&gateway, member, own_run](const Result<Json>& result) {
-        // A loan between runs of which one was replaced meanwhile is void.
-        const Member* present =
-            FindMember(gateway.m_ledger.m_members, member.m_node);
-        const bool is_same_run =
-            present != nullptr &&
-            present->m_incarnation == member.m_incarnation &&
-            own_run == gateway.m_membership.m_table.m_self.m_incarnation;
-        if (!is_same_run) {
-          gateway.m_loan_calls[member.m_node].m_is_calling = false;
-          return;
-        }
-        OnLoanGranted(gateway, member.m_node, result);
-      });
-}
-
-// Every loan is reported while it lasts, and once more after its end: the
-// lender learns from the report what it may use again.
-void ReportAllLoans(Gateway& gateway) {
-  Slots keep = std::max(TotalNeed(gateway) - OwnShares(gateway), Slots());
-  for (auto& [lender, calls] : gateway.m_loan_calls) {
-    // While a call is open the lender may grant it after this report.
-    if (calls.m_is_calling) continue;
-    const auto peer = gateway.m_membership.m_table.m_peers.find(lender);
-    if (peer == gateway.m_membership.m_table.m_peers.end()) continue;
-    const LoanReport report =
-        ReportLoans(gateway.m_ledger, lender, keep, calls.m_last);
-    const LoanReturn message{OwnRun(gateway), report};
-    gateway.m_runtime.m_peers.m_call(
-        peer->second.m_member.m_mesh_address, "report_loans", Encode(message),
-        kLoanTimeout, [&gateway, lender = lender](const Result<Json>& result) {
-          if (!result || result.assume_value() != Json(true)) return;
-          RecallLoans(gateway.m_ledger, lender);
-        });
-  }
-}
-
-void TickLoans(Gateway& gateway, TimePoint now) {
-  if (now < gateway.m_loans_at) return;
-  gateway.m_loans_at = now + kLoanInterval;
-  ReportAllLoans(gateway);
-  Borrow(gateway);
-}
-
 // The others may share this node's slots out once it was removed, so what is
 // in flight has to end before that can be.
 void SettleWithoutRight(Gateway& gateway, TimePoint now) {
@@ -504,21 +384,4 @@
   }
 }
 
-std::vector<SlotLoan> OnLoanRequest(Gateway& gateway, const Borrower& borrower,
-                                    std::uint64_t call, Slots wanted) {
-  const Slots need = TotalNeed(gateway);
-  Slots in_use;
-  for (const auto& [endpoint, account] : gateway.m_ledger.m_accounts) {
-    in_use += account.m_in_use;
-  }
-  const Slots reserve = std::max(need - in_use, Slots());
-  return LendSlots(gateway.m_ledger, borrower, call, wanted, reserve);
-}
-
-bool OnLoanReport(Gateway& gateway, const Borrower& borrower,
-                  const LoanReport& report) {
-  ApplyLoanReport(gateway.m_ledger, borrower, report);
-  return TotalWaiting(gateway) > Slots();
-}
-
 }  // namespace daisyarch
--- a/services/daisyarchd/gateway.h
+++ b/services/daisyarchd/gateway.h
@@ -83,11 +83,4 @@
 void ApplyEndpoints(Gateway& gateway, const std::vector<ListedEndpoint>& listed,
                     TimePoint now);
 
-/// Lends slots to a peer, and takes a peer's report over. The answer to a
-/// report tells whether the loans are wanted back.
-std::vector<SlotLoan> OnLoanRequest(Gateway& gateway, const Borrower& borrower,
-                                    std::uint64_t call, Slots wanted);
-bool OnLoanReport(Gateway& gateway, const Borrower& borrower,
-                  const LoanReport& report);
-
 }  // namespace daisyarch
--- a/services/daisyarchd/partition_service.h
+++ b/services/daisyarchd/partition_service.h
@@ -83,20 +83,18 @@
 void ApplyWorkers(PartitionService& service,
                   const std::vector<ListedWorker>& workers);
 
-/// Accepts a job at its home partition, here or at the owner. Answers once
-/// the job is durable. kNotRun: certainly not accepted; kOutcomeUnknown: a
-/// repeat under the same key tells.
-void SubmitJobAnywhere(PartitionService& service, const JobRequest& request,
-                       JobAnswer on_answer);
-void CancelJobAnywhere(PartitionService& service, JobId job,
-                       JobAnswer on_answer);
-void FindJobAnywhere(PartitionService& service, JobId job, JobAnswer on_answer);
-
-/// The same, for partitions owned here; kNotOwner otherwise.
-void SubmitJobHere(PartitionService& service, const JobRequest& request,
-                   JobAnswer on_answer);
-void CancelJobHere(PartitionService& service, JobId job, JobAnswer on_answer);
-void FindJobHere(PartitionService& service, JobId job, JobAnswer on_answer);
+/// The engine of an owned partition.
+PartitionEngine& EngineOf(const PartitionEntry& entry);
+
+/// What is told of a job of an owned partition.
+JobStatus StatusOfJob(const PartitionEngine& engine, const Job& job);
+
+/// Starts what is due on the store, if the node's lease holds.
+void PumpPartition(PartitionService& service, PartitionEntry& entry);
+
+/// The node that should own the partition at present; null when none can.
+const Member* AssignedOwner(PartitionService& service,
+                            const PartitionId& partition);
 
 /// The workers of the partitions owned here.
 std::vector<WorkerStatus> WorkersHere(const PartitionService& service);
--- a/services/daisyarchd/peer_calls.cc
+++ b/services/daisyarchd/peer_calls.cc
@@ -3,7 +3,9 @@
 #include <map>
 #include <utility>
 
+#include "job_calls.h"
 #include "job_status_fields.h"
+#include "slot_loans.h"
 #include "wire/configuration_fields.h"
 #include "wire/node_fields.h"
 
--- a/tests/invariants/lease_lapse_test.cc
+++ b/tests/invariants/lease_lapse_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "fakes/fake_fleet.h"
+#include "job_calls.h"
 
 namespace daisyarch {
 
--- a/tests/journal/partition_recovery_test.cc
+++ b/tests/journal/partition_recovery_test.cc
@@ -2,6 +2,7 @@
 #include <map>
 
 #include "fakes/fake_fleet.h"
+#include "job_calls.h"
 
 namespace daisyarch {
 
