placement: Answer repeats with the batch that is under way

Cause: by reading, a submission repeated while its record was being written waited for a later batch, which may never come; the caller then heard that the outcome is unknown. Ruled out: a timer (the answer is known once the batch has committed). Change: effects without a record of their own are released with the batch in flight when nothing else is queued. Measured: the new test had 1 reply of 2 before, 2 after; 51 unit and 14 failure cases pass.

--- a/libraries/decisions/placement/partition_engine.cc
+++ b/libraries/decisions/placement/partition_engine.cc
@@ -162,8 +162,15 @@
 
 std::vector<HeldReply> FinishCommit(PartitionEngine& engine) {
   std::vector<HeldReply> replies;
-  const std::vector<HeldEffect> effects = std::move(engine.m_in_flight_effects);
+  std::vector<HeldEffect> effects = std::move(engine.m_in_flight_effects);
   engine.m_in_flight_effects.clear();
+  // Effects that came while the batch was under way, without a record of
+  // their own, would otherwise wait for a next batch that may never be.
+  if (engine.m_journal.m_queue.empty()) {
+    effects.insert(effects.end(), engine.m_queued_effects.begin(),
+                   engine.m_queued_effects.end());
+    engine.m_queued_effects.clear();
+  }
   for (const HeldEffect& effect : effects) {
     std::visit(EffectReleaser{engine, replies}, effect);
   }
--- a/tests/decisions/placement/worker_exchange_test.cc
+++ b/tests/decisions/placement/worker_exchange_test.cc
@@ -133,6 +133,23 @@
   CHECK(bench.Exchange().m_starts.size() == 1);
 }
 
+TEST_CASE("A repeated submission is answered with the write in flight") {
+  Bench bench;
+  JobRequest request;
+  request.m_member = MemberId("m");
+  request.m_key = IdempotencyKey("k");
+  request.m_demand = kOneCore;
+  REQUIRE(SubmitJob(bench.m_engine, bench.Placement(), request, TicketId(1)));
+  bench.m_now += kMinimumCommitInterval;
+  REQUIRE(StartCommit(bench.m_engine, bench.m_now));
+  const auto repeat =
+      SubmitJob(bench.m_engine, bench.Placement(), request, TicketId(2));
+  REQUIRE(repeat);
+  REQUIRE(std::holds_alternative<JobPending>(repeat.assume_value()));
+  FinishWrite(bench.m_engine.m_journal, StoreVersion(1));
+  CHECK(FinishCommit(bench.m_engine).size() == 2);
+}
+
 TEST_CASE("A worker that fails everything is set aside and tried again") {
   Bench bench;
   bench.m_worker.m_fails_everything = true;
