--- a/services/daisyarchd/main.cc
+++ b/services/daisyarchd/main.cc
@@ -7,6 +7,7 @@
 #include <csignal>
 #include <iostream>
 #include <string>
+#include <vector>
 
 #include "daemon.h"
 #include "log/log.h"
@@ -53,7 +54,13 @@
 }  // namespace daisyarch
 
 int main(int argument_count, char** arguments) {
-  absl::SetProgramUsageMessage("daisyarchd --config=FILE [--check_config]");
-  absl::ParseCommandLine(argument_count, arguments);
+  absl::SetProgramUsageMessage("daisyarchd --config=FILE [--check-config]");
+  // Abseil's flags have underscores; users may write hyphens.
+  static char check_config[] = "--check_config";
+  std::vector<char*> words(arguments, arguments + argument_count);
+  for (char*& word : words) {
+    if (std::string(word) == "--check-config") word = check_config;
+  }
+  absl::ParseCommandLine(argument_count, words.data());
   return daisyarch::Run();
 }
--- a/tests/path/path_test.sh
+++ b/tests/path/path_test.sh
@@ -73,7 +73,7 @@
 
 sed 's/listen:/listens:/' "$work/n1.yaml" >"$work/bad.yaml"
 status=0
-"$build/daisyarchd" --config="$work/bad.yaml" --check_config \
+"$build/daisyarchd" --config="$work/bad.yaml" --check-config \
   2>"$work/error" || status=$?
 [ "$status" = 2 ] && grep -q 'bad.yaml:2.*listens: unknown key' \
   "$work/error" || fail "refused settings: $(cat "$work/error")"
--- a/utilities/daisyarch/commands.cc
+++ b/utilities/daisyarch/commands.cc
@@ -203,7 +203,17 @@
 Result<std::string> Classes(const CommandContext& context) {
   TRY_ASSIGN(const Json document,
              CallDaemon(context.m_daemon, "GET", "config", ""));
-  const Json& classes = document.at("classes");
+  Json classes = Json::array();
+  const bool is_one = !context.m_arguments.empty();
+  for (const Json& target : document.at("classes")) {
+    const bool is_wanted =
+        !is_one || target.at("class") == Json(context.m_arguments[0]);
+    if (is_wanted) classes.push_back(target);
+  }
+  if (is_one && classes.empty()) {
+    return Error{ErrorCode::kNotFound, "find class", context.m_arguments[0],
+                 "no such class"};
+  }
   if (context.m_is_json) return classes.dump() + "\n";
   return FormatTable({{"CLASS", "class"},
                       {"KIND", "kind_of_work"},
@@ -297,7 +307,8 @@
        "submit a job; the same key gives the same job", Submit},
       {"status", "status JOB", "show a job", Status},
       {"cancel", "cancel JOB", "cancel a job; may be repeated", Cancel},
-      {"classes", "classes", "list the classes and their targets", Classes},
+      {"classes", "classes [CLASS]", "list the classes and their targets",
+       Classes},
       {"set-class",
        "set-class CLASS kind=request|batch|watch within_ms=N [quantile=P] "
        "[finish=P] [keep=P] [seen=VERSION]",
