--- a/libraries/journal/partition_commit.cc
+++ b/libraries/journal/partition_commit.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+/// Keys that are to be removed go after this long.
+constexpr Duration kRemovalTerm = std::chrono::seconds(10);
+
 using Partition = std::shared_ptr<OwnedPartition>;
 
 void SendWrite(const Platform& platform, const Partition& partition,
@@ -111,20 +114,33 @@
   partition->m_is_snapshot_writing = false;
 }
 
-// Chunks of an earlier snapshot are emptied; their keys are few bytes.
-void EmptyChunks(const Platform& platform, const PartitionId& partition,
-                 const PartitionHead& head) {
+// The store has no call that deletes. A key that is bound to a short lease
+// goes with it.
+void RemoveChunks(const Platform& platform, const PartitionId& partition,
+                  const PartitionHead& head, StoreLeaseId lease) {
   for (std::uint32_t chunk = 0; chunk < head.m_snapshot_chunks; ++chunk) {
     const std::string key = SnapshotKey(partition, head.m_snapshot_epoch,
                                         head.m_snapshot_through, chunk);
-    platform.m_read(key, [&platform, key](Result<StoreEntry> result) {
+    platform.m_read(key, [&platform, key, lease](Result<StoreEntry> result) {
       if (!result) return;
       platform.m_compare_and_swap(key, result.assume_value().m_version, "",
-                                  StoreLeaseId(), [](const auto&) {});
+                                  lease, [](const auto&) {});
     });
   }
 }
 
+// FIXME: Chunks stay when one of these calls fails; a later snapshot should
+// remove them.
+void RemoveSnapshot(const Platform& platform, const PartitionId& partition,
+                    const PartitionHead& head) {
+  if (head.m_snapshot_chunks == 0) return;
+  platform.m_grant_lease(kRemovalTerm, [&platform, partition, head](
+                                           const Result<StoreLeaseId>& lease) {
+    if (!lease) return;
+    RemoveChunks(platform, partition, head, lease.assume_value());
+  });
+}
+
 void WriteHead(const Platform& platform, const Partition& partition,
                const CommitObserver& observer) {
   ClaimedPartition& claimed = partition->m_claimed;
@@ -167,7 +183,7 @@
         owned.m_head_version = result.assume_value().m_entry.m_version;
         FinishSnapshot(owned.m_engine.m_journal, head.m_snapshot_through);
         ForgetSnapshot(partition);
-        EmptyChunks(platform, owned.m_engine.m_partition, old_head);
+        RemoveSnapshot(platform, owned.m_engine.m_partition, old_head);
         PumpCommits(platform, partition, observer);
       });
 }
--- a/tests/journal/partition_recovery_test.cc
+++ b/tests/journal/partition_recovery_test.cc
@@ -8,6 +8,7 @@
 
 namespace {
 
+constexpr int kJobs = 50;
 constexpr std::int64_t kCallsBetweenStartAndSnapshot = 150;
 
 JobRequest MakeJob(int number) {
@@ -22,10 +23,9 @@
 }
 
 // Submits a job every 200 ms for a while and notes which are accepted.
-void SubmitJobs(FakeFleet& fleet, FakeNode& node,
-                std::map<int, bool>& accepted) {
-  constexpr int kJobs = 50;
-  for (int number = 0; number < kJobs; ++number) {
+void SubmitJobs(FakeFleet& fleet, FakeNode& node, std::map<int, bool>& accepted,
+                int first) {
+  for (int number = first; number < first + kJobs; ++number) {
     if (!node.m_is_alive) return;
     SubmitJobAnywhere(node.m_services->m_partitions, MakeJob(number),
                       [&accepted, number](const Result<JobStatus>& result) {
@@ -74,7 +74,7 @@
     fleet.m_platform.m_crash_after = calls;
     fleet.m_platform.m_on_crash = [&first] { KillNode(first); };
     std::map<int, bool> accepted;
-    SubmitJobs(fleet, first, accepted);
+    SubmitJobs(fleet, first, accepted, 0);
     most_snapshots = std::max(most_snapshots, SnapshotOf(first));
     KillNode(first);
     fleet.m_platform.m_crash_after = -1;
@@ -89,4 +89,24 @@
   CHECK(most_snapshots > 0);
 }
 
+TEST_CASE("Snapshots that were replaced leave the store") {
+  FakeFleet fleet(1);
+  AddWorker(fleet, "w1", "a",
+            Resources{Millicores(8000), Mebibytes(8000), Accelerators()});
+  FakeNode& node = AddNode(fleet, MakeTestSettings("n1", "a", {"a"}));
+  RunUntilTrue(fleet.m_loop, std::chrono::seconds(5),
+               [&node] { return OwnsPartitions(node, 1); });
+  std::map<int, bool> accepted;
+  for (int round = 0; round < 6; ++round) {
+    SubmitJobs(fleet, node, accepted, round * kJobs);
+  }
+  RunFor(fleet.m_loop, std::chrono::seconds(20));
+  CHECK(SnapshotOf(node) >= 2 * kBatchesPerSnapshot);
+  std::size_t chunks = 0;
+  for (const auto& [key, value] : fleet.m_platform.m_store.m_values) {
+    if (key.find("/snapshot/") != std::string::npos) ++chunks;
+  }
+  CHECK(chunks == 1);
+}
+
 }  // namespace daisyarch
