--- a/libraries/base/ids.h
+++ b/libraries/base/ids.h
@@ -46,4 +46,21 @@
 /// A lease of the store.
 using StoreLeaseId = StrongId<struct StoreLeaseIdTag, std::uint64_t>;
 
+/// A job of steps, as its submitter names it.
+using JobKey = StrongId<struct JobKeyTag, std::string>;
+/// A queue of jobs that share a target.
+using QueueId = StrongId<struct QueueIdTag, std::string>;
+/// A group of workers that serves the same queues.
+using PoolId = StrongId<struct PoolIdTag, std::string>;
+/// Counts the starts of one task of a step; 0 before the first.
+using RunNumber = StrongId<struct RunNumberTag, std::uint64_t>;
+/// A worker refuses orders under a token below the highest it has seen.
+using FencingToken = StrongId<struct FencingTokenTag, std::uint64_t>;
+/// Numbers the ends that one incarnation of a worker reports.
+using EndNumber = StrongId<struct EndNumberTag, std::uint64_t>;
+/// Counts the changes of the whole store.
+using StoreRevision = StrongId<struct StoreRevisionTag, std::uint64_t>;
+/// Counts the leaders that a fleet has had.
+using Term = StrongId<struct TermTag, std::uint64_t>;
+
 }  // namespace daisyarch
--- /dev/null
+++ b/libraries/decisions/fleet/change_batch.cc
@@ -0,0 +1,35 @@
+#include "decisions/fleet/change_batch.h"
+
+namespace daisyarch::fleet {
+
+ChangeBatch TakeChanges(Fleet& fleet) {
+  ChangeBatch batch;
+  for (const JobKey& key : fleet.m_changed) {
+    const Job* job = FindJob(fleet, key);
+    if (job == nullptr) continue;
+    batch.m_jobs.push_back(JobChange{key, ProgressOf(*job), HasSettled(*job)});
+  }
+  for (const auto& [id, worker] : fleet.m_workers) {
+    if (worker.m_seen_end == worker.m_stored_end) continue;
+    batch.m_ends[id] = {worker.m_listing.m_incarnation, worker.m_seen_end};
+  }
+  fleet.m_changed.clear();
+  fleet.m_has_urgent_change = false;
+  fleet.m_is_storing = true;
+  return batch;
+}
+
+void ApplyStored(Fleet& fleet, const ChangeBatch& batch) {
+  fleet.m_is_storing = false;
+  for (const auto& [id, applied] : batch.m_ends) {
+    Worker* worker = FindWorker(fleet, id);
+    if (worker == nullptr) continue;
+    if (worker->m_listing.m_incarnation != applied.m_incarnation) continue;
+    worker->m_stored_end = std::max(worker->m_stored_end, applied.m_end);
+  }
+  for (const JobChange& change : batch.m_jobs) {
+    if (change.m_has_settled) ForgetJob(fleet, change.m_key);
+  }
+}
+
+}  // namespace daisyarch::fleet
--- /dev/null
+++ b/libraries/decisions/fleet/fleet.cc
@@ -0,0 +1,313 @@
+#include "decisions/fleet/fleet.h"
+
+#include <algorithm>
+
+namespace daisyarch::fleet {
+
+namespace {
+
+// Leaves room for every order that a term can raise on one worker.
+constexpr std::uint64_t kTokensPerTerm = 1ULL << 20;
+constexpr std::uint64_t kRunsPerTerm = 1ULL << 20;
+constexpr Duration kLeaseSlack = std::chrono::milliseconds(100);
+// The platform's workers may run 2% slow.
+constexpr std::int64_t kDriftPercent = 102;
+constexpr std::int64_t kPercent = 100;
+
+void EndEarly(Fleet& fleet, Job& job, TimePoint now) {
+  for (std::size_t place = 0; place < job.m_steps.size(); ++place) {
+    StepRun& step_run = job.m_steps[place];
+    for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
+      TaskReference reference{
+          job.m_plan.m_key, static_cast<std::uint32_t>(place / job.StepCount()),
+          static_cast<std::uint32_t>(place % job.StepCount()),
+          static_cast<std::uint32_t>(index)};
+      const RunState state = step_run.m_tasks[index].m_state;
+      if (state == RunState::kWaiting) {
+        --step_run.m_waiting;
+        StepTask(fleet, job, reference, RunEvent::kCancelled);
+      } else if (IsPlaced(state)) {
+        SendStop(fleet, job, reference, now);
+      }
+    }
+    UpdateQueue(fleet, job, place);
+  }
+}
+
+// The members that are left would wait in vain for this one.
+void StopGang(Fleet& fleet, Job& job, const TaskReference& ended) {
+  StepRun& step_run =
+      job.m_steps[StepRunIndex(job, ended.m_occurrence, ended.m_step)];
+  for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
+    if (!IsPlaced(step_run.m_tasks[index].m_state)) continue;
+    TaskReference member = ended;
+    member.m_index = static_cast<std::uint32_t>(index);
+    SendStop(fleet, job, member, TimePoint());
+  }
+}
+
+// One member's end stands for the gang.
+void FinishGang(Fleet& fleet, Job& job, const TaskReference& ended) {
+  StepRun& step_run =
+      job.m_steps[StepRunIndex(job, ended.m_occurrence, ended.m_step)];
+  for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
+    Task& task = step_run.m_tasks[index];
+    if (!IsPlaced(task.m_state)) continue;
+    TaskReference member = ended;
+    member.m_index = static_cast<std::uint32_t>(index);
+    StepTask(fleet, job, member, RunEvent::kEndedDone);
+  }
+}
+
+void AfterStep(Fleet& fleet, Job& job, const TaskReference& reference,
+               RunState before, RunState after) {
+  const std::size_t place =
+      StepRunIndex(job, reference.m_occurrence, reference.m_step);
+  StepRun& step_run = job.m_steps[place];
+  const StepPlan& step = job.m_plan.m_steps[reference.m_step];
+  if (!IsPlaced(before)) {
+    job.m_has_started = job.m_has_started || IsPlaced(after);
+    return;
+  }
+  if (IsPlaced(after)) return;
+  UpdateQueue(fleet, job, place);
+  if (step.m_is_gang && after == RunState::kDone) {
+    FinishGang(fleet, job, reference);
+  } else if (step.m_is_gang) {
+    StopGang(fleet, job, reference);
+  }
+  if (after == RunState::kFailed) EndEarly(fleet, job, TimePoint());
+  if (after == RunState::kDone && step_run.m_done == step_run.m_tasks.size()) {
+    ReleaseSteps(fleet, job, reference.m_occurrence);
+  }
+  NoteChange(fleet, job);
+}
+
+QueueRank RankOf(const Fleet& fleet, const Job& job) {
+  QueueRank rank;
+  const auto queue = fleet.m_queues.find(job.m_plan.m_queue);
+  if (queue == fleet.m_queues.end()) return rank;
+  rank.m_priority = queue->second.m_priority;
+  const auto chain = std::chrono::duration_cast<Duration>(
+      WholeChain(job.m_plan) * queue->second.m_stretch);
+  rank.m_due = job.m_accepted_at + chain + queue->second.m_target;
+  return rank;
+}
+
+void RestoreTask(Job& job, const TaskProgress& row) {
+  if (row.m_step_run >= job.m_steps.size()) return;
+  StepRun& step_run = job.m_steps[row.m_step_run];
+  if (row.m_index >= step_run.m_tasks.size()) return;
+  Task& task = step_run.m_tasks[row.m_index];
+  task.m_run = row.m_run;
+  task.m_failed_runs = row.m_failed_runs;
+  task.m_checkpoint = row.m_checkpoint;
+  job.m_has_started = true;
+  if (!row.m_is_done) return;
+  task.m_state = RunState::kDone;
+  --step_run.m_waiting;
+  ++step_run.m_done;
+  --job.m_open;
+}
+
+std::unique_ptr<Job> MakeJob(JobPlan plan, const JobProgress& progress) {
+  auto job = std::make_unique<Job>();
+  job->m_plan = std::move(plan);
+  job->m_state = progress.m_state;
+  for (std::uint32_t turn = 0; turn < job->m_plan.m_occurrences; ++turn) {
+    for (const StepPlan& step : job->m_plan.m_steps) {
+      StepRun step_run;
+      step_run.m_tasks.resize(step.m_task_count);
+      step_run.m_waiting = step.m_task_count;
+      job->m_open += step.m_task_count;
+      job->m_steps.push_back(std::move(step_run));
+    }
+  }
+  for (const TaskProgress& row : progress.m_tasks) RestoreTask(*job, row);
+  return job;
+}
+
+}  // namespace
+
+FencingToken FirstToken(Term term) {
+  return FencingToken(term.value() * kTokensPerTerm);
+}
+
+RunNumber FirstRun(Term term) {
+  return RunNumber((term.value() - 1) * kRunsPerTerm + 1);
+}
+
+Job* FindJob(Fleet& fleet, const JobKey& key) {
+  const auto found = fleet.m_jobs.find(key.value());
+  return found == fleet.m_jobs.end() ? nullptr : found->second.get();
+}
+
+Worker* FindWorker(Fleet& fleet, const WorkerId& worker) {
+  const auto found = fleet.m_workers.find(worker);
+  return found == fleet.m_workers.end() ? nullptr : &found->second;
+}
+
+StepResult StepTask(Fleet& fleet, Job& job, const TaskReference& reference,
+                    RunEvent event) {
+  StepRun& step_run =
+      job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)];
+  Task& task = step_run.m_tasks[reference.m_index];
+  RunContext context{
+      fleet, job, reference, step_run, job.m_plan.m_steps[reference.m_step],
+      task};
+  const RunState before = task.m_state;
+  const StepResult result =
+      fleet.m_machines->m_run.Step(task.m_state, event, context);
+  if (result == StepResult::kTaken) {
+    AfterStep(fleet, job, reference, before, task.m_state);
+  }
+  return result;
+}
+
+void StepWorker(Fleet& fleet, Worker& worker, WorkerEvent event) {
+  WorkerContext context{fleet, worker};
+  fleet.m_machines->m_worker.Step(worker.m_state, event, context);
+}
+
+void UpdateQueue(Fleet& fleet, Job& job, std::size_t step_run) {
+  const StepRun& run = job.m_steps[step_run];
+  const auto entry = std::make_tuple(job.m_rank, job.m_plan.m_key, step_run);
+  const bool has_ended = job.m_is_cancelled || job.m_has_failed;
+  if (run.m_is_released && run.m_waiting > 0 && !has_ended) {
+    fleet.m_waiting.insert(entry);
+    fleet.m_needs_placement = true;
+  } else {
+    fleet.m_waiting.erase(entry);
+  }
+}
+
+void ReleaseSteps(Fleet& fleet, Job& job, std::uint32_t occurrence) {
+  for (std::uint32_t step = 0; step < job.StepCount(); ++step) {
+    const std::size_t place = StepRunIndex(job, occurrence, step);
+    if (job.m_steps[place].m_is_released) continue;
+    const auto& after = job.m_plan.m_steps[step].m_after;
+    const bool is_due =
+        std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
+          const StepRun& run =
+              job.m_steps[StepRunIndex(job, occurrence, earlier)];
+          return run.m_done == run.m_tasks.size();
+        });
+    if (!is_due) continue;
+    job.m_steps[place].m_is_released = true;
+    UpdateQueue(fleet, job, place);
+  }
+}
+
+void NoteChange(Fleet& fleet, Job& job) {
+  if (job.m_is_cancelled) {
+    job.m_state = JobState::kCancelled;
+  } else if (job.m_has_failed) {
+    job.m_state = JobState::kFailed;
+  } else if (job.m_open == 0) {
+    job.m_state = JobState::kCompleted;
+  } else if (job.m_has_started) {
+    job.m_state = JobState::kRunning;
+  }
+  fleet.m_changed.insert(job.m_plan.m_key);
+  if (HasSettled(job)) fleet.m_has_urgent_change = true;
+}
+
+void AddJob(Fleet& fleet, JobPlan plan, const JobProgress& progress,
+            TimePoint accepted_at) {
+  const JobKey key = plan.m_key;
+  if (fleet.m_jobs.count(key.value()) > 0) return;
+  std::unique_ptr<Job>& job = fleet.m_jobs[key.value()];
+  job = MakeJob(std::move(plan), progress);
+  job->m_accepted_at = accepted_at;
+  job->m_rank = RankOf(fleet, *job);
+  const auto queue = fleet.m_queues.find(job->m_plan.m_queue);
+  if (queue != fleet.m_queues.end()) {
+    job->m_maximum_attempts = queue->second.m_maximum_attempts;
+  }
+  if (job->m_plan.m_is_timed) {
+    for (std::uint32_t turn = 0; turn < job->m_plan.m_occurrences; ++turn) {
+      fleet.m_timed.emplace(
+          job->m_plan.m_first_due_unix_ms + turn * job->m_plan.m_interval_ms,
+          key, turn);
+    }
+  } else {
+    ReleaseSteps(fleet, *job, 0);
+  }
+  // A stored end of the last task may lack its outcome.
+  if (HasSettled(*job)) NoteChange(fleet, *job);
+}
+
+void ApplyQueues(Fleet& fleet, std::map<QueueId, Queue> queues) {
+  fleet.m_queues = std::move(queues);
+  for (auto& [key, job] : fleet.m_jobs) {
+    const auto queue = fleet.m_queues.find(job->m_plan.m_queue);
+    if (queue == fleet.m_queues.end()) continue;
+    for (std::size_t place = 0; place < job->m_steps.size(); ++place) {
+      fleet.m_waiting.erase(
+          std::make_tuple(job->m_rank, job->m_plan.m_key, place));
+    }
+    job->m_rank = RankOf(fleet, *job);
+    job->m_maximum_attempts = queue->second.m_maximum_attempts;
+    for (std::size_t place = 0; place < job->m_steps.size(); ++place) {
+      UpdateQueue(fleet, *job, place);
+    }
+  }
+  fleet.m_needs_placement = true;
+}
+
+void CancelJob(Fleet& fleet, const JobKey& key, TimePoint now) {
+  Job* job = FindJob(fleet, key);
+  if (job == nullptr || job->m_is_cancelled) return;
+  if (HasSettled(*job)) return;
+  job->m_is_cancelled = true;
+  EndEarly(fleet, *job, now);
+  NoteChange(fleet, *job);
+}
+
+void ForgetJob(Fleet& fleet, const JobKey& key) {
+  Job* job = FindJob(fleet, key);
+  if (job == nullptr) return;
+  for (std::size_t place = 0; place < job->m_steps.size(); ++place) {
+    fleet.m_waiting.erase(std::make_tuple(job->m_rank, key, place));
+  }
+  fleet.m_changed.erase(key);
+  fleet.m_jobs.erase(key.value());
+}
+
+void SendStop(Fleet& fleet, Job& job, const TaskReference& reference,
+              TimePoint now) {
+  StepTask(fleet, job, reference, RunEvent::kStopRequested);
+  Task& task =
+      job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)]
+          .m_tasks[reference.m_index];
+  const Worker* worker = FindWorker(fleet, task.m_worker);
+  if (worker == nullptr) return;
+  task.m_stop_sent_at = now;
+  fleet.m_orders.push_back(StopOrder{task.m_worker,
+                                     worker->m_listing.m_incarnation, reference,
+                                     task.m_run, worker->m_token});
+}
+
+WorkerMilliseconds WorkerClockAt(const Worker& worker, TimePoint now) {
+  return worker.m_clock +
+         WorkerMilliseconds(InMilliseconds(now - worker.m_clock_read_at));
+}
+
+TimePoint LeaseEndOf(const Worker& worker) {
+  const std::int64_t left = std::max<std::int64_t>(
+      0, (worker.m_lease_until - worker.m_clock).value());
+  return worker.m_clock_read_at +
+         FromMilliseconds(left * kDriftPercent / kPercent) + kLeaseSlack;
+}
+
+std::map<QueueId, std::uint64_t> CountPending(const Fleet& fleet) {
+  std::map<QueueId, std::uint64_t> pending;
+  for (const auto& [key, job] : fleet.m_jobs) {
+    if (!job->m_has_started && !job->m_is_cancelled) {
+      ++pending[job->m_plan.m_queue];
+    }
+  }
+  return pending;
+}
+
+}  // namespace daisyarch::fleet
--- /dev/null
+++ b/libraries/decisions/fleet/fleet.h
@@ -0,0 +1,201 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "base/result.h"
+#include "chart/machine.h"
+#include "decisions/fleet/fleet_job.h"
+#include "decisions/fleet/fleet_worker.h"
+
+namespace daisyarch::fleet {
+
+/// What a queue promises, and where its tasks may run.
+struct Queue {
+  QueueId m_id;
+  PoolId m_pool;
+  std::int64_t m_priority = 0;  ///< 0 comes first.
+  std::uint32_t m_maximum_attempts = 1;
+  double m_stretch = 1.0;  ///< The objective, in lengths of the job's chain.
+  Duration m_target{};     ///< Added to the stretched chain.
+};
+
+/// Bounds that the platform sets for its workers.
+struct FleetLimits {
+  /// Of each lease that is granted; well under the worker's own maximum.
+  Duration m_lease = std::chrono::seconds(4);
+  /// How long an answer may wait for an end.
+  Duration m_look_wait = std::chrono::milliseconds(1000);
+  /// A silent worker may run tasks of an earlier leader for this long.
+  Duration m_inherited_lease = std::chrono::seconds(12);
+  /// A serving task may be over its target for this long.
+  Duration m_harm = std::chrono::milliseconds(4000);
+  double m_far_factor = 1.5;  ///< How much slower a task is off its rack.
+};
+
+struct StartOrder {
+  WorkerId m_worker;
+  Incarnation m_incarnation;
+  TaskReference m_task;
+  RunNumber m_run;
+  FencingToken m_token;
+  WorkerMilliseconds m_lease_until;
+  std::string m_payload;
+  std::string m_checkpoint;
+};
+
+struct StopOrder {
+  WorkerId m_worker;
+  Incarnation m_incarnation;
+  TaskReference m_task;
+  RunNumber m_run;
+  FencingToken m_token;
+};
+
+struct PaceOrder {
+  WorkerId m_worker;
+  Incarnation m_incarnation;
+  TaskReference m_task;
+  RunNumber m_run;
+  FencingToken m_token;
+  std::uint8_t m_percent = 100;
+};
+
+/// Asks for the worker's lists and extends its lease.
+struct LookOrder {
+  WorkerId m_worker;
+  std::uint64_t m_look = 0;
+  FencingToken m_token;
+  EndNumber m_acknowledged;
+  bool m_has_lease = false;
+  WorkerMilliseconds m_lease_until;
+  Duration m_wait{};
+};
+
+using Order = std::variant<StartOrder, StopOrder, PaceOrder, LookOrder>;
+
+/// How a start came out.
+enum class StartOutcome {
+  kStarted,
+  kRefused,     ///< Certainly not run.
+  kUnanswered,  ///< May run, now or later.
+};
+
+struct FleetMachines;
+
+/// All that a leader knows of its workers and jobs, and the orders that wait
+/// to be sent.
+struct Fleet {
+  const FleetMachines* m_machines = nullptr;
+  FleetLimits m_limits;
+  Term m_term;
+  TimePoint m_took_over_at{};
+  std::map<QueueId, Queue> m_queues;
+  std::map<WorkerId, Worker> m_workers;
+  std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
+  /// Released steps with waiting tasks, the most urgent first.
+  std::set<std::tuple<QueueRank, JobKey, std::size_t>> m_waiting;
+  /// Occurrences that are not due yet.
+  std::set<std::tuple<std::int64_t, JobKey, std::uint32_t>> m_timed;
+  /// Jobs whose stored progress is behind.
+  std::set<JobKey> m_changed;
+  /// Jobs among them whose end users wait for.
+  bool m_has_urgent_change = false;
+  bool m_is_storing = false;  ///< A batch of changes is under way.
+  bool m_needs_placement = false;
+  std::vector<Order> m_orders;
+};
+
+/// What the guards and actions of charts/run.yaml read and change.
+struct RunContext {
+  Fleet& m_fleet;
+  Job& m_job;
+  TaskReference m_reference;
+  StepRun& m_step_run;
+  const StepPlan& m_step;
+  Task& m_task;
+};
+using RunMachine = Machine<RunState, RunEvent, RunContext>;
+ChartBinding<RunContext> RunBinding();
+
+/// What the actions of charts/fleet_worker.yaml change.
+struct WorkerContext {
+  Fleet& m_fleet;
+  Worker& m_worker;
+};
+using WorkerMachine = Machine<WorkerState, WorkerEvent, WorkerContext>;
+ChartBinding<WorkerContext> WorkerBinding();
+
+struct FleetMachines {
+  RunMachine m_run;
+  WorkerMachine m_worker;
+};
+
+/// Loads the charts of the fleet; kInvalidArgument or kNotFound.
+Result<FleetMachines> LoadFleetMachines(const std::string& directory);
+
+/// The first run that a leader of this term starts; above all earlier ones.
+RunNumber FirstRun(Term term);
+
+/// Every order of one worker carries at least this token in this term.
+FencingToken FirstToken(Term term);
+
+// What happens to a fleet. Each function may add orders and changed jobs.
+
+/// Adds a job that is stored, with the progress that is stored, if any;
+/// nothing when it is known already.
+void AddJob(Fleet& fleet, JobPlan plan, const JobProgress& progress,
+            TimePoint accepted_at);
+/// Moves waiting jobs to what their queues now promise.
+void ApplyQueues(Fleet& fleet, std::map<QueueId, Queue> queues);
+/// Cancels a job; its runs are stopped.
+void CancelJob(Fleet& fleet, const JobKey& key, TimePoint now);
+/// Drops a job whose end is stored.
+void ForgetJob(Fleet& fleet, const JobKey& key);
+/// Takes over the platform's whole list of workers.
+void ApplyListing(Fleet& fleet, const std::vector<ListedWorker>& listing,
+                  TimePoint now);
+void ApplyReport(Fleet& fleet, const WorkerId& worker, std::uint64_t look,
+                 FencingToken token, const WorkerReport& report, TimePoint now);
+void ApplyLookFailure(Fleet& fleet, const WorkerId& worker, std::uint64_t look,
+                      TimePoint now);
+void ApplyStartOutcome(Fleet& fleet, const StartOrder& order,
+                       StartOutcome outcome, TimePoint now);
+/// Raises the worker's token, so that no order sent so far can take effect.
+void ApplyOrderFailure(Fleet& fleet, const WorkerId& worker);
+/// Lapsed leases, looks that are due, stops to repeat, occurrences, pacing.
+void TickFleet(Fleet& fleet, TimePoint now, std::int64_t unix_ms);
+/// Sends waiting tasks to workers with room.
+void PlaceRuns(Fleet& fleet, TimePoint now);
+/// Raises and lowers what fillers get beside serving tasks.
+void PaceFillers(Fleet& fleet, Worker& worker, TimePoint now);
+
+// Shared by the parts of the fleet.
+
+Job* FindJob(Fleet& fleet, const JobKey& key);
+Worker* FindWorker(Fleet& fleet, const WorkerId& worker);
+/// Steps one task's chart; StepResult::kIgnored when the event does not fit.
+StepResult StepTask(Fleet& fleet, Job& job, const TaskReference& reference,
+                    RunEvent event);
+void StepWorker(Fleet& fleet, Worker& worker, WorkerEvent event);
+void SendStop(Fleet& fleet, Job& job, const TaskReference& reference,
+              TimePoint now);
+/// Releases the steps of one occurrence whose earlier steps are done.
+void ReleaseSteps(Fleet& fleet, Job& job, std::uint32_t occurrence);
+/// Puts a step into the queue, or takes it out, as its waiting tasks say.
+void UpdateQueue(Fleet& fleet, Job& job, std::size_t step_run);
+/// Works the job's visible state out and notes that it has to be stored.
+void NoteChange(Fleet& fleet, Job& job);
+WorkerMilliseconds WorkerClockAt(const Worker& worker, TimePoint now);
+/// When the worker's lease is certainly over.
+TimePoint LeaseEndOf(const Worker& worker);
+/// Tasks of the queue's jobs that have not started anywhere.
+std::map<QueueId, std::uint64_t> CountPending(const Fleet& fleet);
+
+}  // namespace daisyarch::fleet
--- /dev/null
+++ b/libraries/decisions/fleet/fleet_job.cc
@@ -0,0 +1,42 @@
+#include "decisions/fleet/fleet_job.h"
+
+#include <algorithm>
+
+namespace daisyarch::fleet {
+
+JobProgress ProgressOf(const Job& job) {
+  JobProgress progress;
+  progress.m_state = job.m_state;
+  // An ended job needs its outcome alone.
+  if (HasSettled(job)) return progress;
+  for (std::size_t step_run = 0; step_run < job.m_steps.size(); ++step_run) {
+    const std::vector<Task>& tasks = job.m_steps[step_run].m_tasks;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+      const Task& task = tasks[index];
+      if (task.m_run == RunNumber()) continue;
+      TaskProgress row;
+      row.m_step_run = static_cast<std::uint32_t>(step_run);
+      row.m_index = static_cast<std::uint32_t>(index);
+      row.m_is_done = task.m_state == RunState::kDone;
+      row.m_failed_runs = task.m_failed_runs;
+      row.m_run = task.m_run;
+      if (!row.m_is_done) row.m_checkpoint = task.m_checkpoint;
+      progress.m_tasks.push_back(std::move(row));
+    }
+  }
+  return progress;
+}
+
+bool NoteFailedRun(Task& task, RunNumber run) {
+  std::vector<RunNumber>& runs = task.m_failed_runs;
+  if (std::find(runs.begin(), runs.end(), run) != runs.end()) return false;
+  runs.push_back(run);
+  return true;
+}
+
+bool HasSettled(const Job& job) {
+  if (job.m_placed > 0) return false;
+  return job.m_open == 0 || job.m_is_cancelled || job.m_has_failed;
+}
+
+}  // namespace daisyarch::fleet
--- /dev/null
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -0,0 +1,161 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "base/ids.h"
+#include "base/time.h"
+#include "decisions/fleet/job_plan.h"
+
+namespace daisyarch::fleet {
+
+/// States of charts/run.yaml, in the order of RunBinding().
+enum class RunState : std::uint8_t {
+  kWaiting,
+  kStarting,
+  kRunning,
+  kUnsettled,  ///< The start had no answer; it may have taken effect.
+  kStopping,
+  kDone,
+  kFailed,
+  kCancelled,
+};
+
+/// Events of charts/run.yaml, in the order of RunBinding().
+enum class RunEvent : std::uint8_t {
+  kPlaced,
+  kStarted,
+  kUnanswered,
+  kStopRequested,
+  kEndedDone,
+  kEndedFailed,
+  kInterrupted,  ///< Ended by no fault of the task's.
+  kCancelled,
+};
+
+/// One task of a step, and where its latest run is.
+struct Task {
+  RunState m_state = RunState::kWaiting;
+  std::uint8_t m_pace_percent = 100;
+  std::uint8_t m_progress_percent = 0;   ///< As last reported.
+  std::vector<RunNumber> m_failed_runs;  ///< Each failure counts once.
+  std::uint32_t m_tail_ms = 0;  ///< Of a serving task, as last reported.
+  RunNumber m_run;
+  WorkerId m_worker;  ///< Empty while the task is nowhere.
+  std::string m_checkpoint;
+  FencingToken m_start_token;  ///< Under which the start was sent.
+  TimePoint m_started_at{};    ///< When the start was answered.
+  TimePoint m_over_target_since{};
+  TimePoint m_paced_at{};
+  TimePoint m_stop_sent_at{};
+};
+
+/// The tasks of one step of one occurrence.
+struct StepRun {
+  std::vector<Task> m_tasks;
+  std::uint32_t m_done = 0;
+  std::uint32_t m_placed = 0;  ///< Starting, running, unsettled or stopping.
+  std::uint32_t m_waiting = 0;
+  bool m_is_released = false;  ///< All earlier steps are done.
+};
+
+/// How a job stands, as its submitter sees it.
+enum class JobState : std::uint8_t {
+  kQueued,
+  kRunning,
+  kCompleted,
+  kFailed,
+  kCancelled,
+};
+
+/// Lower is sooner.
+struct QueueRank {
+  std::int64_t m_priority = 0;
+  TimePoint m_due{};  ///< The end of the job's objective.
+
+  friend bool operator<(const QueueRank& left, const QueueRank& right) {
+    if (left.m_priority != right.m_priority) {
+      return left.m_priority < right.m_priority;
+    }
+    return left.m_due < right.m_due;
+  }
+};
+
+/// A job that the leader keeps until it has ended and that is stored.
+struct Job {
+  JobPlan m_plan;
+  JobState m_state = JobState::kQueued;
+  std::vector<StepRun> m_steps;  ///< By occurrence, then step.
+  QueueRank m_rank;
+  std::uint32_t m_maximum_attempts = 1;
+  std::uint64_t m_placed = 0;  ///< Tasks that may be on a worker.
+  std::uint64_t m_open = 0;    ///< Tasks that are not done.
+  bool m_is_cancelled = false;
+  bool m_has_failed = false;  ///< A task used up its attempts.
+  bool m_has_started = false;
+  /// Known before this term; a worker that is silent may run its tasks.
+  bool m_is_inherited = false;
+  TimePoint m_accepted_at{};
+
+  std::size_t StepCount() const { return m_plan.m_steps.size(); }
+};
+
+/// Names one task of the fleet.
+struct TaskReference {
+  JobKey m_job;
+  std::uint32_t m_occurrence = 0;
+  std::uint32_t m_step = 0;
+  std::uint32_t m_index = 0;
+
+  friend bool operator==(const TaskReference& left,
+                         const TaskReference& right) {
+    return left.m_index == right.m_index && left.m_step == right.m_step &&
+           left.m_occurrence == right.m_occurrence && left.m_job == right.m_job;
+  }
+  friend bool operator<(const TaskReference& left, const TaskReference& right) {
+    if (left.m_job != right.m_job) return left.m_job < right.m_job;
+    if (left.m_occurrence != right.m_occurrence) {
+      return left.m_occurrence < right.m_occurrence;
+    }
+    if (left.m_step != right.m_step) return left.m_step < right.m_step;
+    return left.m_index < right.m_index;
+  }
+};
+
+inline std::size_t StepRunIndex(const Job& job, std::uint32_t occurrence,
+                                std::uint32_t step) {
+  return static_cast<std::size_t>(occurrence) * job.StepCount() + step;
+}
+
+inline bool IsPlaced(RunState state) {
+  return state == RunState::kStarting || state == RunState::kRunning ||
+         state == RunState::kUnsettled || state == RunState::kStopping;
+}
+
+/// What has to outlive the leader: the ends and attempts of a job's tasks.
+struct TaskProgress {
+  std::uint32_t m_step_run = 0;
+  std::uint32_t m_index = 0;
+  bool m_is_done = false;
+  std::vector<RunNumber> m_failed_runs;
+  RunNumber m_run;
+  std::string m_checkpoint;
+};
+
+struct JobProgress {
+  JobState m_state = JobState::kQueued;
+  std::int64_t m_ended_unix_ms = 0;   ///< 0 while the job is open.
+  std::vector<TaskProgress> m_tasks;  ///< Without those never started.
+};
+
+/// What of the job has to be stored.
+JobProgress ProgressOf(const Job& job);
+
+/// Notes that a run failed; false when that is known already.
+bool NoteFailedRun(Task& task, RunNumber run);
+
+/// True when nothing of the job is left to run or to stop.
+bool HasSettled(const Job& job);
+
+}  // namespace daisyarch::fleet
--- /dev/null
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -0,0 +1,263 @@
+#include <algorithm>
+#include <optional>
+
+#include "decisions/fleet/fleet.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+// Scores are in thousandths of a worker; each of these outweighs every
+// difference in fit.
+constexpr std::int64_t kFarPenalty = 4000;
+constexpr std::int64_t kNeighbourPenalty = 2000;
+constexpr std::int64_t kFitScale = 1000;
+// A filler waits for a worker that leaves it at least this share of its
+// demand.
+constexpr std::int64_t kLeastLeftoverPercent = 60;
+constexpr std::int64_t kPercent = 100;
+
+/// One pass over the queue: demands that fit nowhere are not tried again.
+struct Pass {
+  Fleet& m_fleet;
+  TimePoint m_now;
+  bool m_has_silent_inheritance = false;
+  std::vector<std::pair<PoolId, StepPlan>> m_unplaceable;
+};
+
+bool HasLabel(const Worker& worker, const std::string& label) {
+  const auto& labels = worker.m_listing.m_labels;
+  return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+bool IsUsable(const Worker& worker, const PoolId& pool, TimePoint now) {
+  return worker.m_state == WorkerState::kReady && worker.m_is_listed &&
+         worker.m_has_clock && worker.m_strays == 0 &&
+         !worker.m_listing.m_is_leaving && worker.m_listing.m_pool == pool &&
+         worker.m_aside_until <= now;
+}
+
+Resources CountedDemand(const StepPlan& step) {
+  Resources demand = step.m_demand;
+  if (step.m_processor_use == ProcessorUse::kLeftover) {
+    demand.m_processors = Millicores(0);
+  }
+  return demand;
+}
+
+std::uint32_t RunsOfStep(const Worker& worker, const TaskReference& task) {
+  TaskReference first = task;
+  first.m_index = 0;
+  std::uint32_t count = 0;
+  for (auto place = worker.m_runs.lower_bound(first);
+       place != worker.m_runs.end(); ++place) {
+    if (place->m_job != task.m_job || place->m_step != task.m_step ||
+        place->m_occurrence != task.m_occurrence) {
+      break;
+    }
+    ++count;
+  }
+  return count;
+}
+
+std::int64_t Leftover(const Worker& worker) {
+  return (worker.m_listing.m_capacity.m_processors -
+          worker.m_used.m_processors - worker.m_filler_demand)
+      .value();
+}
+
+std::int64_t FitScore(const Worker& worker, const StepPlan& step) {
+  const std::int64_t whole = std::max<std::int64_t>(
+      1, worker.m_listing.m_capacity.m_processors.value());
+  const std::int64_t left =
+      (worker.m_listing.m_capacity.m_processors - worker.m_used.m_processors)
+          .value();
+  if (step.m_processor_use == ProcessorUse::kLeftover) {
+    return -Leftover(worker) * kFitScale / whole;
+  }
+  // Serving tasks press on each other, so they spread; others pack.
+  const std::int64_t direction = step.m_latency_target > Duration{} ? -1 : 1;
+  return direction * left * kFitScale / whole;
+}
+
+std::int64_t Score(const Worker& worker, const StepPlan& step) {
+  std::int64_t score = FitScore(worker, step);
+  if (!step.m_data_rack.empty() && !HasLabel(worker, step.m_data_rack)) {
+    score += kFarPenalty;
+  }
+  if (step.m_latency_target > Duration{} && worker.m_fillers > 0) {
+    score += kNeighbourPenalty;
+  }
+  if (step.m_processor_use == ProcessorUse::kLeftover) {
+    score += kNeighbourPenalty * worker.m_serving;
+  }
+  return score;
+}
+
+bool MayTake(const Worker& worker, const StepPlan& step,
+             const TaskReference& task) {
+  if (!Fits(CountedDemand(step), worker.m_listing.m_capacity - worker.m_used)) {
+    return false;
+  }
+  if (!step.m_required_label.empty() &&
+      !HasLabel(worker, step.m_required_label)) {
+    return false;
+  }
+  if (step.m_processor_use == ProcessorUse::kLeftover &&
+      Leftover(worker) * kPercent <
+          step.m_demand.m_processors.value() * kLeastLeftoverPercent) {
+    return false;
+  }
+  return step.m_maximum_per_worker == 0 ||
+         RunsOfStep(worker, task) < step.m_maximum_per_worker;
+}
+
+Worker* ChooseWorker(Pass& pass, const PoolId& pool, const StepPlan& step,
+                     const TaskReference& task) {
+  Worker* best = nullptr;
+  std::int64_t best_score = 0;
+  for (auto& entry : pass.m_fleet.m_workers) {
+    Worker& worker = entry.second;
+    if (!IsUsable(worker, pool, pass.m_now)) continue;
+    if (!MayTake(worker, step, task)) continue;
+    const std::int64_t score = Score(worker, step);
+    if (best != nullptr && score >= best_score) continue;
+    best = &worker;
+    best_score = score;
+  }
+  return best;
+}
+
+bool IsUnplaceable(const Pass& pass, const PoolId& pool, const StepPlan& step) {
+  return std::any_of(pass.m_unplaceable.begin(), pass.m_unplaceable.end(),
+                     [&](const auto& failed) {
+                       return failed.first == pool &&
+                              failed.second.m_processor_use ==
+                                  step.m_processor_use &&
+                              Fits(failed.second.m_demand, step.m_demand);
+                     });
+}
+
+void Start(Pass& pass, Job& job, const TaskReference& reference, Worker& worker,
+           RunNumber run, const std::string& checkpoint) {
+  Task& task =
+      job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)]
+          .m_tasks[reference.m_index];
+  task.m_run = run;
+  task.m_checkpoint = checkpoint;
+  task.m_worker = worker.m_listing.m_worker;
+  task.m_start_token = worker.m_token;
+  StepTask(pass.m_fleet, job, reference, RunEvent::kPlaced);
+  const WorkerMilliseconds until =
+      WorkerClockAt(worker, pass.m_now) +
+      WorkerMilliseconds(InMilliseconds(pass.m_fleet.m_limits.m_lease));
+  worker.m_lease_until = std::max(worker.m_lease_until, until);
+  pass.m_fleet.m_orders.push_back(StartOrder{
+      worker.m_listing.m_worker, worker.m_listing.m_incarnation, reference, run,
+      worker.m_token, until, job.m_plan.m_payload, checkpoint});
+}
+
+RunNumber NextRun(const Fleet& fleet, const Task& task) {
+  return std::max(Next(task.m_run), FirstRun(fleet.m_term));
+}
+
+TaskReference ReferenceOf(const Job& job, std::size_t step_run,
+                          std::size_t index) {
+  return {job.m_plan.m_key,
+          static_cast<std::uint32_t>(step_run / job.StepCount()),
+          static_cast<std::uint32_t>(step_run % job.StepCount()),
+          static_cast<std::uint32_t>(index)};
+}
+
+void PlaceStep(Pass& pass, Job& job, std::size_t place, const PoolId& pool) {
+  StepRun& step_run = job.m_steps[place];
+  const StepPlan& step = job.m_plan.m_steps[place % job.StepCount()];
+  for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
+    Task& task = step_run.m_tasks[index];
+    if (task.m_state != RunState::kWaiting) continue;
+    const TaskReference reference = ReferenceOf(job, place, index);
+    Worker* worker = ChooseWorker(pass, pool, step, reference);
+    if (worker == nullptr) {
+      const bool is_plain =
+          step.m_required_label.empty() && step.m_maximum_per_worker == 0;
+      if (is_plain) pass.m_unplaceable.emplace_back(pool, step);
+      break;
+    }
+    Start(pass, job, reference, *worker, NextRun(pass.m_fleet, task),
+          std::string(task.m_checkpoint));
+  }
+}
+
+// All members or none: room is counted on copies first.
+void PlaceGang(Pass& pass, Job& job, std::size_t place, const PoolId& pool) {
+  StepRun& step_run = job.m_steps[place];
+  if (step_run.m_waiting != step_run.m_tasks.size()) return;
+  const StepPlan& step = job.m_plan.m_steps[place % job.StepCount()];
+  std::vector<WorkerId> chosen;
+  const Resources demand = CountedDemand(step);
+  for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
+    Worker* worker =
+        ChooseWorker(pass, pool, step, ReferenceOf(job, place, index));
+    if (worker == nullptr) break;
+    worker->m_used = worker->m_used + demand;
+    worker->m_runs.insert(ReferenceOf(job, place, index));
+    chosen.push_back(worker->m_listing.m_worker);
+  }
+  RunNumber run = FirstRun(pass.m_fleet.m_term);
+  std::string checkpoint;
+  for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
+    run = std::max(run, Next(step_run.m_tasks[index].m_run));
+    if (checkpoint.empty()) checkpoint = step_run.m_tasks[index].m_checkpoint;
+  }
+  for (std::size_t index = 0; index < chosen.size(); ++index) {
+    Worker* worker = FindWorker(pass.m_fleet, chosen[index]);
+    worker->m_used = worker->m_used - demand;
+    worker->m_runs.erase(ReferenceOf(job, place, index));
+  }
+  if (chosen.size() != step_run.m_tasks.size()) return;
+  for (std::size_t index = 0; index < chosen.size(); ++index) {
+    Start(pass, job, ReferenceOf(job, place, index),
+          *FindWorker(pass.m_fleet, chosen[index]), run, checkpoint);
+  }
+}
+
+// After a take-over a listed worker that has not answered yet may run any
+// task that an earlier leader could have started.
+bool MayRunUnseen(const Fleet& fleet, TimePoint now) {
+  if (fleet.m_term.value() <= 1) return false;
+  if (now - fleet.m_took_over_at >= fleet.m_limits.m_inherited_lease) {
+    return false;
+  }
+  return std::any_of(fleet.m_workers.begin(), fleet.m_workers.end(),
+                     [](const auto& entry) {
+                       const Worker& worker = entry.second;
+                       return !worker.m_has_clock ||
+                              worker.m_state == WorkerState::kUnverified;
+                     });
+}
+
+}  // namespace
+
+void PlaceRuns(Fleet& fleet, TimePoint now) {
+  fleet.m_needs_placement = false;
+  Pass pass{fleet, now, MayRunUnseen(fleet, now), {}};
+  const auto waiting = fleet.m_waiting;
+  for (const auto& [rank, key, place] : waiting) {
+    Job* job = FindJob(fleet, key);
+    const auto queue = fleet.m_queues.find(job->m_plan.m_queue);
+    if (queue == fleet.m_queues.end()) continue;
+    if (pass.m_has_silent_inheritance && job->m_is_inherited) continue;
+    const PoolId& pool = queue->second.m_pool;
+    const StepPlan& step = job->m_plan.m_steps[place % job->StepCount()];
+    if (IsUnplaceable(pass, pool, step)) continue;
+    if (step.m_is_gang) {
+      PlaceGang(pass, *job, place, pool);
+    } else {
+      PlaceStep(pass, *job, place, pool);
+    }
+    UpdateQueue(fleet, *job, place);
+  }
+  fleet.m_needs_placement = false;
+}
+
+}  // namespace daisyarch::fleet
--- /dev/null
+++ b/libraries/decisions/fleet/reports.cc
@@ -0,0 +1,358 @@
+#include <algorithm>
+
+#include "decisions/fleet/fleet.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+// So many failures without a success between say that the worker is at fault.
+constexpr std::uint32_t kFailuresBeforeAside = 3;
+constexpr Duration kAside = std::chrono::seconds(3);
+constexpr Duration kRefusalAside = std::chrono::milliseconds(200);
+constexpr Duration kStopRepeat = std::chrono::milliseconds(500);
+constexpr Duration kRetryLook = std::chrono::milliseconds(100);
+// A worker where nothing runs is looked at this rarely.
+constexpr Duration kIdleLook = std::chrono::seconds(10);
+
+Task* FindTask(Fleet& fleet, const TaskReference& reference, Job*& job) {
+  job = FindJob(fleet, reference.m_job);
+  if (job == nullptr || reference.m_step >= job->StepCount() ||
+      reference.m_occurrence >= job->m_plan.m_occurrences) {
+    return nullptr;
+  }
+  StepRun& step_run = job->m_steps[StepRunIndex(*job, reference.m_occurrence,
+                                                reference.m_step)];
+  if (reference.m_index >= step_run.m_tasks.size()) return nullptr;
+  return &step_run.m_tasks[reference.m_index];
+}
+
+bool IsRunHere(const Task& task, const Worker& worker, const RunNumber& run) {
+  return IsPlaced(task.m_state) && task.m_run == run &&
+         task.m_worker == worker.m_listing.m_worker;
+}
+
+// A run that an earlier leader started becomes this leader's, unless the task
+// is done or known to run elsewhere.
+bool Adopt(Fleet& fleet, Job& job, Task& task, const Worker& worker,
+           const TaskReference& reference, const RunNumber& run) {
+  if (task.m_state != RunState::kWaiting || run < task.m_run) return false;
+  if (run >= FirstRun(fleet.m_term)) return false;
+  task.m_run = run;
+  task.m_worker = worker.m_listing.m_worker;
+  StepTask(fleet, job, reference, RunEvent::kPlaced);
+  UpdateQueue(fleet, job,
+              StepRunIndex(job, reference.m_occurrence, reference.m_step));
+  return true;
+}
+
+void StopStray(Fleet& fleet, Worker& worker, const RunningRow& row) {
+  ++worker.m_strays;
+  fleet.m_orders.push_back(StopOrder{worker.m_listing.m_worker,
+                                     worker.m_listing.m_incarnation, row.m_task,
+                                     row.m_run, worker.m_token});
+}
+
+void NoteLoad(Task& task, const StepPlan& step, const RunningRow& row,
+              TimePoint now) {
+  task.m_progress_percent = row.m_progress_percent;
+  if (!row.m_checkpoint.empty()) task.m_checkpoint = row.m_checkpoint;
+  if (step.m_latency_target <= Duration{}) return;
+  task.m_tail_ms = static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(row.m_load, 0, UINT32_MAX));
+  if (FromMilliseconds(row.m_load) <= step.m_latency_target) {
+    task.m_over_target_since = TimePoint();
+  } else if (task.m_over_target_since == TimePoint()) {
+    task.m_over_target_since = now;
+  }
+}
+
+void ApplyRunning(Fleet& fleet, Worker& worker, const RunningRow& row,
+                  TimePoint now) {
+  Job* job = nullptr;
+  Task* task = FindTask(fleet, row.m_task, job);
+  if (task == nullptr) return StopStray(fleet, worker, row);
+  if (!IsRunHere(*task, worker, row.m_run) &&
+      !Adopt(fleet, *job, *task, worker, row.m_task, row.m_run)) {
+    return StopStray(fleet, worker, row);
+  }
+  if (task->m_state == RunState::kStarting ||
+      task->m_state == RunState::kUnsettled) {
+    task->m_started_at = now;
+    StepTask(fleet, *job, row.m_task, RunEvent::kStarted);
+  }
+  NoteLoad(*task, job->m_plan.m_steps[row.m_task.m_step], row, now);
+  const bool is_unwanted = job->m_is_cancelled || job->m_has_failed;
+  if (is_unwanted && task->m_state == RunState::kRunning) {
+    SendStop(fleet, *job, row.m_task, now);
+  }
+}
+
+void JudgeWorker(Worker& worker, RunEnd end, TimePoint now) {
+  if (end == RunEnd::kDone) {
+    worker.m_failures_in_row = 0;
+    return;
+  }
+  if (end != RunEnd::kFailed) return;
+  if (++worker.m_failures_in_row < kFailuresBeforeAside) return;
+  worker.m_aside_until = now + kAside;
+}
+
+// A failure of a run that a later one has replaced still counts as an
+// attempt.
+void NoteOldEnd(Fleet& fleet, Job& job, Task& task, const EndedRow& row) {
+  if (row.m_end != RunEnd::kFailed || task.m_state == RunState::kDone) return;
+  if (job.m_plan.m_steps[row.m_task.m_step].m_kind == StepKind::kService) {
+    return;
+  }
+  if (row.m_run < task.m_run && NoteFailedRun(task, row.m_run)) {
+    NoteChange(fleet, job);
+  }
+}
+
+void ApplyEnd(Fleet& fleet, Worker& worker, const EndedRow& row,
+              TimePoint now) {
+  Job* job = nullptr;
+  Task* task = FindTask(fleet, row.m_task, job);
+  if (task == nullptr) return;
+  if (!IsRunHere(*task, worker, row.m_run) &&
+      !Adopt(fleet, *job, *task, worker, row.m_task, row.m_run)) {
+    return NoteOldEnd(fleet, *job, *task, row);
+  }
+  if (!row.m_checkpoint.empty()) task->m_checkpoint = row.m_checkpoint;
+  JudgeWorker(worker, row.m_end, now);
+  switch (row.m_end) {
+    case RunEnd::kDone:
+      StepTask(fleet, *job, row.m_task, RunEvent::kEndedDone);
+      break;
+    case RunEnd::kFailed:
+      StepTask(fleet, *job, row.m_task, RunEvent::kEndedFailed);
+      break;
+    default:
+      StepTask(fleet, *job, row.m_task, RunEvent::kInterrupted);
+      break;
+  }
+}
+
+// A run whose start was answered before the look was sent and that stands in
+// neither list is gone.
+void LoseMissing(Fleet& fleet, Worker& worker, const WorkerReport& report) {
+  std::set<TaskReference> listed;
+  for (const RunningRow& row : report.m_running) listed.insert(row.m_task);
+  const std::set<TaskReference> runs = worker.m_runs;
+  for (const TaskReference& reference : runs) {
+    if (listed.count(reference) > 0) continue;
+    Job* job = nullptr;
+    const Task* task = FindTask(fleet, reference, job);
+    if (task == nullptr || task->m_state == RunState::kStarting ||
+        task->m_state == RunState::kUnsettled) {
+      continue;
+    }
+    if (task->m_started_at >= worker.m_look_sent_at) continue;
+    StepTask(fleet, *job, reference, RunEvent::kInterrupted);
+  }
+}
+
+void NoteIncarnation(Fleet& fleet, Worker& worker, Incarnation incarnation) {
+  if (incarnation == Incarnation() ||
+      incarnation == worker.m_listing.m_incarnation) {
+    return;
+  }
+  const bool was_known = worker.m_listing.m_incarnation != Incarnation();
+  worker.m_listing.m_incarnation = incarnation;
+  if (!was_known) return;
+  worker.m_seen_end = worker.m_stored_end = worker.m_acknowledged_end =
+      EndNumber();
+  worker.m_has_clock = false;
+  worker.m_clock = worker.m_lease_until = WorkerMilliseconds();
+  worker.m_strays = 0;
+  worker.m_failures_in_row = 0;
+  StepWorker(fleet, worker, WorkerEvent::kReborn);
+}
+
+void SendLook(Fleet& fleet, Worker& worker, TimePoint now) {
+  LookOrder look;
+  look.m_worker = worker.m_listing.m_worker;
+  look.m_look = ++worker.m_look;
+  look.m_token = worker.m_token;
+  look.m_acknowledged = worker.m_stored_end;
+  worker.m_acknowledged_end = worker.m_stored_end;
+  look.m_has_lease = worker.m_has_clock;
+  if (worker.m_has_clock) {
+    look.m_lease_until =
+        WorkerClockAt(worker, now) +
+        WorkerMilliseconds(InMilliseconds(fleet.m_limits.m_lease));
+    worker.m_lease_until = std::max(worker.m_lease_until, look.m_lease_until);
+  }
+  if (worker.m_state == WorkerState::kReady && worker.m_has_clock) {
+    look.m_wait = fleet.m_limits.m_look_wait;
+    // Serving tasks beside fillers are watched more closely.
+    if (worker.m_serving > 0 && worker.m_fillers > 0) look.m_wait /= 2;
+  }
+  worker.m_is_looking = true;
+  worker.m_look_sent_at = now;
+  fleet.m_orders.push_back(look);
+}
+
+void RepeatStops(Fleet& fleet, Worker& worker, TimePoint now) {
+  const std::set<TaskReference> runs = worker.m_runs;
+  for (const TaskReference& reference : runs) {
+    Job* job = nullptr;
+    const Task* task = FindTask(fleet, reference, job);
+    if (task == nullptr || task->m_state != RunState::kStopping) continue;
+    if (now - task->m_stop_sent_at < kStopRepeat) continue;
+    SendStop(fleet, *job, reference, now);
+  }
+}
+
+void TickWorker(Fleet& fleet, Worker& worker, TimePoint now) {
+  if (worker.m_state != WorkerState::kLapsed && worker.m_has_clock &&
+      !worker.m_runs.empty() && worker.m_state != WorkerState::kReady &&
+      now >= LeaseEndOf(worker)) {
+    StepWorker(fleet, worker, WorkerEvent::kLeaseLapsed);
+  }
+  if (worker.m_state == WorkerState::kReady) RepeatStops(fleet, worker, now);
+  if (worker.m_is_looking || now < worker.m_next_look_at) return;
+  const bool has_ends = worker.m_acknowledged_end < worker.m_stored_end;
+  const bool is_idle = worker.m_state == WorkerState::kReady &&
+                       worker.m_runs.empty() && worker.m_strays == 0;
+  if (is_idle && !has_ends && now - worker.m_look_sent_at < kIdleLook) return;
+  SendLook(fleet, worker, now);
+}
+
+}  // namespace
+
+void ApplyListing(Fleet& fleet, const std::vector<ListedWorker>& listing,
+                  TimePoint now) {
+  std::set<WorkerId> listed;
+  for (const ListedWorker& entry : listing) {
+    listed.insert(entry.m_worker);
+    const bool is_new = fleet.m_workers.count(entry.m_worker) == 0;
+    Worker& worker = fleet.m_workers[entry.m_worker];
+    if (is_new) {
+      worker.m_listing = entry;
+      worker.m_token = FirstToken(fleet.m_term);
+      continue;
+    }
+    // The worker's own word on its incarnation may be newer than the list.
+    const bool is_older = entry.m_incarnation < worker.m_listing.m_incarnation;
+    if (is_older) continue;
+    if (!worker.m_is_listed || worker.m_listing.m_is_leaving) {
+      fleet.m_needs_placement = true;
+    }
+    NoteIncarnation(fleet, worker, entry.m_incarnation);
+    worker.m_listing = entry;
+    worker.m_is_listed = true;
+  }
+  for (auto place = fleet.m_workers.begin(); place != fleet.m_workers.end();) {
+    Worker& worker = place->second;
+    const bool is_listed = listed.count(place->first) > 0;
+    if (!is_listed) worker.m_is_listed = false;
+    const bool is_unused = worker.m_runs.empty();
+    const bool is_quiet = worker.m_state == WorkerState::kLapsed ||
+                          worker.m_state == WorkerState::kSilent ||
+                          worker.m_state == WorkerState::kUnverified;
+    // Until then a start of an earlier term may come into effect there.
+    const bool may_hold_inherited =
+        now - fleet.m_took_over_at < fleet.m_limits.m_inherited_lease;
+    if (!is_listed && is_unused && is_quiet && !may_hold_inherited) {
+      place = fleet.m_workers.erase(place);
+    } else {
+      ++place;
+    }
+  }
+}
+
+void ApplyReport(Fleet& fleet, const WorkerId& worker_id, std::uint64_t look,
+                 FencingToken token, const WorkerReport& report,
+                 TimePoint now) {
+  Worker* worker = FindWorker(fleet, worker_id);
+  if (worker == nullptr || look != worker->m_look) return;
+  worker->m_is_looking = false;
+  worker->m_next_look_at = now;
+  const Incarnation before = worker->m_listing.m_incarnation;
+  NoteIncarnation(fleet, *worker, report.m_incarnation);
+  // The lists of a new life are asked for under the new token.
+  if (before != Incarnation() && before != worker->m_listing.m_incarnation) {
+    return;
+  }
+  worker->m_clock = report.m_clock;
+  worker->m_clock_read_at = now;
+  worker->m_has_clock = true;
+  if (token != worker->m_token) return;
+  worker->m_strays = 0;
+  for (const EndedRow& row : report.m_ended) {
+    if (row.m_number <= worker->m_seen_end) continue;
+    ApplyEnd(fleet, *worker, row, now);
+    worker->m_seen_end = row.m_number;
+  }
+  for (const RunningRow& row : report.m_running) {
+    ApplyRunning(fleet, *worker, row, now);
+  }
+  LoseMissing(fleet, *worker, report);
+  if (worker->m_state != WorkerState::kReady) fleet.m_needs_placement = true;
+  StepWorker(fleet, *worker, WorkerEvent::kReported);
+  // With nothing to store, the ends can be acknowledged at once.
+  if (fleet.m_changed.empty() && !fleet.m_is_storing) {
+    worker->m_stored_end = worker->m_seen_end;
+  }
+  PaceFillers(fleet, *worker, now);
+}
+
+void ApplyLookFailure(Fleet& fleet, const WorkerId& worker_id,
+                      std::uint64_t look, TimePoint now) {
+  Worker* worker = FindWorker(fleet, worker_id);
+  if (worker == nullptr || look != worker->m_look) return;
+  worker->m_is_looking = false;
+  worker->m_next_look_at = now + kRetryLook;
+  StepWorker(fleet, *worker, WorkerEvent::kLookFailed);
+}
+
+void ApplyStartOutcome(Fleet& fleet, const StartOrder& order,
+                       StartOutcome outcome, TimePoint now) {
+  Job* job = nullptr;
+  Task* task = FindTask(fleet, order.m_task, job);
+  Worker* worker = FindWorker(fleet, order.m_worker);
+  const bool is_current = task != nullptr && worker != nullptr &&
+                          IsRunHere(*task, *worker, order.m_run);
+  if (!is_current) return;
+  switch (outcome) {
+    case StartOutcome::kStarted:
+      task->m_started_at = now;
+      StepTask(fleet, *job, order.m_task, RunEvent::kStarted);
+      break;
+    case StartOutcome::kRefused:
+      // What it knows differs from what is known here; a look will tell.
+      worker->m_aside_until =
+          std::max(worker->m_aside_until, now + kRefusalAside);
+      // A report may have shown it before; then an earlier try took effect.
+      if (task->m_state != RunState::kRunning) {
+        StepTask(fleet, *job, order.m_task, RunEvent::kInterrupted);
+      }
+      break;
+    case StartOutcome::kUnanswered:
+      if (task->m_state == RunState::kRunning) break;
+      StepTask(fleet, *job, order.m_task, RunEvent::kUnanswered);
+      StepWorker(fleet, *worker, WorkerEvent::kOrderUnanswered);
+      break;
+  }
+}
+
+void ApplyOrderFailure(Fleet& fleet, const WorkerId& worker_id) {
+  Worker* worker = FindWorker(fleet, worker_id);
+  if (worker == nullptr) return;
+  StepWorker(fleet, *worker, WorkerEvent::kOrderUnanswered);
+}
+
+void TickFleet(Fleet& fleet, TimePoint now, std::int64_t unix_ms) {
+  while (!fleet.m_timed.empty() &&
+         std::get<0>(*fleet.m_timed.begin()) <= unix_ms) {
+    const auto [due, key, turn] = *fleet.m_timed.begin();
+    fleet.m_timed.erase(fleet.m_timed.begin());
+    Job* job = FindJob(fleet, key);
+    if (job != nullptr && !HasSettled(*job)) ReleaseSteps(fleet, *job, turn);
+  }
+  for (auto& entry : fleet.m_workers) TickWorker(fleet, entry.second, now);
+}
+
+}  // namespace daisyarch::fleet
--- /dev/null
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -0,0 +1,151 @@
+#include "decisions/fleet/fleet.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+bool IsService(const RunContext& context) {
+  return context.m_step.m_kind == StepKind::kService &&
+         !context.m_job.m_is_cancelled;
+}
+
+bool HasEndedEarly(const RunContext& context) {
+  return context.m_job.m_is_cancelled || context.m_job.m_has_failed;
+}
+
+bool MayRunAgain(const RunContext& context) {
+  if (context.m_step.m_kind == StepKind::kService) return true;
+  return context.m_task.m_failed_runs.size() + 1 <
+         context.m_job.m_maximum_attempts;
+}
+
+void ReserveRoom(RunContext& context) {
+  --context.m_step_run.m_waiting;
+  ++context.m_step_run.m_placed;
+  ++context.m_job.m_placed;
+  Worker* worker = FindWorker(context.m_fleet, context.m_task.m_worker);
+  if (worker == nullptr) return;
+  worker->m_used = worker->m_used + context.m_step.m_demand;
+  if (context.m_step.m_processor_use == ProcessorUse::kLeftover) {
+    worker->m_used.m_processors -= context.m_step.m_demand.m_processors;
+    worker->m_filler_demand += context.m_step.m_demand.m_processors;
+    ++worker->m_fillers;
+  }
+  if (context.m_step.m_latency_target > Duration{}) ++worker->m_serving;
+  worker->m_runs.insert(context.m_reference);
+}
+
+void ReleaseRoom(RunContext& context) {
+  --context.m_step_run.m_placed;
+  --context.m_job.m_placed;
+  context.m_fleet.m_needs_placement = true;
+  Worker* worker = FindWorker(context.m_fleet, context.m_task.m_worker);
+  context.m_task.m_worker = WorkerId();
+  context.m_task.m_pace_percent = 100;
+  context.m_task.m_over_target_since = TimePoint();
+  context.m_task.m_tail_ms = 0;
+  context.m_task.m_progress_percent = 0;
+  if (worker == nullptr) return;
+  worker->m_used = worker->m_used - context.m_step.m_demand;
+  if (context.m_step.m_processor_use == ProcessorUse::kLeftover) {
+    worker->m_used.m_processors += context.m_step.m_demand.m_processors;
+    worker->m_filler_demand -= context.m_step.m_demand.m_processors;
+    --worker->m_fillers;
+  }
+  if (context.m_step.m_latency_target > Duration{}) --worker->m_serving;
+  worker->m_runs.erase(context.m_reference);
+}
+
+void Requeue(RunContext& context) { ++context.m_step_run.m_waiting; }
+
+void CountDone(RunContext& context) {
+  ++context.m_step_run.m_done;
+  --context.m_job.m_open;
+  context.m_task.m_checkpoint.clear();
+}
+
+// A gang fails as one, however many of its members say so.
+void CountFailure(RunContext& context) {
+  const RunNumber run = context.m_task.m_run;
+  // Tasks that last have no bound on attempts, so there is nothing to keep.
+  if (context.m_step.m_kind == StepKind::kService) return;
+  if (!context.m_step.m_is_gang) {
+    NoteFailedRun(context.m_task, run);
+    return;
+  }
+  for (Task& member : context.m_step_run.m_tasks) NoteFailedRun(member, run);
+}
+
+void FailJob(RunContext& context) { context.m_job.m_has_failed = true; }
+
+// Orders sent so far carry a lower token; whichever arrives after a report
+// under the new one has no effect.
+void RaiseToken(WorkerContext& context) {
+  Worker& worker = context.m_worker;
+  worker.m_token = Next(worker.m_token);
+  worker.m_is_looking = false;
+  worker.m_next_look_at = TimePoint();
+}
+
+void LoseRuns(WorkerContext& context) {
+  const std::set<TaskReference> runs = context.m_worker.m_runs;
+  for (const TaskReference& reference : runs) {
+    Job* job = FindJob(context.m_fleet, reference.m_job);
+    if (job == nullptr) continue;
+    StepTask(context.m_fleet, *job, reference, RunEvent::kInterrupted);
+  }
+}
+
+void SettleRuns(WorkerContext& context) {
+  const std::set<TaskReference> runs = context.m_worker.m_runs;
+  for (const TaskReference& reference : runs) {
+    Job* job = FindJob(context.m_fleet, reference.m_job);
+    if (job == nullptr) continue;
+    const Task& task = job->m_steps[StepRunIndex(*job, reference.m_occurrence,
+                                                 reference.m_step)]
+                           .m_tasks[reference.m_index];
+    if (task.m_state != RunState::kUnsettled) continue;
+    StepTask(context.m_fleet, *job, reference, RunEvent::kInterrupted);
+  }
+}
+
+}  // namespace
+
+ChartBinding<RunContext> RunBinding() {
+  return {
+      {"waiting", "starting", "running", "unsettled", "stopping", "done",
+       "failed", "cancelled"},
+      {"placed", "started", "unanswered", "stop_requested", "ended_done",
+       "ended_failed", "interrupted", "cancelled"},
+      {{"is_service", IsService},
+       {"has_ended_early", HasEndedEarly},
+       {"may_run_again", MayRunAgain}},
+      {{"reserve_room", ReserveRoom},
+       {"release_room", ReleaseRoom},
+       {"requeue", Requeue},
+       {"count_done", CountDone},
+       {"count_failure", CountFailure},
+       {"fail_job", FailJob}},
+  };
+}
+
+ChartBinding<WorkerContext> WorkerBinding() {
+  return {
+      {"unverified", "ready", "silent", "lapsed", "gone"},
+      {"reported", "order_unanswered", "look_failed", "reborn", "lease_lapsed",
+       "delisted"},
+      {},
+      {{"raise_token", RaiseToken},
+       {"lose_runs", LoseRuns},
+       {"settle_runs", SettleRuns}},
+  };
+}
+
+Result<FleetMachines> LoadFleetMachines(const std::string& directory) {
+  TRY_ASSIGN(RunMachine run, RunMachine::Load(directory, "run", RunBinding()));
+  TRY_ASSIGN(WorkerMachine worker,
+             WorkerMachine::Load(directory, "fleet_worker", WorkerBinding()));
+  return FleetMachines{std::move(run), std::move(worker)};
+}
+
+}  // namespace daisyarch::fleet
--- a/libraries/http/http_client.cc
+++ b/libraries/http/http_client.cc
@@ -192,9 +192,7 @@
 
 HttpClient::~HttpClient() {
   m_state->m_is_closed = true;
-  const auto idle = std::move(m_state->m_idle);
-  m_state->m_idle.clear();
-  for (const auto& connection : idle) connection->Close();
+  DropIdle();
 }
 
 void HttpClient::Send(HttpRequest request, Duration timeout,
@@ -210,10 +208,14 @@
   connection->Run(std::move(request), timeout, std::move(on_answer));
 }
 
-void HttpClient::DropAll() {
+void HttpClient::DropIdle() {
   const auto idle = std::move(m_state->m_idle);
   m_state->m_idle.clear();
   for (const auto& connection : idle) connection->Close();
+}
+
+void HttpClient::DropAll() {
+  DropIdle();
   // A copy: a connection that ends takes itself out of the set.
   const auto busy = m_state->m_busy;
   for (const auto& connection : busy) connection->Close();
--- a/libraries/http/http_client.h
+++ b/libraries/http/http_client.h
@@ -42,6 +42,9 @@
   /// or kUnavailable where no byte was sent.
   void DropAll();
 
+  /// Closes the connections that carry no request.
+  void DropIdle();
+
   const Address& address() const;
 
   struct State;
--- /dev/null
+++ b/libraries/settings/site_settings.cc
@@ -0,0 +1,167 @@
+#include "settings/site_settings.h"
+
+#include <yaml-cpp/yaml.h>
+
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace daisyarch {
+
+namespace {
+
+class SiteReader {
+ public:
+  explicit SiteReader(std::string file) : m_file(std::move(file)) {}
+
+  Result<SiteSettings> Run(const YAML::Node& root) {
+    TRY(CheckKeys(root, {"node", "failure_domain", "listen", "store", "charts",
+                         "processor_share", "timing", "far_factor"}));
+    SiteSettings settings;
+    TRY_ASSIGN(const std::string node, Text(root, "node"));
+    settings.m_node = NodeId(node);
+    TRY_ASSIGN(const std::string domain, Text(root, "failure_domain"));
+    settings.m_failure_domain = FailureDomainId(domain);
+    TRY_ASSIGN(settings.m_charts_directory, Text(root, "charts"));
+    TRY_ASSIGN(settings.m_processor_share, Number(root, "processor_share"));
+    TRY_ASSIGN(settings.m_far_factor, Number(root, "far_factor"));
+    TRY(ReadListen(root, settings));
+    TRY(ReadStore(root, settings));
+    TRY(ReadTiming(root, settings));
+    return settings;
+  }
+
+ private:
+  Error Fail(const YAML::Node& node, const std::string& key,
+             const std::string& expected) const {
+    return Error{ErrorCode::kInvalidArgument, "check settings",
+                 m_file + ":" + std::to_string(node.Mark().line + 1),
+                 key + ": " + expected};
+  }
+
+  Result<void> CheckKeys(const YAML::Node& node,
+                         const std::set<std::string>& known) const {
+    if (!node.IsMap()) return Fail(node, "file", "expected a map");
+    std::set<std::string> seen;
+    for (const auto& entry : node) {
+      const std::string name = entry.first.Scalar();
+      if (known.count(name) == 0) {
+        return Fail(entry.first, name, "unknown key");
+      }
+      if (!seen.insert(name).second) {
+        return Fail(entry.first, name, "stands twice");
+      }
+    }
+    return Success();
+  }
+
+  Result<YAML::Node> Section(const YAML::Node& root, const std::string& name,
+                             const std::set<std::string>& known) const {
+    const YAML::Node section = root[name];
+    if (!section) return Fail(root, name, "is missing");
+    TRY(CheckKeys(section, known));
+    return section;
+  }
+
+  Result<std::string> Text(const YAML::Node& node,
+                           const std::string& key) const {
+    const YAML::Node value = node[key];
+    if (!value || !value.IsScalar() || value.Scalar().empty()) {
+      return Fail(node, key, "expected text");
+    }
+    return value.Scalar();
+  }
+
+  Result<double> Number(const YAML::Node& node, const std::string& key) const {
+    TRY_ASSIGN(const std::string text, Text(node, key));
+    char* end = nullptr;
+    const double number = std::strtod(text.c_str(), &end);
+    if (end == text.c_str() || *end != '\0' || !(number > 0)) {
+      return Fail(node, key, "expected a number above 0");
+    }
+    return number;
+  }
+
+  Result<Address> ReadAddress(const YAML::Node& node,
+                              const std::string& key) const {
+    TRY_ASSIGN(const std::string text, Text(node, key));
+    auto address = ParseAddress(text);
+    if (!address) return Fail(node, key, "expected IP:port");
+    return std::move(address).assume_value();
+  }
+
+  Result<void> ReadListen(const YAML::Node& root,
+                          SiteSettings& settings) const {
+    TRY_ASSIGN(const YAML::Node listen,
+               Section(root, "listen", {"callers", "ready", "metrics"}));
+    TRY_ASSIGN(settings.m_callers_address, ReadAddress(listen, "callers"));
+    TRY_ASSIGN(settings.m_ready_address, ReadAddress(listen, "ready"));
+    TRY_ASSIGN(settings.m_metrics_address, ReadAddress(listen, "metrics"));
+    return Success();
+  }
+
+  Result<void> ReadStore(const YAML::Node& root, SiteSettings& settings) const {
+    TRY_ASSIGN(const YAML::Node store,
+               Section(root, "store", {"address", "lease_minimum_ms"}));
+    TRY_ASSIGN(settings.m_store_address, ReadAddress(store, "address"));
+    TRY_ASSIGN(settings.m_store_lease_minimum,
+               Milliseconds(store, "lease_minimum_ms"));
+    return Success();
+  }
+
+  Result<void> ReadTiming(const YAML::Node& root,
+                          SiteSettings& settings) const {
+    TRY_ASSIGN(const YAML::Node timing,
+               Section(root, "timing",
+                       {"worker_lease_maximum_ms", "stop_grace_s",
+                        "state_retention_s", "harm_ms"}));
+    TRY_ASSIGN(settings.m_worker_lease_maximum,
+               Milliseconds(timing, "worker_lease_maximum_ms"));
+    TRY_ASSIGN(settings.m_harm, Milliseconds(timing, "harm_ms"));
+    TRY_ASSIGN(settings.m_stop_grace, Seconds(timing, "stop_grace_s"));
+    TRY_ASSIGN(settings.m_state_retention,
+               Seconds(timing, "state_retention_s"));
+    return Success();
+  }
+
+  Result<Duration> Milliseconds(const YAML::Node& node,
+                                const std::string& key) const {
+    TRY_ASSIGN(const double number, Number(node, key));
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double, std::milli>(number));
+  }
+
+  Result<Duration> Seconds(const YAML::Node& node,
+                           const std::string& key) const {
+    TRY_ASSIGN(const double number, Number(node, key));
+    return std::chrono::duration_cast<Duration>(
+        std::chrono::duration<double>(number));
+  }
+
+  std::string m_file;
+};
+
+}  // namespace
+
+Result<SiteSettings> ParseSiteSettings(const std::string& text,
+                                       const std::string& file) {
+  try {
+    return SiteReader(file).Run(YAML::Load(text));
+  } catch (const YAML::Exception& exception) {
+    return Error{ErrorCode::kInvalidArgument, "read settings", file,
+                 exception.what()};
+  }
+}
+
+Result<SiteSettings> LoadSiteSettings(const std::string& path) {
+  std::ifstream stream(path);
+  if (!stream) {
+    return Error{ErrorCode::kNotFound, "read settings", path,
+                 "cannot be opened"};
+  }
+  std::stringstream text;
+  text << stream.rdbuf();
+  return ParseSiteSettings(text.str(), path);
+}
+
+}  // namespace daisyarch
--- /dev/null
+++ b/libraries/wire/fleet_fields.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "decisions/fleet/fleet_job.h"
+#include "wire/placement_fields.h"
+
+namespace daisyarch {
+
+template <>
+struct EnumNames<fleet::StepKind> {
+  static constexpr const char* kNames[] = {"finite", "service"};
+};
+template <>
+struct EnumNames<fleet::ProcessorUse> {
+  static constexpr const char* kNames[] = {"reserved", "leftover"};
+};
+template <>
+struct EnumNames<fleet::JobState> {
+  static constexpr const char* kNames[] = {"queued", "running", "completed",
+                                           "failed", "canceled"};
+};
+
+}  // namespace daisyarch
+
+namespace daisyarch::fleet {
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, StepPlan& step) {
+  visit("tasks", step.m_task_count);
+  visit("demand", step.m_demand);
+  visit("estimate_us", step.m_estimate);
+  visit("after", step.m_after);
+  visit("kind", step.m_kind);
+  visit("processors", step.m_processor_use);
+  visit("saves_progress", step.m_saves_progress);
+  visit("gang", step.m_is_gang);
+  visit("colocated", step.m_is_colocated);
+  visit("copies", step.m_allows_copies);
+  visit("required_label", step.m_required_label);
+  visit("data_rack", step.m_data_rack);
+  visit("maximum_per_worker", step.m_maximum_per_worker);
+  visit("image", step.m_image);
+  visit("latency_target_us", step.m_latency_target);
+  visit("missable", step.m_may_miss);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, JobPlan& plan) {
+  visit("key", plan.m_key);
+  visit("queue", plan.m_queue);
+  visit("payload", plan.m_payload);
+  visit("steps", plan.m_steps);
+  visit("occurrences", plan.m_occurrences);
+  visit("timed", plan.m_is_timed);
+  visit("first_due_unix_ms", plan.m_first_due_unix_ms);
+  visit("interval_ms", plan.m_interval_ms);
+  visit("accepted_unix_ms", plan.m_accepted_unix_ms);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, TaskProgress& task) {
+  visit("step", task.m_step_run);
+  visit("index", task.m_index);
+  visit("done", task.m_is_done);
+  visit("failed_runs", task.m_failed_runs);
+  visit("run", task.m_run);
+  visit("checkpoint", task.m_checkpoint);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, JobProgress& progress) {
+  visit("state", progress.m_state);
+  visit("ended_unix_ms", progress.m_ended_unix_ms);
+  visit("tasks", progress.m_tasks);
+}
+
+}  // namespace daisyarch::fleet
--- /dev/null
+++ b/services/daisyarchd/fleet/fleet_node.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "decisions/fleet/job_routes.h"
+#include "fleet/fleet_runtime.h"
+#include "fleet/leader.h"
+#include "fleet/prefix_watch.h"
+
+namespace daisyarch::fleet {
+
+/// One node: what it knows of the configuration, its part in leading, and
+/// whether it takes callers.
+struct FleetNode {
+  FleetRuntime m_runtime;
+
+  JobRoutes m_routes;
+  bool m_has_routes = false;
+  PrefixWatchPointer m_configuration_watch;
+
+  LeadershipState m_leadership = LeadershipState::kFollowing;
+  PrefixWatchPointer m_lead_watch;
+  bool m_is_held = true;  ///< Someone holds the claim; true until seen.
+  Term m_last_term;
+  StoreRevision m_term_revision;
+  TimePoint m_vacant_since{};
+  TimePoint m_may_claim_at{};
+  Claim m_claim;
+  LeaderPointer m_leader;
+  TimePoint m_claim_valid_until{};
+  TimePoint m_next_renewal_at{};
+  bool m_is_renewing = false;
+
+  bool m_is_stopping = false;
+  TimePoint m_stop_requested_at{};
+};
+
+/// Begins to follow the store.
+void StartFleetNode(FleetNode& node);
+
+/// Everything that depends on time; every few milliseconds.
+void TickFleetNode(FleetNode& node);
+
+/// Hands the lead over and is ready no more.
+void StopFleetNode(FleetNode& node);
+
+/// True while the balancer should send callers here.
+bool IsReady(const FleetNode& node);
+
+/// True when nothing is left to hand over.
+bool HasHandedOver(const FleetNode& node);
+
+}  // namespace daisyarch::fleet
--- /dev/null
+++ b/services/daisyarchd/fleet/job_service.cc
@@ -0,0 +1,229 @@
+#include "fleet/job_service.h"
+
+#include <memory>
+#include <utility>
+
+#include "fleet/store_keys.h"
+#include "log/log.h"
+#include "wire/fleet_fields.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+constexpr Duration kRepeatWrite = std::chrono::milliseconds(100);
+constexpr int kCancelTries = 4;
+
+/// A conditional write that is repeated until its outcome is known.
+struct PendingWrite {
+  FleetRuntime& m_runtime;
+  StoreTransaction m_transaction;
+  JobKey m_key;
+  TimePoint m_deadline{};
+  bool m_may_have_landed = false;
+  /// Takes what the store said last; kOutcomeUnknown at the deadline.
+  StoreAnswer<TransactionResult> m_on_answer;
+};
+
+void Write(const std::shared_ptr<PendingWrite>& write);
+
+// An earlier try may still land, so only the store's word on the condition
+// ends the matter.
+void AfterWrite(const std::shared_ptr<PendingWrite>& write,
+                Result<TransactionResult> result) {
+  if (result) return write->m_on_answer(std::move(result));
+  const Error& error = result.assume_error();
+  if (error.m_code == ErrorCode::kOutcomeUnknown) {
+    write->m_may_have_landed = true;
+  }
+  if (!write->m_may_have_landed) return write->m_on_answer(std::move(result));
+  const TimePoint next = write->m_runtime.m_clock.m_now() + kRepeatWrite;
+  if (next >= write->m_deadline) {
+    return write->m_on_answer(Error{ErrorCode::kOutcomeUnknown, "store job",
+                                    error.m_peer, error.m_detail});
+  }
+  write->m_runtime.m_clock.m_run_after(kRepeatWrite, [write] { Write(write); });
+}
+
+void Write(const std::shared_ptr<PendingWrite>& write) {
+  write->m_runtime.m_store.m_commit(write->m_transaction,
+                                    [write](Result<TransactionResult> result) {
+                                      AfterWrite(write, std::move(result));
+                                    });
+}
+
+Acceptance AcceptanceOf(const Error& error) {
+  return error.m_code == ErrorCode::kOutcomeUnknown ? Acceptance::kUnknown
+                                                    : Acceptance::kNotRun;
+}
+
+using ItemAnswer = StoreAnswer<std::optional<StoredItem>>;
+
+// Progress outlives the job's own item, and both change at once: a job that
+// ended between two reads is found by the third.
+void ReadProgress(FleetRuntime& runtime, const JobKey& key,
+                  ItemAnswer on_answer) {
+  runtime.m_store.m_read(ProgressItemKey(key), ReadFreshness::kCurrent,
+                         std::move(on_answer));
+}
+
+Result<std::optional<JobState>> StateOf(const StoredItem& item) {
+  TRY_ASSIGN(const JobProgress progress,
+             DecodeCbor<JobProgress>(item.m_value, "read state", item.m_key));
+  return std::optional<JobState>(progress.m_state);
+}
+
+void ReadStateAgain(FleetRuntime& runtime, const JobKey& key,
+                    StateAnswer on_answer) {
+  ReadProgress(runtime, key,
+               [on_answer = std::move(on_answer)](
+                   Result<std::optional<StoredItem>> result) {
+                 if (!result)
+                   return on_answer(std::move(result).assume_error());
+                 const auto& item = result.assume_value();
+                 if (!item) return on_answer(std::optional<JobState>());
+                 on_answer(StateOf(*item));
+               });
+}
+
+void ReadAccepted(FleetRuntime& runtime, const JobKey& key,
+                  StateAnswer on_answer) {
+  runtime.m_store.m_read(
+      JobItemKey(key), ReadFreshness::kCurrent,
+      [&runtime, key, on_answer = std::move(on_answer)](
+          Result<std::optional<StoredItem>> result) mutable {
+        if (!result) return on_answer(std::move(result).assume_error());
+        if (result.assume_value()) {
+          return on_answer(std::optional<JobState>(JobState::kQueued));
+        }
+        ReadStateAgain(runtime, key, std::move(on_answer));
+      });
+}
+
+struct Cancellation {
+  FleetRuntime& m_runtime;
+  JobKey m_key;
+  TimePoint m_deadline{};
+  AcceptanceAnswer m_on_answer;
+  int m_tries = 0;
+};
+
+void TryCancel(const std::shared_ptr<Cancellation>& cancellation);
+
+void WriteCancel(const std::shared_ptr<Cancellation>& cancellation,
+                 StoreRevision job_revision) {
+  const JobKey& key = cancellation->m_key;
+  StoreTransaction transaction;
+  transaction.m_expectations = {{JobItemKey(key), job_revision},
+                                {CancelItemKey(key), StoreRevision()}};
+  transaction.m_puts = {{CancelItemKey(key), "1", StoreLeaseId()}};
+  auto write = std::make_shared<PendingWrite>(PendingWrite{
+      cancellation->m_runtime, std::move(transaction), key,
+      cancellation->m_deadline, false,
+      [cancellation](Result<TransactionResult> result) {
+        if (!result) {
+          return cancellation->m_on_answer(AcceptanceOf(result.assume_error()));
+        }
+        if (result.assume_value().m_is_applied) {
+          return cancellation->m_on_answer(Acceptance::kStored);
+        }
+        TryCancel(cancellation);
+      }});
+  Write(write);
+}
+
+void CancelEnded(const std::shared_ptr<Cancellation>& cancellation) {
+  ReadStateAgain(
+      cancellation->m_runtime, cancellation->m_key,
+      [cancellation](Result<std::optional<JobState>> state) {
+        if (!state) {
+          return cancellation->m_on_answer(AcceptanceOf(state.assume_error()));
+        }
+        cancellation->m_on_answer(state.assume_value()
+                                      ? Acceptance::kStored
+                                      : Acceptance::kNoSuchJob);
+      });
+}
+
+void TryCancel(const std::shared_ptr<Cancellation>& cancellation) {
+  if (++cancellation->m_tries > kCancelTries) {
+    return cancellation->m_on_answer(Acceptance::kUnknown);
+  }
+  cancellation->m_runtime.m_store.m_list(
+      JobItemKey(cancellation->m_key),
+      [cancellation](Result<StoreListing> result) {
+        if (!result) {
+          return cancellation->m_on_answer(AcceptanceOf(result.assume_error()));
+        }
+        std::optional<StoreRevision> job;
+        for (const StoredItem& item : result.assume_value().m_items) {
+          if (item.m_key == CancelItemKey(cancellation->m_key)) {
+            return cancellation->m_on_answer(Acceptance::kStored);
+          }
+          if (item.m_key == JobItemKey(cancellation->m_key)) {
+            job = item.m_revision;
+          }
+        }
+        if (!job) return CancelEnded(cancellation);
+        WriteCancel(cancellation, *job);
+      });
+}
+
+}  // namespace
+
+void AcceptJob(FleetRuntime& runtime, const JobPlan& plan, TimePoint deadline,
+               AcceptanceAnswer on_answer) {
+  StoreTransaction transaction;
+  transaction.m_expectations = {{JobItemKey(plan.m_key), StoreRevision()},
+                                {ProgressItemKey(plan.m_key), StoreRevision()}};
+  transaction.m_puts = {
+      {JobItemKey(plan.m_key), WriteCbor(Encode(plan)), StoreLeaseId()}};
+  auto write = std::make_shared<PendingWrite>(PendingWrite{
+      runtime, std::move(transaction), plan.m_key, deadline, false,
+      [on_answer = std::move(on_answer)](Result<TransactionResult> result) {
+        if (!result) return on_answer(AcceptanceOf(result.assume_error()));
+        // A condition that failed says that the job is stored already.
+        on_answer(Acceptance::kStored);
+      }});
+  Write(write);
+}
+
+void CancelStoredJob(FleetRuntime& runtime, const JobKey& key,
+                     TimePoint deadline, AcceptanceAnswer on_answer) {
+  auto cancellation = std::make_shared<Cancellation>(
+      Cancellation{runtime, key, deadline, std::move(on_answer), 0});
+  TryCancel(cancellation);
+}
+
+void ReadJobState(FleetRuntime& runtime, const JobKey& key,
+                  StateAnswer on_answer) {
+  ReadProgress(runtime, key,
+               [&runtime, key, on_answer = std::move(on_answer)](
+                   Result<std::optional<StoredItem>> result) mutable {
+                 if (!result)
+                   return on_answer(std::move(result).assume_error());
+                 const auto& item = result.assume_value();
+                 if (item) return on_answer(StateOf(*item));
+                 ReadAccepted(runtime, key, std::move(on_answer));
+               });
+}
+
+void ReadPending(FleetRuntime& runtime, const QueueId& queue,
+                 PendingAnswer on_answer) {
+  runtime.m_store.m_read(
+      kPendingKey, ReadFreshness::kCurrent,
+      [queue, on_answer = std::move(on_answer)](
+          Result<std::optional<StoredItem>> result) {
+        if (!result) return on_answer(std::move(result).assume_error());
+        const auto& item = result.assume_value();
+        if (!item) return on_answer(std::uint64_t{0});
+        using Counts = std::map<QueueId, std::uint64_t>;
+        const auto counts =
+            DecodeCbor<Counts>(item->m_value, "read pending", item->m_key);
+        if (!counts) return on_answer(counts.assume_error());
+        const auto found = counts.assume_value().find(queue);
+        on_answer(found == counts.assume_value().end() ? 0 : found->second);
+      });
+}
+
+}  // namespace daisyarch::fleet
--- /dev/null
+++ b/services/daisyarchd/fleet/leader_writes.cc
@@ -0,0 +1,251 @@
+#include <utility>
+
+#include "fleet/leader.h"
+#include "fleet/store_keys.h"
+#include "log/log.h"
+#include "wire/fleet_fields.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+// Ends that nobody waits for share a write for this long.
+constexpr Duration kWriteInterval = std::chrono::milliseconds(150);
+constexpr Duration kWriteRetry = std::chrono::milliseconds(100);
+constexpr Duration kPendingInterval = std::chrono::milliseconds(1000);
+constexpr Duration kRemovalInterval = std::chrono::seconds(5);
+// A repeat may still come after the time that the platform promises.
+constexpr std::int64_t kRetentionSlackMs = 30000;
+constexpr std::size_t kRemovalsAtOnce = 30;
+
+TimePoint Now(const Leader& leader) { return leader.m_runtime.m_clock.m_now(); }
+
+StoreExpectation HolderExpectation(const Leader& leader) {
+  return {kHolderKey, leader.m_claim.m_revision};
+}
+
+StoreRevision ProgressRevision(const Leader& leader, const JobKey& key) {
+  const auto found = leader.m_progress_revisions.find(key);
+  return found == leader.m_progress_revisions.end() ? StoreRevision()
+                                                    : found->second;
+}
+
+std::size_t EntriesOf(const Leader& leader, const JobChange& change) {
+  constexpr std::size_t kExpectAndPut = 2;
+  if (!change.m_has_settled) return kExpectAndPut;
+  return kExpectAndPut + 1 + leader.m_cancelled.count(change.m_key);
+}
+
+// Each write expects the progress that it replaces, so that one which the
+// store carries out late cannot take a later one back.
+void AddChange(Leader& leader, JobChange& change, StoreTransaction& into) {
+  const std::string key = ProgressItemKey(change.m_key);
+  if (change.m_has_settled && change.m_progress.m_ended_unix_ms == 0) {
+    change.m_progress.m_ended_unix_ms = leader.m_runtime.m_clock.m_unix_ms();
+  }
+  into.m_expectations.push_back({key, ProgressRevision(leader, change.m_key)});
+  into.m_puts.push_back(
+      {key, WriteCbor(Encode(change.m_progress)), StoreLeaseId()});
+  if (!change.m_has_settled) return;
+  into.m_removals.push_back(JobItemKey(change.m_key));
+  if (leader.m_cancelled.count(change.m_key) > 0) {
+    into.m_removals.push_back(CancelItemKey(change.m_key));
+  }
+}
+
+void BuildTransaction(Leader& leader) {
+  BatchWriter& writer = leader.m_writer;
+  writer.m_transaction = {};
+  writer.m_transaction.m_expectations.push_back(HolderExpectation(leader));
+  std::size_t entries = 1;
+  writer.m_transaction_end = writer.m_next;
+  while (writer.m_transaction_end < writer.m_batch.m_jobs.size()) {
+    JobChange& change = writer.m_batch.m_jobs[writer.m_transaction_end];
+    entries += EntriesOf(leader, change);
+    if (entries > kMaximumTransactionEntries) break;
+    AddChange(leader, change, writer.m_transaction);
+    ++writer.m_transaction_end;
+  }
+}
+
+void NoteEnd(Leader& leader, const JobChange& change) {
+  if (!change.m_has_settled) return;
+  leader.m_ended[change.m_key] = change.m_progress.m_ended_unix_ms;
+  leader.m_cancelled.erase(change.m_key);
+  LogEvent(LogLevel::kInfo, "job_ended",
+           {{"job", change.m_key.value()},
+            {"state", EnumNames<JobState>::kNames[static_cast<std::size_t>(
+                          change.m_progress.m_state)]},
+            {"term", leader.m_claim.m_term.value()}});
+}
+
+void FinishTransaction(Leader& leader, StoreRevision revision) {
+  BatchWriter& writer = leader.m_writer;
+  for (; writer.m_next < writer.m_transaction_end; ++writer.m_next) {
+    const JobChange& change = writer.m_batch.m_jobs[writer.m_next];
+    leader.m_progress_revisions[change.m_key] = revision;
+    NoteEnd(leader, change);
+  }
+}
+
+// An earlier try without an answer may have been the one that took effect.
+bool FindLanded(const Leader& leader, const TransactionResult& result,
+                StoreRevision& revision) {
+  for (const StoredItem& item : result.m_found) {
+    for (const StorePut& put : leader.m_writer.m_transaction.m_puts) {
+      if (put.m_key != item.m_key || put.m_value != item.m_value) continue;
+      revision = item.m_revision;
+      return true;
+    }
+  }
+  return false;
+}
+
+bool IsClaimHeld(const Leader& leader, const TransactionResult& result) {
+  for (const StoredItem& item : result.m_found) {
+    if (item.m_key != kHolderKey) continue;
+    return item.m_revision == leader.m_claim.m_revision;
+  }
+  return false;
+}
+
+void AdoptRevisions(Leader& leader, const TransactionResult& result) {
+  for (const StoredItem& item : result.m_found) {
+    if (item.m_key.compare(0, kProgressPrefix.size(), kProgressPrefix) != 0) {
+      continue;
+    }
+    leader.m_progress_revisions[JobKey(
+        item.m_key.substr(kProgressPrefix.size()))] = item.m_revision;
+  }
+}
+
+void SendTransaction(const LeaderPointer& leader);
+
+void AfterTransaction(const LeaderPointer& leader,
+                      const Result<TransactionResult>& result) {
+  BatchWriter& writer = leader->m_writer;
+  writer.m_is_busy = false;
+  if (!result) {
+    writer.m_retry_at = Now(*leader) + kWriteRetry;
+    return;
+  }
+  const TransactionResult& outcome = result.assume_value();
+  StoreRevision revision = outcome.m_revision;
+  if (!outcome.m_is_applied) {
+    if (!IsClaimHeld(*leader, outcome)) {
+      return leader->m_on_claim_lost("a write found the claim gone");
+    }
+    if (!FindLanded(*leader, outcome, revision)) {
+      AdoptRevisions(*leader, outcome);
+      BuildTransaction(*leader);
+      writer.m_retry_at = Now(*leader) + kWriteRetry;
+      return;
+    }
+  }
+  FinishTransaction(*leader, revision);
+  if (writer.m_next < writer.m_batch.m_jobs.size()) {
+    BuildTransaction(*leader);
+    return SendTransaction(leader);
+  }
+  ApplyStored(leader->m_fleet, writer.m_batch);
+  writer.m_batch = {};
+  SettleSoon(leader);
+}
+
+void SendTransaction(const LeaderPointer& leader) {
+  leader->m_writer.m_is_busy = true;
+  const std::weak_ptr<Leader> weak = leader;
+  leader->m_runtime.m_store.m_commit(
+      leader->m_writer.m_transaction,
+      [weak](const Result<TransactionResult>& result) {
+        const LeaderPointer self = weak.lock();
+        if (self) AfterTransaction(self, result);
+      });
+}
+
+bool HasUnstoredEnds(const Fleet& fleet) {
+  for (const auto& entry : fleet.m_workers) {
+    if (entry.second.m_seen_end != entry.second.m_stored_end) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+void WriteChanges(const LeaderPointer& leader) {
+  Fleet& fleet = leader->m_fleet;
+  BatchWriter& writer = leader->m_writer;
+  if (writer.m_is_busy) return;
+  if (fleet.m_is_storing) {
+    if (Now(*leader) >= writer.m_retry_at) SendTransaction(leader);
+    return;
+  }
+  if (fleet.m_changed.empty() && !HasUnstoredEnds(fleet)) return;
+  if (!fleet.m_has_urgent_change && Now(*leader) < leader->m_next_write_at) {
+    return;
+  }
+  leader->m_next_write_at = Now(*leader) + kWriteInterval;
+  writer.m_batch = TakeChanges(fleet);
+  writer.m_next = 0;
+  if (writer.m_batch.m_jobs.empty()) {
+    return ApplyStored(fleet, writer.m_batch);
+  }
+  BuildTransaction(*leader);
+  SendTransaction(leader);
+}
+
+void WritePending(const LeaderPointer& leader) {
+  const TimePoint now = Now(*leader);
+  if (leader->m_is_writing_pending || now < leader->m_next_pending_at) return;
+  leader->m_next_pending_at = now + kPendingInterval;
+  const auto pending = CountPending(leader->m_fleet);
+  if (pending == leader->m_stored_pending) return;
+  leader->m_is_writing_pending = true;
+  StoreTransaction transaction;
+  transaction.m_expectations.push_back(HolderExpectation(*leader));
+  transaction.m_puts.push_back(
+      {kPendingKey, WriteCbor(FieldWriter::Write(pending)), StoreLeaseId()});
+  const std::weak_ptr<Leader> weak = leader;
+  leader->m_runtime.m_store.m_commit(
+      transaction, [weak, pending](const Result<TransactionResult>& result) {
+        const LeaderPointer self = weak.lock();
+        if (!self) return;
+        self->m_is_writing_pending = false;
+        if (result && result.assume_value().m_is_applied) {
+          self->m_stored_pending = pending;
+        }
+      });
+}
+
+void RemoveOldProgress(const LeaderPointer& leader) {
+  const TimePoint now = Now(*leader);
+  if (leader->m_is_removing || now < leader->m_next_removal_at) return;
+  leader->m_next_removal_at = now + kRemovalInterval;
+  const std::int64_t oldest =
+      leader->m_runtime.m_clock.m_unix_ms() - kRetentionSlackMs -
+      InMilliseconds(leader->m_runtime.m_settings.m_state_retention);
+  StoreTransaction transaction;
+  std::vector<JobKey> removed;
+  for (const auto& [key, ended] : leader->m_ended) {
+    if (ended > oldest || removed.size() == kRemovalsAtOnce) continue;
+    removed.push_back(key);
+    transaction.m_removals.push_back(ProgressItemKey(key));
+  }
+  if (removed.empty()) return;
+  transaction.m_expectations.push_back(HolderExpectation(*leader));
+  leader->m_is_removing = true;
+  const std::weak_ptr<Leader> weak = leader;
+  leader->m_runtime.m_store.m_commit(
+      transaction, [weak, removed](const Result<TransactionResult>& result) {
+        const LeaderPointer self = weak.lock();
+        if (!self) return;
+        self->m_is_removing = false;
+        if (!result || !result.assume_value().m_is_applied) return;
+        for (const JobKey& key : removed) {
+          self->m_ended.erase(key);
+          self->m_progress_revisions.erase(key);
+        }
+      });
+}
+
+}  // namespace daisyarch::fleet
--- /dev/null
+++ b/services/daisyarchd/fleet/node_lead.cc
@@ -0,0 +1,268 @@
+#include "fleet/node_lead.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/stable_hash.h"
+#include "fleet/store_keys.h"
+#include "log/log.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+// Long enough to bear a slow answer, short enough that work starts again
+// soon after a leader died.
+constexpr Duration kClaimTerm = std::chrono::milliseconds(2000);
+constexpr Duration kRenewalInterval = std::chrono::milliseconds(500);
+constexpr Duration kClaimRetry = std::chrono::milliseconds(300);
+// A leader without the store keeps what runs alive for so long.
+constexpr Duration kIsolationLimit = std::chrono::seconds(10);
+constexpr Duration kWorkerLease = std::chrono::seconds(4);
+// Leaves room for a late answer below the worker's own maximum.
+constexpr std::int64_t kLeasePercent = 80;
+constexpr std::int64_t kPercent = 100;
+
+TimePoint Now(const FleetNode& node) { return node.m_runtime.m_clock.m_now(); }
+
+bool IsOwnValue(const FleetNode& node, const std::string& value) {
+  return value == node.m_runtime.m_settings.m_node.value();
+}
+
+void LoseClaim(FleetNode& node, const std::string& reason) {
+  if (!node.m_leader) return;
+  LogEvent(LogLevel::kWarning, "lead_lost",
+           {{"term", node.m_claim.m_term.value()}, {"reason", reason}});
+  // The leader may be what calls this.
+  node.m_runtime.m_clock.m_defer(
+      [&node] { StepLead(node, LeadershipEvent::kClaimLost); });
+}
+
+void SeeHolder(FleetNode& node, bool is_held, StoreRevision revision) {
+  const bool was_held = node.m_is_held;
+  node.m_is_held = is_held;
+  if (!is_held && (was_held || node.m_vacant_since == TimePoint())) {
+    node.m_vacant_since = Now(node);
+  }
+  if (!HoldsFleet(node.m_leadership)) return;
+  const bool is_other = is_held && revision > node.m_claim.m_revision;
+  if (is_other || (!is_held && revision > node.m_claim.m_revision)) {
+    LoseClaim(node, "the claim was taken away");
+  }
+}
+
+void SeeTerm(FleetNode& node, const std::string& value,
+             StoreRevision revision) {
+  node.m_term_revision = revision;
+  node.m_last_term = Term(std::strtoull(value.c_str(), nullptr, 10));
+}
+
+void BeginClaim(FleetNode& node);
+void BeginLoad(FleetNode& node);
+
+void DropFleet(FleetNode& node) { node.m_leader.reset(); }
+
+void ReleaseClaim(FleetNode& node) {
+  const StoreLeaseId lease = node.m_claim.m_lease;
+  if (lease == StoreLeaseId()) return;
+  node.m_claim.m_lease = StoreLeaseId();
+  node.m_runtime.m_store.m_end_lease(lease, [](const auto& result) {
+    // The lease then runs out by itself.
+    if (!result) LogError("claim_not_released", result.assume_error());
+  });
+}
+
+void FailClaim(FleetNode& node, const Error& error) {
+  LogError("claim_failed", error);
+  ReleaseClaim(node);
+  StepLead(node, LeadershipEvent::kClaimFailed);
+}
+
+void WriteClaim(FleetNode& node, TimePoint sent_at) {
+  const Term term = Next(node.m_last_term);
+  StoreTransaction transaction;
+  transaction.m_expectations = {{kHolderKey, StoreRevision()},
+                                {kTermKey, node.m_term_revision}};
+  transaction.m_puts = {
+      {kHolderKey, node.m_runtime.m_settings.m_node.value(),
+       node.m_claim.m_lease},
+      {kTermKey, std::to_string(term.value()), StoreLeaseId()}};
+  node.m_runtime.m_store.m_commit(
+      transaction, [&node, term, sent_at](Result<TransactionResult> result) {
+        if (!result) return FailClaim(node, result.assume_error());
+        const TransactionResult& outcome = result.assume_value();
+        if (!outcome.m_is_applied) {
+          for (const StoredItem& item : outcome.m_found) {
+            if (item.m_key == kTermKey) {
+              SeeTerm(node, item.m_value, item.m_revision);
+            }
+          }
+          return FailClaim(node, Error{ErrorCode::kConflict, "claim lead",
+                                       kHolderKey, "another node came first"});
+        }
+        node.m_claim.m_term = term;
+        node.m_claim.m_revision = outcome.m_revision;
+        node.m_claim.m_term_revision = outcome.m_revision;
+        node.m_claim_valid_until = sent_at + kClaimTerm;
+        StepLead(node, LeadershipEvent::kClaimed);
+      });
+}
+
+void BeginClaim(FleetNode& node) {
+  const TimePoint sent_at = Now(node);
+  node.m_runtime.m_store.m_grant_lease(
+      std::max(kClaimTerm, node.m_runtime.m_settings.m_store_lease_minimum),
+      [&node, sent_at](Result<StoreLeaseId> result) {
+        if (!result) return FailClaim(node, result.assume_error());
+        node.m_claim = Claim();
+        node.m_claim.m_lease = result.assume_value();
+        if (node.m_leadership != LeadershipState::kClaiming) {
+          return ReleaseClaim(node);
+        }
+        WriteClaim(node, sent_at);
+      });
+}
+
+FleetLimits LimitsOf(const SiteSettings& settings) {
+  FleetLimits limits;
+  limits.m_lease = std::min(
+      kWorkerLease, settings.m_worker_lease_maximum * kLeasePercent / kPercent);
+  limits.m_inherited_lease = kIsolationLimit + limits.m_lease;
+  limits.m_harm = settings.m_harm;
+  limits.m_far_factor = settings.m_far_factor;
+  return limits;
+}
+
+void BeginLoad(FleetNode& node) {
+  LogEvent(LogLevel::kInfo, "lead_claimed",
+           {{"term", node.m_claim.m_term.value()},
+            {"store_revision", node.m_claim.m_revision.value()}});
+  node.m_leader = std::make_shared<Leader>(Leader{node.m_runtime});
+  node.m_leader->m_claim = node.m_claim;
+  node.m_leader->m_fleet.m_limits = LimitsOf(node.m_runtime.m_settings);
+  node.m_leader->m_on_claim_lost = [&node](const std::string& reason) {
+    LoseClaim(node, reason);
+  };
+  node.m_leader->m_may_start = [&node] {
+    return MayStartWork(node.m_leadership) &&
+           Now(node) < node.m_claim_valid_until;
+  };
+  LoadLeader(node.m_leader, node.m_routes, [&node] {
+    LogEvent(LogLevel::kInfo, "lead_loaded",
+             {{"term", node.m_claim.m_term.value()},
+              {"jobs", std::uint64_t{node.m_leader->m_fleet.m_jobs.size()}}});
+    StepLead(node, LeadershipEvent::kLoaded);
+  });
+}
+
+// The lease alone does not show a claim that was taken away, so the key is
+// read as well.
+void Renew(FleetNode& node) {
+  node.m_is_renewing = true;
+  const TimePoint sent_at = Now(node);
+  const Term term = node.m_claim.m_term;
+  auto check = [&node, sent_at,
+                term](Result<std::optional<StoredItem>> result) {
+    node.m_is_renewing = false;
+    if (!result || node.m_claim.m_term != term) return;
+    const auto& item = result.assume_value();
+    const bool is_own = item && IsOwnValue(node, item->m_value) &&
+                        item->m_revision == node.m_claim.m_revision;
+    if (!is_own) return LoseClaim(node, "the claim is gone");
+    node.m_claim_valid_until = sent_at + kClaimTerm;
+  };
+  node.m_runtime.m_store.m_renew_lease(
+      node.m_claim.m_lease, [&node, check](Result<StoreLeaseId> result) {
+        if (!result) {
+          node.m_is_renewing = false;
+          if (result.assume_error().m_code == ErrorCode::kNotFound) {
+            LoseClaim(node, "the lease has ended");
+          }
+          return;
+        }
+        node.m_runtime.m_store.m_read(kHolderKey, ReadFreshness::kCurrent,
+                                      check);
+      });
+}
+
+void TickClaim(FleetNode& node) {
+  const TimePoint now = Now(node);
+  if (!node.m_is_renewing && now >= node.m_next_renewal_at) {
+    node.m_next_renewal_at = now + kRenewalInterval;
+    Renew(node);
+  }
+  const bool is_valid = now < node.m_claim_valid_until;
+  StepLead(node, is_valid ? LeadershipEvent::kContactRegained
+                          : LeadershipEvent::kContactLost);
+  if (now >= node.m_claim_valid_until + kIsolationLimit) {
+    LoseClaim(node, "the store was away for too long");
+  }
+}
+
+void TickHandover(FleetNode& node) {
+  if (HasStoredAll(*node.m_leader)) {
+    StepLead(node, LeadershipEvent::kHandedOver);
+  }
+}
+
+}  // namespace
+
+void WatchLead(FleetNode& node) {
+  node.m_lead_watch = std::make_shared<PrefixWatch>();
+  PrefixWatch& watch = *node.m_lead_watch;
+  watch.m_prefix = kLeadPrefix;
+  watch.m_on_listing = [&node](const std::vector<StoredItem>& items) {
+    bool is_held = false;
+    StoreRevision revision = node.m_lead_watch->m_as_of;
+    for (const StoredItem& item : items) {
+      if (item.m_key == kTermKey) {
+        SeeTerm(node, item.m_value, item.m_revision);
+      } else if (item.m_key == kHolderKey) {
+        is_held = true;
+        revision = item.m_revision;
+      }
+    }
+    SeeHolder(node, is_held, revision);
+  };
+  watch.m_on_changes = [&node](const std::vector<StoreChange>& changes) {
+    for (const StoreChange& change : changes) {
+      if (change.m_key == kTermKey && change.m_value) {
+        SeeTerm(node, *change.m_value, change.m_revision);
+      } else if (change.m_key == kHolderKey) {
+        SeeHolder(node, change.m_value.has_value(), change.m_revision);
+      }
+    }
+    TickLead(node);
+  };
+}
+
+void TickLead(FleetNode& node) {
+  const TimePoint now = Now(node);
+  if (node.m_leadership == LeadershipState::kFollowing && !node.m_is_held &&
+      node.m_has_routes && now >= node.m_may_claim_at) {
+    const SiteSettings& settings = node.m_runtime.m_settings;
+    const Duration delay = ClaimDelay(settings.m_processor_share,
+                                      StableHash(settings.m_node.value()));
+    if (now >= node.m_vacant_since + delay) {
+      StepLead(node, LeadershipEvent::kVacancySeen);
+    }
+  }
+  if (node.m_leadership == LeadershipState::kLoading ||
+      HoldsFleet(node.m_leadership)) {
+    TickClaim(node);
+  }
+  if (node.m_leader) TickLeader(node.m_leader);
+  if (node.m_leadership == LeadershipState::kHandingOver) TickHandover(node);
+}
+
+void StepLead(FleetNode& node, LeadershipEvent event) {
+  LeadershipEffects effects;
+  node.m_runtime.m_leadership_machine.Step(node.m_leadership, event, effects);
+  if (effects.m_must_wait) node.m_may_claim_at = Now(node) + kClaimRetry;
+  if (effects.m_must_drop_fleet) DropFleet(node);
+  if (effects.m_must_release) ReleaseClaim(node);
+  if (effects.m_must_claim) BeginClaim(node);
+  if (effects.m_must_load) BeginLoad(node);
+}
+
+}  // namespace daisyarch::fleet
--- /dev/null
+++ b/services/daisyarchd/fleet/store_keys.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <string>
+
+#include "base/ids.h"
+
+namespace daisyarch::fleet {
+
+// The keys of this system in the platform's store.
+
+inline const std::string kLeadPrefix = "daisyarch/lead/";
+/// Names the leader; bound to its lease.
+inline const std::string kHolderKey = "daisyarch/lead/holder";
+/// Counts the leaders; outlives them.
+inline const std::string kTermKey = "daisyarch/lead/term";
+/// Accepted jobs that have not ended, and their cancellations.
+inline const std::string kJobPrefix = "daisyarch/jobs/";
+/// What became of each job's tasks.
+inline const std::string kProgressPrefix = "daisyarch/progress/";
+/// How many jobs of each queue wait, as the leader counts them.
+inline const std::string kPendingKey = "daisyarch/pending";
+/// Workers that run tasks and stand in no listing.
+inline const std::string kUnlistedKey = "daisyarch/unlisted";
+
+inline std::string JobItemKey(const JobKey& key) {
+  return kJobPrefix + key.value();
+}
+inline std::string CancelItemKey(const JobKey& key) {
+  return kJobPrefix + key.value() + "/cancel";
+}
+inline std::string ProgressItemKey(const JobKey& key) {
+  return kProgressPrefix + key.value();
+}
+
+}  // namespace daisyarch::fleet
--- a/services/daisyarchd/main.cc
+++ b/services/daisyarchd/main.cc
@@ -12,8 +12,12 @@
 #include "daemon.h"
 #include "log/log.h"
 #include "settings/settings.h"
+#include "settings/site_settings.h"
+#include "site_daemon.h"
 
 ABSL_FLAG(std::string, config, "", "settings file in YAML");
+ABSL_FLAG(std::string, site, "",
+          "settings file in YAML of a node on the users' platform");
 ABSL_FLAG(bool, check_config, false, "check the settings and stop");
 
 namespace daisyarch {
@@ -28,33 +32,46 @@
   return status;
 }
 
-int Run() {
-  const auto settings = LoadSettings(absl::GetFlag(FLAGS_config));
-  if (!settings) return Fail(settings.assume_error(), kExitBadSettings);
-  if (absl::GetFlag(FLAGS_check_config)) {
-    std::cout << "the settings are valid\n";
-    return kExitOk;
-  }
+/// Runs a daemon until it has drained or the loop ends.
+template <typename Daemon, typename Settings>
+int Serve(const Settings& settings) {
   StartLogging("daisyarchd");
   boost::asio::io_context loop(1);
-  const auto daemon = Daemon::Create(loop, settings.assume_value());
+  const auto daemon = Daemon::Create(loop, settings);
   if (!daemon) return Fail(daemon.assume_error(), kExitFailure);
   boost::asio::signal_set signals(loop, SIGTERM, SIGINT);
   signals.async_wait([&daemon](boost::system::error_code code, int) {
     if (!code) daemon.assume_value()->StartDrain();
   });
-  LogEvent(LogLevel::kInfo, "started",
-           {{"node", settings.assume_value().m_node.value()},
-            {"http", ToString(settings.assume_value().m_http_address)}});
+  LogEvent(LogLevel::kInfo, "started", {{"node", settings.m_node.value()}});
   loop.run();
   return kExitOk;
 }
 
+template <typename Daemon, typename Settings>
+int CheckAndServe(const Result<Settings>& settings) {
+  if (!settings) return Fail(settings.assume_error(), kExitBadSettings);
+  if (absl::GetFlag(FLAGS_check_config)) {
+    std::cout << "the settings are valid\n";
+    return kExitOk;
+  }
+  return Serve<Daemon>(settings.assume_value());
+}
+
+int Run() {
+  const std::string site = absl::GetFlag(FLAGS_site);
+  if (!site.empty()) {
+    return CheckAndServe<adapter::SiteDaemon>(LoadSiteSettings(site));
+  }
+  return CheckAndServe<Daemon>(LoadSettings(absl::GetFlag(FLAGS_config)));
+}
+
 }  // namespace
 }  // namespace daisyarch
 
 int main(int argument_count, char** arguments) {
-  absl::SetProgramUsageMessage("daisyarchd --config=FILE [--check-config]");
+  absl::SetProgramUsageMessage(
+      "daisyarchd --config=FILE|--site=FILE [--check-config]");
   // Abseil's flags have underscores; users may write hyphens.
   static char check_config[] = "--check_config";
   std::vector<char*> words(arguments, arguments + argument_count);
