placement: Keep serving tasks together and fillers away from them

Ruled out: too little room for fillers (a fifth of the fleet is free of reservations). Change: serving tasks pack tightly on workers that serve already; fillers prefer workers without them.

--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -75,9 +75,7 @@
   if (step.m_processor_use == ProcessorUse::kLeftover) {
     return -Leftover(worker) * kFitScale / whole;
   }
-  // Serving tasks press on each other, so they spread; others pack.
-  const std::int64_t direction = step.m_latency_target > Duration{} ? -1 : 1;
-  return direction * left * kFitScale / whole;
+  return left * kFitScale / whole;
 }
 
 std::int64_t Score(const Worker& worker, const StepPlan& step) {
@@ -85,8 +83,11 @@
   if (!step.m_data_rack.empty() && !HasLabel(worker, step.m_data_rack)) {
     score += kFarPenalty;
   }
-  if (step.m_latency_target > Duration{} && worker.m_fillers > 0) {
-    score += kNeighbourPenalty;
+  // Serving tasks keep together, so that whole workers are left to tasks
+  // that would disturb them.
+  if (step.m_latency_target > Duration{}) {
+    score += kNeighbourPenalty * worker.m_fillers;
+    if (worker.m_serving == 0) score += kNeighbourPenalty;
   }
   if (step.m_processor_use == ProcessorUse::kLeftover) {
     score += kNeighbourPenalty * worker.m_serving;
