fleet: Learn which fillers harm which serving tasks

Change: normalized least mean squares on every report; a filler is placed where its predicted effect is borne, and only harmful ones are paced.

--- a/libraries/base/ids.h
+++ b/libraries/base/ids.h
@@ -52,6 +52,8 @@
 using QueueId = StrongId<struct QueueIdTag, std::string>;
 /// A group of workers that serves the same queues.
 using PoolId = StrongId<struct PoolIdTag, std::string>;
+/// What the tasks of a step run; tasks of one image behave alike.
+using ImageId = StrongId<struct ImageIdTag, std::string>;
 /// Counts the starts of one task of a step; 0 before the first.
 using RunNumber = StrongId<struct RunNumberTag, std::uint64_t>;
 /// A worker refuses orders under a token below the highest it has seen.
--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -83,14 +83,42 @@
   NoteChange(fleet, job);
 }
 
-QueueRank RankOf(const Fleet& fleet, const Job& job) {
-  QueueRank rank;
+// An end after this many objectives is worth nothing.
+constexpr int kLateObjectives = 3;
+
+Duration RemainingChain(const Job& job) {
+  Duration longest{};
+  for (std::size_t place = 0; place < job.m_steps.size(); ++place) {
+    const StepRun& step_run = job.m_steps[place];
+    if (!step_run.m_is_released || step_run.m_waiting == 0) continue;
+    longest = std::max(
+        longest, RemainingChain(job.m_plan, place % job.StepCount()));
+  }
+  return longest;
+}
+
+void SetObjective(const Fleet& fleet, Job& job) {
   const auto queue = fleet.m_queues.find(job.m_plan.m_queue);
-  if (queue == fleet.m_queues.end()) return rank;
-  rank.m_priority = queue->second.m_priority;
+  if (queue == fleet.m_queues.end()) return;
   const auto chain = std::chrono::duration_cast<Duration>(
       WholeChain(job.m_plan) * queue->second.m_stretch);
-  rank.m_due = job.m_accepted_at + chain + queue->second.m_target;
+  job.m_objective = chain + queue->second.m_target;
+  job.m_rank.m_priority = queue->second.m_priority;
+  job.m_maximum_attempts = queue->second.m_maximum_attempts;
+}
+
+QueueRank RankAt(const Job& job, TimePoint now) {
+  QueueRank rank = job.m_rank;
+  const TimePoint end = now + RemainingChain(job);
+  const TimePoint due = job.m_accepted_at + job.m_objective;
+  rank.m_order = due;
+  if (end <= due) {
+    rank.m_prospect = Prospect::kInTime;
+  } else if (end <= job.m_accepted_at + job.m_objective * kLateObjectives) {
+    rank.m_prospect = Prospect::kLate;
+  } else {
+    rank.m_prospect = Prospect::kHopeless;
+  }
   return rank;
 }
 
@@ -127,6 +155,13 @@
   return job;
 }
 
+void Requeue(Fleet& fleet, Job& job, const QueueRank& before) {
+  for (std::size_t place = 0; place < job.m_steps.size(); ++place) {
+    const auto entry = std::make_tuple(before, job.m_plan.m_key, place);
+    if (fleet.m_waiting.erase(entry) > 0) UpdateQueue(fleet, job, place);
+  }
+}
+
 }  // namespace
 
 FencingToken FirstToken(Term term) {
@@ -219,11 +254,7 @@
   std::unique_ptr<Job>& job = fleet.m_jobs[key.value()];
   job = MakeJob(std::move(plan), progress);
   job->m_accepted_at = accepted_at;
-  job->m_rank = RankOf(fleet, *job);
-  const auto queue = fleet.m_queues.find(job->m_plan.m_queue);
-  if (queue != fleet.m_queues.end()) {
-    job->m_maximum_attempts = queue->second.m_maximum_attempts;
-  }
+  SetObjective(fleet, *job);
   if (job->m_plan.m_is_timed) {
     for (std::uint32_t turn = 0; turn < job->m_plan.m_occurrences; ++turn) {
       fleet.m_timed.emplace(
@@ -239,22 +270,24 @@
 
 void ApplyQueues(Fleet& fleet, std::map<QueueId, Queue> queues) {
   fleet.m_queues = std::move(queues);
-  for (auto& [key, job] : fleet.m_jobs) {
-    const auto queue = fleet.m_queues.find(job->m_plan.m_queue);
-    if (queue == fleet.m_queues.end()) continue;
-    for (std::size_t place = 0; place < job->m_steps.size(); ++place) {
-      fleet.m_waiting.erase(
-          std::make_tuple(job->m_rank, job->m_plan.m_key, place));
-    }
-    job->m_rank = RankOf(fleet, *job);
-    job->m_maximum_attempts = queue->second.m_maximum_attempts;
-    for (std::size_t place = 0; place < job->m_steps.size(); ++place) {
-      UpdateQueue(fleet, *job, place);
-    }
+  for (auto& entry : fleet.m_jobs) {
+    Job& job = *entry.second;
+    const QueueRank before = job.m_rank;
+    SetObjective(fleet, job);
+    if (!(before == job.m_rank)) Requeue(fleet, job, before);
   }
   fleet.m_needs_placement = true;
 }
 
+void RefreshRanks(Fleet& fleet, TimePoint now) {
+  for (auto& entry : fleet.m_jobs) {
+    Job& job = *entry.second;
+    const QueueRank before = job.m_rank;
+    job.m_rank = RankAt(job, now);
+    if (!(before == job.m_rank)) Requeue(fleet, job, before);
+  }
+}
+
 void CancelJob(Fleet& fleet, const JobKey& key, TimePoint now) {
   Job* job = FindJob(fleet, key);
   if (job == nullptr || job->m_is_cancelled) return;
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -101,6 +101,7 @@
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
   /// Released steps with waiting tasks, the most urgent first.
   std::set<std::tuple<QueueRank, JobKey, std::size_t>> m_waiting;
+  Interference m_interference;
   /// Occurrences that are not due yet.
   std::set<std::tuple<std::int64_t, JobKey, std::uint32_t>> m_timed;
   /// Jobs whose stored progress is behind.
@@ -109,6 +110,7 @@
   bool m_has_urgent_change = false;
   bool m_is_storing = false;  ///< A batch of changes is under way.
   bool m_needs_placement = false;
+  TimePoint m_next_ranking_at{};
   std::vector<Order> m_orders;
 };
 
@@ -152,6 +154,8 @@
 /// nothing when it is known already.
 void AddJob(Fleet& fleet, JobPlan plan, const JobProgress& progress,
             TimePoint accepted_at);
+/// Works out anew which jobs can still be in time; those go first.
+void RefreshRanks(Fleet& fleet, TimePoint now);
 /// Moves waiting jobs to what their queues now promise.
 void ApplyQueues(Fleet& fleet, std::map<QueueId, Queue> queues);
 /// Cancels a job; its runs are stopped.
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -40,7 +40,9 @@
   std::uint8_t m_pace_percent = 100;
   std::uint8_t m_progress_percent = 0;   ///< As last reported.
   std::vector<RunNumber> m_failed_runs;  ///< Each failure counts once.
-  std::uint32_t m_tail_ms = 0;  ///< Of a serving task, as last reported.
+  /// As last reported: the tail in ms of a serving task, or else the
+  /// processors in use in thousandths of a core.
+  std::int64_t m_load = 0;
   RunNumber m_run;
   WorkerId m_worker;  ///< Empty while the task is nowhere.
   std::string m_checkpoint;
@@ -69,16 +71,30 @@
   kCancelled,
 };
 
+/// What a job can still reach.
+enum class Prospect : std::uint8_t {
+  kInTime,   ///< Its objective.
+  kLate,     ///< What a late end is worth.
+  kHopeless  ///< Neither; it is run all the same, when there is room.
+};
+
 /// Lower is sooner.
 struct QueueRank {
   std::int64_t m_priority = 0;
-  TimePoint m_due{};  ///< The end of the job's objective.
+  Prospect m_prospect = Prospect::kInTime;
+  TimePoint m_order{};
 
   friend bool operator<(const QueueRank& left, const QueueRank& right) {
     if (left.m_priority != right.m_priority) {
       return left.m_priority < right.m_priority;
     }
-    return left.m_due < right.m_due;
+    if (left.m_prospect != right.m_prospect) {
+      return left.m_prospect < right.m_prospect;
+    }
+    return left.m_order < right.m_order;
+  }
+  friend bool operator==(const QueueRank& left, const QueueRank& right) {
+    return !(left < right) && !(right < left);
   }
 };
 
@@ -97,6 +113,7 @@
   /// Known before this term; a worker that is silent may run its tasks.
   bool m_is_inherited = false;
   TimePoint m_accepted_at{};
+  Duration m_objective{};  ///< From acceptance to the end.
 
   std::size_t StepCount() const { return m_plan.m_steps.size(); }
 };
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -10,6 +10,7 @@
 #include "base/resources.h"
 #include "base/time.h"
 #include "decisions/fleet/fleet_job.h"
+#include "decisions/fleet/interference.h"
 
 namespace daisyarch::fleet {
 
@@ -90,8 +91,8 @@
   FencingToken m_token;  ///< Of every order from now on.
   Resources m_used;
   std::set<TaskReference> m_runs;
-  std::uint32_t m_serving = 0;  ///< Runs with a latency target.
-  std::uint32_t m_fillers = 0;  ///< Runs on leftover processors.
+  ServingImages m_serving;  ///< Runs with a latency target.
+  FillerImages m_fillers;   ///< Runs on leftover processors.
   Millicores m_filler_demand;   ///< What these would use if they could.
 
   bool m_is_looking = false;
--- a/libraries/decisions/fleet/job_plan.h
+++ b/libraries/decisions/fleet/job_plan.h
@@ -38,7 +38,7 @@
   std::string m_required_label;
   std::string m_data_rack;
   std::uint32_t m_maximum_per_worker = 0;  ///< 0: no limit.
-  std::string m_image;
+  ImageId m_image;
   Duration m_latency_target{};  ///< Of a serving task's tail; 0: none.
   std::uint32_t m_may_miss = 0;
 };
--- a/libraries/decisions/fleet/pace_fillers.cc
+++ b/libraries/decisions/fleet/pace_fillers.cc
@@ -8,78 +8,134 @@
 
 // Hysteresis: fillers slow down above the first share of a target and speed
 // up again below the second.
-constexpr std::int64_t kSlowDownPercent = 95;
-constexpr std::int64_t kSpeedUpPercent = 70;
-constexpr std::uint8_t kSpeedUpStep = 15;
-constexpr std::uint8_t kFullPace = 100;
-constexpr std::uint8_t kLeastPace = 10;
+constexpr double kSlowDownShare = 0.95;
+constexpr double kSpeedUpShare = 0.75;
+// A tail that is slowed for is brought down to this share.
+constexpr double kAimedShare = 0.8;
+// A filler that adds less than this share of the target is left alone.
+constexpr double kHarmlessShare = 0.04;
+constexpr double kSpeedUpStep = 15;
+constexpr double kFullPace = 100;
+constexpr double kLeastPace = 8;
 // The figures cover the last half second.
 constexpr Duration kPaceInterval = std::chrono::milliseconds(600);
-constexpr std::int64_t kPercent = 100;
 
-struct Neighbours {
-  std::int64_t m_worst_percent = 0;  ///< Tail against target.
-  bool m_is_long_over = false;
-};
+double InMs(Duration duration) {
+  return static_cast<double>(InMilliseconds(duration));
+}
 
-const Task& TaskOf(const Job& job, const TaskReference& reference) {
+Task& TaskOf(Job& job, const TaskReference& reference) {
   return job
       .m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)]
       .m_tasks[reference.m_index];
 }
 
-Neighbours LookAtServing(Fleet& fleet, const Worker& worker, TimePoint now) {
-  Neighbours neighbours;
+/// What the serving tasks of one worker allow one image of fillers.
+struct Verdict {
+  double m_factor = 1.0;  ///< Of the pace that it has.
+  bool m_may_speed_up = true;
+  bool m_must_pause = false;
+};
+
+double AddedBy(const Fleet& fleet, const Worker& worker,
+               const ImageId& serving, const ImageId& filler) {
+  const auto found = worker.m_fillers.find(filler);
+  if (found == worker.m_fillers.end()) return 0;
+  return TailAddedBy(fleet.m_interference, serving, filler,
+                     found->second.m_used,
+                     worker.m_listing.m_capacity.m_processors);
+}
+
+double AddedByAll(const Fleet& fleet, const Worker& worker,
+                  const ImageId& serving) {
+  double added = 0;
+  for (const auto& entry : worker.m_fillers) {
+    added += AddedBy(fleet, worker, serving, entry.first);
+  }
+  return added;
+}
+
+void JudgeBeside(const Fleet& fleet, const Worker& worker,
+                 const ImageId& image, const ServingImage& serving,
+                 const ImageId& filler, Verdict& verdict) {
+  const double target = InMs(serving.m_target);
+  const double added = AddedBy(fleet, worker, image, filler);
+  const double all = AddedByAll(fleet, worker, image);
+  const bool is_harmless = added < kHarmlessShare * target;
+  if (serving.m_tail_ms > kSpeedUpShare * target && !is_harmless) {
+    verdict.m_may_speed_up = false;
+  }
+  if (serving.m_tail_ms <= kSlowDownShare * target) return;
+  // With no filler to blame, all of them are suspects.
+  const bool is_blamed = !is_harmless || all < kHarmlessShare * target;
+  if (!is_blamed) return;
+  verdict.m_may_speed_up = false;
+  const double excess = serving.m_tail_ms - kAimedShare * target;
+  const double kept = all > 0 ? 1.0 - excess / all : 0.0;
+  constexpr double kDeepestCut = 0.3;
+  verdict.m_factor =
+      std::min(verdict.m_factor, std::clamp(kept, kDeepestCut, 1.0));
+}
+
+Verdict Judge(const Fleet& fleet, const Worker& worker,
+              const ImageId& filler) {
+  Verdict verdict;
+  for (const auto& [image, serving] : worker.m_serving) {
+    JudgeBeside(fleet, worker, image, serving, filler, verdict);
+  }
+  return verdict;
+}
+
+// A task that has been over its target for long is spared every filler,
+// whatever has been learnt.
+bool MustPause(Fleet& fleet, const Worker& worker, TimePoint now) {
   for (const TaskReference& reference : worker.m_runs) {
-    const Job* job = FindJob(fleet, reference.m_job);
+    Job* job = FindJob(fleet, reference.m_job);
     if (job == nullptr) continue;
-    const StepPlan& step = job->m_plan.m_steps[reference.m_step];
-    if (step.m_latency_target <= Duration{}) continue;
     const Task& task = TaskOf(*job, reference);
-    const std::int64_t percent = FromMilliseconds(task.m_tail_ms).count() *
-                                 kPercent / step.m_latency_target.count();
-    neighbours.m_worst_percent = std::max(neighbours.m_worst_percent, percent);
-    const bool is_over = task.m_over_target_since != TimePoint();
-    if (is_over && now - task.m_over_target_since > fleet.m_limits.m_harm / 4) {
-      neighbours.m_is_long_over = true;
+    if (task.m_over_target_since == TimePoint()) continue;
+    if (now - task.m_over_target_since > fleet.m_limits.m_harm / 3) {
+      return true;
     }
   }
-  return neighbours;
+  return false;
 }
 
-std::uint8_t NextPace(std::uint8_t pace, const Neighbours& neighbours) {
-  if (neighbours.m_is_long_over) return 0;
-  if (neighbours.m_worst_percent > kSlowDownPercent) {
-    const std::uint8_t half = pace / 2;
-    return half < kLeastPace ? 0 : half;
-  }
-  if (neighbours.m_worst_percent > kSpeedUpPercent) return pace;
-  return static_cast<std::uint8_t>(
-      std::min<int>(kFullPace, pace + kSpeedUpStep));
+std::uint8_t NextPace(std::uint8_t pace, const Verdict& verdict) {
+  if (verdict.m_must_pause) return 0;
+  double next = pace * verdict.m_factor;
+  if (verdict.m_factor < 1.0) return next < kLeastPace ? 0 : next;
+  if (verdict.m_may_speed_up) next = std::min(kFullPace, next + kSpeedUpStep);
+  return static_cast<std::uint8_t>(next);
 }
 
 }  // namespace
 
 void PaceFillers(Fleet& fleet, Worker& worker, TimePoint now) {
-  if (worker.m_fillers == 0) return;
-  const Neighbours neighbours = LookAtServing(fleet, worker, now);
+  if (worker.m_fillers.empty()) return;
+  const bool must_pause = MustPause(fleet, worker, now);
+  std::map<ImageId, Verdict> verdicts;
+  for (const auto& entry : worker.m_fillers) {
+    Verdict& verdict = verdicts[entry.first];
+    verdict = Judge(fleet, worker, entry.first);
+    verdict.m_must_pause = must_pause;
+  }
   for (const TaskReference& reference : worker.m_runs) {
     Job* job = FindJob(fleet, reference.m_job);
     if (job == nullptr) continue;
     const StepPlan& step = job->m_plan.m_steps[reference.m_step];
     if (step.m_processor_use != ProcessorUse::kLeftover) continue;
-    Task& task = job->m_steps[StepRunIndex(*job, reference.m_occurrence,
-                                           reference.m_step)]
-                     .m_tasks[reference.m_index];
+    Task& task = TaskOf(*job, reference);
     if (task.m_state != RunState::kRunning) continue;
     if (now - task.m_paced_at < kPaceInterval) continue;
-    const std::uint8_t pace = NextPace(task.m_pace_percent, neighbours);
+    const std::uint8_t pace =
+        NextPace(task.m_pace_percent, verdicts[step.m_image]);
     if (pace == task.m_pace_percent) continue;
     task.m_pace_percent = pace;
     task.m_paced_at = now;
-    fleet.m_orders.push_back(
-        PaceOrder{worker.m_listing.m_worker, worker.m_listing.m_incarnation,
-                  reference, task.m_run, worker.m_token, pace});
+    fleet.m_orders.push_back(PaceOrder{
+        worker.m_listing.m_worker, worker.m_listing.m_incarnation, reference,
+        task.m_run, worker.m_token, pace});
   }
 }
 
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -15,6 +15,8 @@
 // A filler waits for a worker that leaves it at least this share of its
 // demand.
 constexpr std::int64_t kLeastLeftoverPercent = 60;
+// A filler that would have to be slowed below this waits for another worker.
+constexpr double kLeastBearableShare = 0.6;
 constexpr std::int64_t kPercent = 100;
 
 /// One pass over the queue: demands that fit nowhere are not tried again.
@@ -78,24 +80,43 @@
   return left * kFitScale / whole;
 }
 
-std::int64_t Score(const Worker& worker, const StepPlan& step) {
+// What the step would do to the tasks beside it, or they to it, in
+// thousandths of what the serving tasks can bear.
+std::int64_t DisturbanceScore(const Fleet& fleet, const Worker& worker,
+                              const StepPlan& step) {
+  const Millicores capacity = worker.m_listing.m_capacity.m_processors;
+  if (step.m_processor_use == ProcessorUse::kLeftover) {
+    const double share =
+        BearableShare(fleet.m_interference, worker.m_serving, step.m_image,
+                      step.m_demand.m_processors, capacity);
+    return static_cast<std::int64_t>((1.0 - share) * kNeighbourPenalty);
+  }
+  if (step.m_latency_target <= Duration{}) return 0;
+  double added = 0;
+  for (const auto& [filler, use] : worker.m_fillers) {
+    added += TailAddedBy(fleet.m_interference, step.m_image, filler,
+                         use.m_used, capacity);
+  }
+  const double target =
+      static_cast<double>(InMilliseconds(step.m_latency_target)) + 1;
+  return static_cast<std::int64_t>(added / target * kNeighbourPenalty);
+}
+
+std::int64_t Score(const Fleet& fleet, const Worker& worker,
+                   const StepPlan& step) {
   std::int64_t score = FitScore(worker, step);
   if (!step.m_data_rack.empty() && !HasLabel(worker, step.m_data_rack)) {
     score += kFarPenalty;
   }
   // Serving tasks keep together, so that whole workers are left to tasks
   // that would disturb them.
-  if (step.m_latency_target > Duration{}) {
-    score += kNeighbourPenalty * worker.m_fillers;
-    if (worker.m_serving == 0) score += kNeighbourPenalty;
+  if (step.m_latency_target > Duration{} && worker.m_serving.empty()) {
+    score += kNeighbourPenalty;
   }
-  if (step.m_processor_use == ProcessorUse::kLeftover) {
-    score += kNeighbourPenalty * worker.m_serving;
-  }
-  return score;
+  return score + DisturbanceScore(fleet, worker, step);
 }
 
-bool MayTake(const Worker& worker, const StepPlan& step,
+bool MayTake(const Fleet& fleet, const Worker& worker, const StepPlan& step,
              const TaskReference& task) {
   if (!Fits(CountedDemand(step), worker.m_listing.m_capacity - worker.m_used)) {
     return false;
@@ -109,6 +130,13 @@
           step.m_demand.m_processors.value() * kLeastLeftoverPercent) {
     return false;
   }
+  if (step.m_processor_use == ProcessorUse::kLeftover &&
+      BearableShare(fleet.m_interference, worker.m_serving, step.m_image,
+                    step.m_demand.m_processors,
+                    worker.m_listing.m_capacity.m_processors) <
+          kLeastBearableShare) {
+    return false;
+  }
   return step.m_maximum_per_worker == 0 ||
          RunsOfStep(worker, task) < step.m_maximum_per_worker;
 }
@@ -120,8 +148,8 @@
   for (auto& entry : pass.m_fleet.m_workers) {
     Worker& worker = entry.second;
     if (!IsUsable(worker, pool, pass.m_now)) continue;
-    if (!MayTake(worker, step, task)) continue;
-    const std::int64_t score = Score(worker, step);
+    if (!MayTake(pass.m_fleet, worker, step, task)) continue;
+    const std::int64_t score = Score(pass.m_fleet, worker, step);
     if (best != nullptr && score >= best_score) continue;
     best = &worker;
     best_score = score;
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -10,6 +10,8 @@
 constexpr std::uint32_t kFailuresBeforeAside = 3;
 constexpr Duration kAside = std::chrono::seconds(3);
 constexpr Duration kRefusalAside = std::chrono::milliseconds(200);
+constexpr std::uint8_t kAtWorkPercent = 100;
+constexpr Duration kRankingInterval = std::chrono::milliseconds(250);
 constexpr Duration kStopRepeat = std::chrono::milliseconds(500);
 constexpr Duration kRetryLook = std::chrono::milliseconds(100);
 // A worker where nothing runs is looked at this rarely.
@@ -57,9 +59,8 @@
               TimePoint now) {
   task.m_progress_percent = row.m_progress_percent;
   if (!row.m_checkpoint.empty()) task.m_checkpoint = row.m_checkpoint;
+  task.m_load = row.m_load;
   if (step.m_latency_target <= Duration{}) return;
-  task.m_tail_ms = static_cast<std::uint32_t>(
-      std::clamp<std::int64_t>(row.m_load, 0, UINT32_MAX));
   if (FromMilliseconds(row.m_load) <= step.m_latency_target) {
     task.m_over_target_since = TimePoint();
   } else if (task.m_over_target_since == TimePoint()) {
@@ -153,6 +154,27 @@
   }
 }
 
+// Sums the runs' figures up by image.
+void NoteLoads(Fleet& fleet, Worker& worker) {
+  for (auto& entry : worker.m_serving) entry.second.m_tail_ms = 0;
+  for (auto& entry : worker.m_fillers) entry.second.m_used = Millicores(0);
+  for (const TaskReference& reference : worker.m_runs) {
+    Job* job = nullptr;
+    const Task* task = FindTask(fleet, reference, job);
+    if (task == nullptr || task->m_state != RunState::kRunning) continue;
+    const StepPlan& step = job->m_plan.m_steps[reference.m_step];
+    if (step.m_processor_use == ProcessorUse::kLeftover) {
+      worker.m_fillers[step.m_image].m_used += Millicores(task->m_load);
+    }
+    // A task that is still starting has no tail of its own yet.
+    if (step.m_latency_target > Duration{} &&
+        task->m_progress_percent >= kAtWorkPercent) {
+      double& tail = worker.m_serving[step.m_image].m_tail_ms;
+      tail = std::max(tail, static_cast<double>(task->m_load));
+    }
+  }
+}
+
 void NoteIncarnation(Fleet& fleet, Worker& worker, Incarnation incarnation) {
   if (incarnation == Incarnation() ||
       incarnation == worker.m_listing.m_incarnation) {
@@ -187,7 +209,9 @@
   if (worker.m_state == WorkerState::kReady && worker.m_has_clock) {
     look.m_wait = fleet.m_limits.m_look_wait;
     // Serving tasks beside fillers are watched more closely.
-    if (worker.m_serving > 0 && worker.m_fillers > 0) look.m_wait /= 2;
+    if (!worker.m_serving.empty() && !worker.m_fillers.empty()) {
+      look.m_wait /= 2;
+    }
   }
   worker.m_is_looking = true;
   worker.m_look_sent_at = now;
@@ -296,6 +320,10 @@
   if (fleet.m_changed.empty() && !fleet.m_is_storing) {
     worker->m_stored_end = worker->m_seen_end;
   }
+  NoteLoads(fleet, *worker);
+  LearnInterference(fleet.m_interference, worker->m_serving,
+                    worker->m_fillers,
+                    worker->m_listing.m_capacity.m_processors);
   PaceFillers(fleet, *worker, now);
 }
 
@@ -352,6 +380,10 @@
     Job* job = FindJob(fleet, key);
     if (job != nullptr && !HasSettled(*job)) ReleaseSteps(fleet, *job, turn);
   }
+  if (now >= fleet.m_next_ranking_at) {
+    fleet.m_next_ranking_at = now + kRankingInterval;
+    RefreshRanks(fleet, now);
+  }
   for (auto& entry : fleet.m_workers) TickWorker(fleet, entry.second, now);
 }
 
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -19,6 +19,40 @@
          context.m_job.m_maximum_attempts;
 }
 
+void JoinNeighbours(Worker& worker, const StepPlan& step) {
+  if (step.m_processor_use == ProcessorUse::kLeftover) {
+    worker.m_used.m_processors -= step.m_demand.m_processors;
+    worker.m_filler_demand += step.m_demand.m_processors;
+    ++worker.m_fillers[step.m_image].m_count;
+  }
+  if (step.m_latency_target > Duration{}) {
+    ServingImage& serving = worker.m_serving[step.m_image];
+    const bool is_shortest = serving.m_count == 0 ||
+                             step.m_latency_target < serving.m_target;
+    if (is_shortest) serving.m_target = step.m_latency_target;
+    ++serving.m_count;
+  }
+}
+
+template <typename Images>
+void RemoveImage(Images& images, const ImageId& image) {
+  const auto found = images.find(image);
+  if (found != images.end() && --found->second.m_count == 0) {
+    images.erase(found);
+  }
+}
+
+void LeaveNeighbours(Worker& worker, const StepPlan& step) {
+  if (step.m_processor_use == ProcessorUse::kLeftover) {
+    worker.m_used.m_processors += step.m_demand.m_processors;
+    worker.m_filler_demand -= step.m_demand.m_processors;
+    RemoveImage(worker.m_fillers, step.m_image);
+  }
+  if (step.m_latency_target > Duration{}) {
+    RemoveImage(worker.m_serving, step.m_image);
+  }
+}
+
 void ReserveRoom(RunContext& context) {
   --context.m_step_run.m_waiting;
   ++context.m_step_run.m_placed;
@@ -26,12 +60,7 @@
   Worker* worker = FindWorker(context.m_fleet, context.m_task.m_worker);
   if (worker == nullptr) return;
   worker->m_used = worker->m_used + context.m_step.m_demand;
-  if (context.m_step.m_processor_use == ProcessorUse::kLeftover) {
-    worker->m_used.m_processors -= context.m_step.m_demand.m_processors;
-    worker->m_filler_demand += context.m_step.m_demand.m_processors;
-    ++worker->m_fillers;
-  }
-  if (context.m_step.m_latency_target > Duration{}) ++worker->m_serving;
+  JoinNeighbours(*worker, context.m_step);
   worker->m_runs.insert(context.m_reference);
 }
 
@@ -43,16 +72,11 @@
   context.m_task.m_worker = WorkerId();
   context.m_task.m_pace_percent = 100;
   context.m_task.m_over_target_since = TimePoint();
-  context.m_task.m_tail_ms = 0;
+  context.m_task.m_load = 0;
   context.m_task.m_progress_percent = 0;
   if (worker == nullptr) return;
   worker->m_used = worker->m_used - context.m_step.m_demand;
-  if (context.m_step.m_processor_use == ProcessorUse::kLeftover) {
-    worker->m_used.m_processors += context.m_step.m_demand.m_processors;
-    worker->m_filler_demand -= context.m_step.m_demand.m_processors;
-    --worker->m_fillers;
-  }
-  if (context.m_step.m_latency_target > Duration{}) --worker->m_serving;
+  LeaveNeighbours(*worker, context.m_step);
   worker->m_runs.erase(context.m_reference);
 }
 
