fleet: Run what can be in time first, and what has begun to its end

Cause: with twice as much batch work as room, due time alone spreads the room over jobs that all end late.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -91,8 +91,8 @@
   for (std::size_t place = 0; place < job.m_steps.size(); ++place) {
     const StepRun& step_run = job.m_steps[place];
     if (!step_run.m_is_released || step_run.m_waiting == 0) continue;
-    longest = std::max(
-        longest, RemainingChain(job.m_plan, place % job.StepCount()));
+    longest =
+        std::max(longest, RemainingChain(job.m_plan, place % job.StepCount()));
   }
   return longest;
 }
@@ -112,6 +112,7 @@
   const TimePoint end = now + RemainingChain(job);
   const TimePoint due = job.m_accepted_at + job.m_objective;
   rank.m_order = due;
+  rank.m_is_fresh = !job.m_has_started;
   if (end <= due) {
     rank.m_prospect = Prospect::kInTime;
   } else if (end <= job.m_accepted_at + job.m_objective * kLateObjectives) {
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -82,6 +82,7 @@
 struct QueueRank {
   std::int64_t m_priority = 0;
   Prospect m_prospect = Prospect::kInTime;
+  bool m_is_fresh = true;  ///< Not begun; what is begun ends first.
   TimePoint m_order{};
 
   friend bool operator<(const QueueRank& left, const QueueRank& right) {
@@ -91,6 +92,7 @@
     if (left.m_prospect != right.m_prospect) {
       return left.m_prospect < right.m_prospect;
     }
+    if (left.m_is_fresh != right.m_is_fresh) return right.m_is_fresh;
     return left.m_order < right.m_order;
   }
   friend bool operator==(const QueueRank& left, const QueueRank& right) {
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -91,9 +91,9 @@
   FencingToken m_token;  ///< Of every order from now on.
   Resources m_used;
   std::set<TaskReference> m_runs;
-  ServingImages m_serving;  ///< Runs with a latency target.
-  FillerImages m_fillers;   ///< Runs on leftover processors.
-  Millicores m_filler_demand;   ///< What these would use if they could.
+  ServingImages m_serving;     ///< Runs with a latency target.
+  FillerImages m_fillers;      ///< Runs on leftover processors.
+  Millicores m_filler_demand;  ///< What these would use if they could.
 
   bool m_is_looking = false;
   std::uint64_t m_look = 0;  ///< Number of the latest look.
--- a/libraries/decisions/fleet/interference.cc
+++ b/libraries/decisions/fleet/interference.cc
@@ -69,16 +69,15 @@
     const double share = ShareOf(use.m_used, capacity);
     if (share < kLeastShare) continue;
     PairEffect& effect = interference.m_pairs[{image, filler}];
-    effect.m_tail_ms = std::max(
-        0.0, effect.m_tail_ms + kLearningRate * error * share / norm);
+    effect.m_tail_ms =
+        std::max(0.0, effect.m_tail_ms + kLearningRate * error * share / norm);
     ++effect.m_samples;
   }
 }
 
 }  // namespace
 
-void LearnInterference(Interference& interference,
-                       const ServingImages& serving,
+void LearnInterference(Interference& interference, const ServingImages& serving,
                        const FillerImages& fillers, Millicores capacity) {
   for (const auto& [image, one] : serving) {
     if (one.m_tail_ms <= 0) continue;
--- a/libraries/decisions/fleet/interference.h
+++ b/libraries/decisions/fleet/interference.h
@@ -41,8 +41,7 @@
 using FillerImages = std::map<ImageId, FillerImage>;
 
 /// Takes one worker's figures of one moment.
-void LearnInterference(Interference& interference,
-                       const ServingImages& serving,
+void LearnInterference(Interference& interference, const ServingImages& serving,
                        const FillerImages& fillers, Millicores capacity);
 
 /// What the fillers of one image add to the tail, if they use `processors`
--- a/libraries/decisions/fleet/pace_fillers.cc
+++ b/libraries/decisions/fleet/pace_fillers.cc
@@ -37,8 +37,8 @@
   bool m_must_pause = false;
 };
 
-double AddedBy(const Fleet& fleet, const Worker& worker,
-               const ImageId& serving, const ImageId& filler) {
+double AddedBy(const Fleet& fleet, const Worker& worker, const ImageId& serving,
+               const ImageId& filler) {
   const auto found = worker.m_fillers.find(filler);
   if (found == worker.m_fillers.end()) return 0;
   return TailAddedBy(fleet.m_interference, serving, filler,
@@ -55,9 +55,9 @@
   return added;
 }
 
-void JudgeBeside(const Fleet& fleet, const Worker& worker,
-                 const ImageId& image, const ServingImage& serving,
-                 const ImageId& filler, Verdict& verdict) {
+void JudgeBeside(const Fleet& fleet, const Worker& worker, const ImageId& image,
+                 const ServingImage& serving, const ImageId& filler,
+                 Verdict& verdict) {
   const double target = InMs(serving.m_target);
   const double added = AddedBy(fleet, worker, image, filler);
   const double all = AddedByAll(fleet, worker, image);
@@ -77,8 +77,7 @@
       std::min(verdict.m_factor, std::clamp(kept, kDeepestCut, 1.0));
 }
 
-Verdict Judge(const Fleet& fleet, const Worker& worker,
-              const ImageId& filler) {
+Verdict Judge(const Fleet& fleet, const Worker& worker, const ImageId& filler) {
   Verdict verdict;
   for (const auto& [image, serving] : worker.m_serving) {
     JudgeBeside(fleet, worker, image, serving, filler, verdict);
@@ -133,9 +132,9 @@
     if (pace == task.m_pace_percent) continue;
     task.m_pace_percent = pace;
     task.m_paced_at = now;
-    fleet.m_orders.push_back(PaceOrder{
-        worker.m_listing.m_worker, worker.m_listing.m_incarnation, reference,
-        task.m_run, worker.m_token, pace});
+    fleet.m_orders.push_back(
+        PaceOrder{worker.m_listing.m_worker, worker.m_listing.m_incarnation,
+                  reference, task.m_run, worker.m_token, pace});
   }
 }
 
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -94,8 +94,8 @@
   if (step.m_latency_target <= Duration{}) return 0;
   double added = 0;
   for (const auto& [filler, use] : worker.m_fillers) {
-    added += TailAddedBy(fleet.m_interference, step.m_image, filler,
-                         use.m_used, capacity);
+    added += TailAddedBy(fleet.m_interference, step.m_image, filler, use.m_used,
+                         capacity);
   }
   const double target =
       static_cast<double>(InMilliseconds(step.m_latency_target)) + 1;
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -321,8 +321,7 @@
     worker->m_stored_end = worker->m_seen_end;
   }
   NoteLoads(fleet, *worker);
-  LearnInterference(fleet.m_interference, worker->m_serving,
-                    worker->m_fillers,
+  LearnInterference(fleet.m_interference, worker->m_serving, worker->m_fillers,
                     worker->m_listing.m_capacity.m_processors);
   PaceFillers(fleet, *worker, now);
 }
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -27,8 +27,8 @@
   }
   if (step.m_latency_target > Duration{}) {
     ServingImage& serving = worker.m_serving[step.m_image];
-    const bool is_shortest = serving.m_count == 0 ||
-                             step.m_latency_target < serving.m_target;
+    const bool is_shortest =
+        serving.m_count == 0 || step.m_latency_target < serving.m_target;
     if (is_shortest) serving.m_target = step.m_latency_target;
     ++serving.m_count;
   }
