fleet, daemon: Store the roster before work starts; reload settings

Ruled out: waiting out every lease at each take-over (4 s without starts). Change: a worker gets work once its address is stored; a new leader asks each of the roster. Settings are read again on SIGHUP and when their text changes.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -111,14 +111,14 @@
   QueueRank rank = job.m_rank;
   const TimePoint end = now + RemainingChain(job);
   const TimePoint due = job.m_accepted_at + job.m_objective;
-  rank.m_order = due;
-  rank.m_is_fresh = !job.m_has_started;
-  if (end <= due) {
-    rank.m_prospect = Prospect::kInTime;
-  } else if (end <= job.m_accepted_at + job.m_objective * kLateObjectives) {
-    rank.m_prospect = Prospect::kLate;
+  rank.m_due = due;
+  const TimePoint last = job.m_accepted_at + job.m_objective * kLateObjectives;
+  if (end > last) {
+    rank.m_turn = Turn::kHopeless;
+  } else if (job.m_has_started) {
+    rank.m_turn = Turn::kBegun;
   } else {
-    rank.m_prospect = Prospect::kHopeless;
+    rank.m_turn = end <= due ? Turn::kInTime : Turn::kLate;
   }
   return rank;
 }
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -98,6 +98,7 @@
   TimePoint m_took_over_at{};
   std::map<QueueId, Queue> m_queues;
   std::map<WorkerId, Worker> m_workers;
+  std::set<WorkerId> m_roster;  ///< Workers that are stored.
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
   /// Released steps with waiting tasks, the most urgent first.
   std::set<std::tuple<QueueRank, JobKey, std::size_t>> m_waiting;
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/ids.h"
@@ -71,32 +72,28 @@
   kCancelled,
 };
 
-/// What a job can still reach.
-enum class Prospect : std::uint8_t {
-  kInTime,   ///< Its objective.
-  kLate,     ///< What a late end is worth.
-  kHopeless  ///< Neither; it is run all the same, when there is room.
+/// Jobs of one priority, in the order in which they get room. A job that has
+/// begun is worth something only once all of it is done.
+enum class Turn : std::uint8_t {
+  kBegun,     ///< And can still end in time or late.
+  kInTime,    ///< Can still meet its objective.
+  kLate,      ///< Can still be worth something.
+  kHopeless,  ///< Is run all the same, when there is room.
 };
 
 /// Lower is sooner.
 struct QueueRank {
   std::int64_t m_priority = 0;
-  Prospect m_prospect = Prospect::kInTime;
-  bool m_is_fresh = true;  ///< Not begun; what is begun ends first.
-  TimePoint m_order{};
+  Turn m_turn = Turn::kInTime;
+  TimePoint m_due{};  ///< The end of the job's objective.
 
   friend bool operator<(const QueueRank& left, const QueueRank& right) {
-    if (left.m_priority != right.m_priority) {
-      return left.m_priority < right.m_priority;
-    }
-    if (left.m_prospect != right.m_prospect) {
-      return left.m_prospect < right.m_prospect;
-    }
-    if (left.m_is_fresh != right.m_is_fresh) return right.m_is_fresh;
-    return left.m_order < right.m_order;
+    return std::tie(left.m_priority, left.m_turn, left.m_due) <
+           std::tie(right.m_priority, right.m_turn, right.m_due);
   }
   friend bool operator==(const QueueRank& left, const QueueRank& right) {
-    return !(left < right) && !(right < left);
+    return std::tie(left.m_priority, left.m_turn, left.m_due) ==
+           std::tie(right.m_priority, right.m_turn, right.m_due);
   }
 };
 
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -87,6 +87,7 @@
 struct Worker {
   ListedWorker m_listing;
   bool m_is_listed = true;
+  bool m_is_in_roster = false;  ///< A later leader will find it.
   WorkerState m_state = WorkerState::kUnverified;
   FencingToken m_token;  ///< Of every order from now on.
   Resources m_used;
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -34,7 +34,7 @@
 
 bool IsUsable(const Worker& worker, const PoolId& pool, TimePoint now) {
   return worker.m_state == WorkerState::kReady && worker.m_is_listed &&
-         worker.m_has_clock && worker.m_strays == 0 &&
+         worker.m_is_in_roster && worker.m_has_clock && worker.m_strays == 0 &&
          !worker.m_listing.m_is_leaving && worker.m_listing.m_pool == pool &&
          worker.m_aside_until <= now;
 }
@@ -250,8 +250,8 @@
   }
 }
 
-// After a take-over a listed worker that has not answered yet may run any
-// task that an earlier leader could have started.
+// After a take-over a worker of the roster that has not answered yet may run
+// any task that an earlier leader could have started.
 bool MayRunUnseen(const Fleet& fleet, TimePoint now) {
   if (fleet.m_term.value() <= 1) return false;
   if (now - fleet.m_took_over_at >= fleet.m_limits.m_inherited_lease) {
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -265,6 +265,9 @@
       fleet.m_needs_placement = true;
     }
     NoteIncarnation(fleet, worker, entry.m_incarnation);
+    if (worker.m_listing.m_address != entry.m_address) {
+      worker.m_is_in_roster = false;
+    }
     worker.m_listing = entry;
     worker.m_is_listed = true;
   }
--- a/libraries/settings/site_settings.cc
+++ b/libraries/settings/site_settings.cc
@@ -153,7 +153,7 @@
   }
 }
 
-Result<SiteSettings> LoadSiteSettings(const std::string& path) {
+Result<std::string> ReadSettingsText(const std::string& path) {
   std::ifstream stream(path);
   if (!stream) {
     return Error{ErrorCode::kNotFound, "read settings", path,
@@ -161,7 +161,12 @@
   }
   std::stringstream text;
   text << stream.rdbuf();
-  return ParseSiteSettings(text.str(), path);
+  return text.str();
+}
+
+Result<SiteSettings> LoadSiteSettings(const std::string& path) {
+  TRY_ASSIGN(const std::string text, ReadSettingsText(path));
+  return ParseSiteSettings(text, path);
 }
 
 }  // namespace daisyarch
--- a/libraries/settings/site_settings.h
+++ b/libraries/settings/site_settings.h
@@ -32,6 +32,9 @@
 Result<SiteSettings> ParseSiteSettings(const std::string& text,
                                        const std::string& file);
 
+/// The text of a settings file; kNotFound when it cannot be opened.
+Result<std::string> ReadSettingsText(const std::string& path);
+
 /// Reads a settings file; kNotFound when it cannot be opened.
 Result<SiteSettings> LoadSiteSettings(const std::string& path);
 
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -149,6 +149,24 @@
   }
 }
 
+void LoadRoster(const LeaderPointer& leader, std::function<void()> on_loaded) {
+  const std::weak_ptr<Leader> weak = leader;
+  leader->m_runtime.m_store.m_list(
+      kRosterPrefix,
+      [weak, on_loaded = std::move(on_loaded)](Result<StoreListing> result) {
+        const LeaderPointer self = weak.lock();
+        if (!self) return;
+        if (!result) return self->m_on_claim_lost("roster not read");
+        for (const StoredItem& item : result.assume_value().m_items) {
+          const WorkerId worker(item.m_key.substr(kRosterPrefix.size()));
+          ApplyRosterLoaded(self->m_fleet, {worker, item.m_value});
+        }
+        self->m_is_loaded = true;
+        on_loaded();
+        ListWorkers(self);
+      });
+}
+
 void LoadProgress(const LeaderPointer& leader, StoreListing jobs,
                   std::function<void()> on_loaded) {
   const std::weak_ptr<Leader> weak = leader;
@@ -164,9 +182,7 @@
         TakeProgress(*self, result.assume_value(), loaded);
         TakeJobs(*self, loaded);
         StartJobsWatch(self, loaded.m_jobs.m_as_of);
-        self->m_is_loaded = true;
-        on_loaded();
-        ListWorkers(self);
+        LoadRoster(self, std::move(on_loaded));
       });
 }
 
@@ -266,6 +282,7 @@
   for (const Order& order : orders) {
     std::visit([&](const auto& one) { SendOne(leader, one); }, order);
   }
+  WriteRoster(leader);
   WriteChanges(leader);
 }
 
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -7,6 +7,7 @@
 
 #include "decisions/fleet/change_batch.h"
 #include "decisions/fleet/job_routes.h"
+#include "decisions/fleet/roster.h"
 #include "fleet/fleet_runtime.h"
 #include "fleet/prefix_watch.h"
 
@@ -51,6 +52,8 @@
   StoreRevision m_pending_revision;
   bool m_is_writing_pending = false;
   TimePoint m_next_pending_at{};
+  bool m_is_writing_roster = false;
+  TimePoint m_next_roster_at{};
   bool m_is_removing = false;
   TimePoint m_next_removal_at{};
   bool m_is_settling = false;
@@ -76,6 +79,8 @@
 void WriteChanges(const LeaderPointer& leader);
 /// Removes what is kept of jobs that ended long ago.
 void RemoveOldProgress(const LeaderPointer& leader);
+/// Stores workers before they get work, and drops those that are gone.
+void WriteRoster(const LeaderPointer& leader);
 void WritePending(const LeaderPointer& leader);
 
 }  // namespace daisyarch::fleet
--- a/services/daisyarchd/fleet/leader_writes.cc
+++ b/services/daisyarchd/fleet/leader_writes.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "fleet/leader.h"
@@ -194,6 +195,40 @@
   SendTransaction(leader);
 }
 
+void WriteRoster(const LeaderPointer& leader) {
+  const TimePoint now = Now(*leader);
+  if (leader->m_is_writing_roster || now < leader->m_next_roster_at) return;
+  auto missing = MissingFromRoster(leader->m_fleet);
+  auto left = LeftInRoster(leader->m_fleet);
+  if (missing.empty() && left.empty()) return;
+  missing.resize(std::min(missing.size(), kRemovalsAtOnce));
+  left.resize(std::min(left.size(), kRemovalsAtOnce - missing.size()));
+  StoreTransaction transaction;
+  transaction.m_expectations.push_back(HolderExpectation(*leader));
+  for (const RosterEntry& entry : missing) {
+    transaction.m_puts.push_back(
+        {RosterItemKey(entry.m_worker), entry.m_address, StoreLeaseId()});
+  }
+  for (const WorkerId& id : left) {
+    transaction.m_removals.push_back(RosterItemKey(id));
+  }
+  leader->m_is_writing_roster = true;
+  const std::weak_ptr<Leader> weak = leader;
+  leader->m_runtime.m_store.m_commit(
+      transaction,
+      [weak, missing, left](const Result<TransactionResult>& result) {
+        const LeaderPointer self = weak.lock();
+        if (!self) return;
+        self->m_is_writing_roster = false;
+        self->m_next_roster_at = Now(*self) + kWriteRetry;
+        if (!result || !result.assume_value().m_is_applied) return;
+        self->m_next_roster_at = TimePoint();
+        ApplyRosterStored(self->m_fleet, missing);
+        ApplyRosterRemoved(self->m_fleet, left);
+        SettleSoon(self);
+      });
+}
+
 void WritePending(const LeaderPointer& leader) {
   const TimePoint now = Now(*leader);
   if (leader->m_is_writing_pending || now < leader->m_next_pending_at) return;
--- a/services/daisyarchd/fleet/node_lead.cc
+++ b/services/daisyarchd/fleet/node_lead.cc
@@ -17,7 +17,7 @@
 constexpr Duration kRenewalInterval = std::chrono::milliseconds(500);
 constexpr Duration kClaimRetry = std::chrono::milliseconds(300);
 // A leader without the store keeps what runs alive for so long.
-constexpr Duration kIsolationLimit = std::chrono::seconds(10);
+constexpr Duration kIsolationLimit = std::chrono::seconds(6);
 constexpr Duration kWorkerLease = std::chrono::seconds(4);
 // Leaves room for a late answer below the worker's own maximum.
 constexpr std::int64_t kLeasePercent = 80;
--- a/services/daisyarchd/fleet/store_keys.h
+++ b/services/daisyarchd/fleet/store_keys.h
@@ -19,8 +19,8 @@
 inline const std::string kProgressPrefix = "daisyarch/progress/";
 /// How many jobs of each queue wait, as the leader counts them.
 inline const std::string kPendingKey = "daisyarch/pending";
-/// Workers that run tasks and stand in no listing.
-inline const std::string kUnlistedKey = "daisyarch/unlisted";
+/// The address of each worker that may run something.
+inline const std::string kRosterPrefix = "daisyarch/workers/";
 
 inline std::string JobItemKey(const JobKey& key) {
   return kJobPrefix + key.value();
@@ -32,4 +32,8 @@
   return kProgressPrefix + key.value();
 }
 
+inline std::string RosterItemKey(const WorkerId& worker) {
+  return kRosterPrefix + worker.value();
+}
+
 }  // namespace daisyarch::fleet
--- a/services/daisyarchd/main.cc
+++ b/services/daisyarchd/main.cc
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <functional>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "log/log.h"
 #include "settings/settings.h"
 #include "settings/site_settings.h"
+#include "settings_reload.h"
 #include "site_daemon.h"
 
 ABSL_FLAG(std::string, config, "", "settings file in YAML");
@@ -34,7 +36,9 @@
 
 /// Runs a daemon until it has drained or the loop ends.
 template <typename Daemon, typename Settings>
-int Serve(const Settings& settings) {
+int Serve(
+    const Settings& settings,
+    const std::function<void(boost::asio::io_context&, Daemon&)>& on_created) {
   StartLogging("daisyarchd");
   boost::asio::io_context loop(1);
   const auto daemon = Daemon::Create(loop, settings);
@@ -43,27 +47,40 @@
   signals.async_wait([&daemon](boost::system::error_code code, int) {
     if (!code) daemon.assume_value()->StartDrain();
   });
+  on_created(loop, *daemon.assume_value());
   LogEvent(LogLevel::kInfo, "started", {{"node", settings.m_node.value()}});
   loop.run();
   return kExitOk;
 }
 
 template <typename Daemon, typename Settings>
-int CheckAndServe(const Result<Settings>& settings) {
+int CheckAndServe(
+    const Result<Settings>& settings,
+    const std::function<void(boost::asio::io_context&, Daemon&)>& on_created =
+        [](boost::asio::io_context&, Daemon&) {}) {
   if (!settings) return Fail(settings.assume_error(), kExitBadSettings);
   if (absl::GetFlag(FLAGS_check_config)) {
     std::cout << "the settings are valid\n";
     return kExitOk;
   }
-  return Serve<Daemon>(settings.assume_value());
+  return Serve<Daemon>(settings.assume_value(), on_created);
 }
 
+using adapter::SiteDaemon;
+
 int Run() {
   const std::string site = absl::GetFlag(FLAGS_site);
-  if (!site.empty()) {
-    return CheckAndServe<adapter::SiteDaemon>(LoadSiteSettings(site));
+  if (site.empty()) {
+    return CheckAndServe<Daemon>(LoadSettings(absl::GetFlag(FLAGS_config)));
   }
-  return CheckAndServe<Daemon>(LoadSettings(absl::GetFlag(FLAGS_config)));
+  return CheckAndServe<SiteDaemon, SiteSettings>(
+      LoadSiteSettings(site),
+      [&site](boost::asio::io_context& loop, SiteDaemon& daemon) {
+        SettingsReload::Start(loop, site,
+                              [&daemon](const SiteSettings& settings) {
+                                daemon.Reload(settings);
+                              });
+      });
 }
 
 }  // namespace
--- /dev/null
+++ b/services/daisyarchd/settings_reload.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "settings/site_settings.h"
+
+namespace daisyarch {
+
+/// Reads a settings file again on SIGHUP, and when its text has changed
+/// without one. A file with a fault changes nothing.
+class SettingsReload : public std::enable_shared_from_this<SettingsReload> {
+ public:
+  using Handler = std::function<void(const SiteSettings&)>;
+
+  /// Lives as long as the loop.
+  static void Start(boost::asio::io_context& loop, const std::string& path,
+                    Handler on_settings);
+
+ private:
+  SettingsReload(boost::asio::io_context& loop, std::string path,
+                 Handler on_settings);
+
+  void WaitForSignal();
+  void WaitForChange();
+  void ReadAgain();
+
+  std::string m_path;
+  std::string m_text;
+  Handler m_on_settings;
+  boost::asio::signal_set m_signals;
+  boost::asio::steady_timer m_timer;
+};
+
+}  // namespace daisyarch
