fleet: Free a run's room only once its start is known

Ruled out: late orders (none were delayed at that time). Change: a task carries what is known of its start; a look ends it only if the start was answered, or under a higher token. Jobs carry their queue's terms, so that they go on when the queue is dropped.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -98,13 +98,12 @@
 }
 
 void SetObjective(const Fleet& fleet, Job& job) {
-  const auto queue = fleet.m_queues.find(job.m_plan.m_queue);
-  if (queue == fleet.m_queues.end()) return;
+  const Queue& terms = TermsOf(fleet, job);
   const auto chain = std::chrono::duration_cast<Duration>(
-      WholeChain(job.m_plan) * queue->second.m_stretch);
-  job.m_objective = chain + queue->second.m_target;
-  job.m_rank.m_priority = queue->second.m_priority;
-  job.m_maximum_attempts = queue->second.m_maximum_attempts;
+      WholeChain(job.m_plan) * terms.m_stretch);
+  job.m_objective = chain + terms.m_target;
+  job.m_rank.m_priority = terms.m_priority;
+  job.m_maximum_attempts = terms.m_maximum_attempts;
 }
 
 QueueRank RankAt(const Job& job, TimePoint now) {
@@ -173,6 +172,11 @@
   return RunNumber((term.value() - 1) * kRunsPerTerm + 1);
 }
 
+const Queue& TermsOf(const Fleet& fleet, const Job& job) {
+  const auto queue = fleet.m_queues.find(job.m_plan.m_queue.m_id);
+  return queue == fleet.m_queues.end() ? job.m_plan.m_queue : queue->second;
+}
+
 Job* FindJob(Fleet& fleet, const JobKey& key) {
   const auto found = fleet.m_jobs.find(key.value());
   return found == fleet.m_jobs.end() ? nullptr : found->second.get();
@@ -338,7 +342,7 @@
   std::map<QueueId, std::uint64_t> pending;
   for (const auto& [key, job] : fleet.m_jobs) {
     if (!job->m_has_started && !job->m_is_cancelled) {
-      ++pending[job->m_plan.m_queue];
+      ++pending[job->m_plan.m_queue.m_id];
     }
   }
   return pending;
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -16,16 +16,6 @@
 
 namespace daisyarch::fleet {
 
-/// What a queue promises, and where its tasks may run.
-struct Queue {
-  QueueId m_id;
-  PoolId m_pool;
-  std::int64_t m_priority = 0;  ///< 0 comes first.
-  std::uint32_t m_maximum_attempts = 1;
-  double m_stretch = 1.0;  ///< The objective, in lengths of the job's chain.
-  Duration m_target{};     ///< Added to the stretched chain.
-};
-
 /// Bounds that the platform sets for its workers.
 struct FleetLimits {
   /// Of each lease that is granted; well under the worker's own maximum.
@@ -197,6 +187,8 @@
 void UpdateQueue(Fleet& fleet, Job& job, std::size_t step_run);
 /// Works the job's visible state out and notes that it has to be stored.
 void NoteChange(Fleet& fleet, Job& job);
+/// The terms in force for the job's queue, or those at its acceptance.
+const Queue& TermsOf(const Fleet& fleet, const Job& job);
 WorkerMilliseconds WorkerClockAt(const Worker& worker, TimePoint now);
 /// When the worker's lease is certainly over.
 TimePoint LeaseEndOf(const Worker& worker);
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -35,9 +35,17 @@
   kCancelled,
 };
 
+/// What is known of the order that started a task's latest run.
+enum class StartKnowledge : std::uint8_t {
+  kPending,     ///< On its way.
+  kAnswered,    ///< Took effect.
+  kUnanswered,  ///< May take effect until a look under a higher token.
+};
+
 /// One task of a step, and where its latest run is.
 struct Task {
   RunState m_state = RunState::kWaiting;
+  StartKnowledge m_start = StartKnowledge::kPending;
   std::uint8_t m_pace_percent = 100;
   std::uint8_t m_progress_percent = 0;   ///< As last reported.
   std::vector<RunNumber> m_failed_runs;  ///< Each failure counts once.
@@ -47,7 +55,6 @@
   RunNumber m_run;
   WorkerId m_worker;  ///< Empty while the task is nowhere.
   std::string m_checkpoint;
-  FencingToken m_start_token;  ///< Under which the start was sent.
   TimePoint m_started_at{};    ///< When the start was answered.
   TimePoint m_over_target_since{};
   TimePoint m_paced_at{};
--- a/libraries/decisions/fleet/job_plan.h
+++ b/libraries/decisions/fleet/job_plan.h
@@ -43,10 +43,21 @@
   std::uint32_t m_may_miss = 0;
 };
 
+/// What a queue promises, and where its tasks may run.
+struct Queue {
+  QueueId m_id;
+  PoolId m_pool;
+  std::int64_t m_priority = 0;  ///< 0 comes first.
+  std::uint32_t m_maximum_attempts = 1;
+  double m_stretch = 1.0;  ///< The objective, in lengths of the job's chain.
+  Duration m_target{};     ///< Added to the stretched chain.
+};
+
 /// What a submitter hands in.
 struct JobPlan {
   JobKey m_key;
-  QueueId m_queue;
+  /// The queue's terms at acceptance; they hold once it is dropped.
+  Queue m_queue;
   std::string m_payload;  ///< Passed to each task unread.
   std::vector<StepPlan> m_steps;
   std::uint32_t m_occurrences = 1;
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -175,7 +175,7 @@
   task.m_run = run;
   task.m_checkpoint = checkpoint;
   task.m_worker = worker.m_listing.m_worker;
-  task.m_start_token = worker.m_token;
+  task.m_start = StartKnowledge::kPending;
   StepTask(pass.m_fleet, job, reference, RunEvent::kPlaced);
   const WorkerMilliseconds until =
       WorkerClockAt(worker, pass.m_now) +
@@ -273,10 +273,8 @@
   const auto waiting = fleet.m_waiting;
   for (const auto& [rank, key, place] : waiting) {
     Job* job = FindJob(fleet, key);
-    const auto queue = fleet.m_queues.find(job->m_plan.m_queue);
-    if (queue == fleet.m_queues.end()) continue;
     if (pass.m_has_silent_inheritance && job->m_is_inherited) continue;
-    const PoolId& pool = queue->second.m_pool;
+    const PoolId pool = TermsOf(fleet, *job).m_pool;
     const StepPlan& step = job->m_plan.m_steps[place % job->StepCount()];
     if (IsUnplaceable(pass, pool, step)) continue;
     if (step.m_is_gang) {
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -68,6 +68,13 @@
   }
 }
 
+void NoteStarted(Fleet& fleet, Job& job, Task& task,
+                 const TaskReference& reference, TimePoint now) {
+  task.m_start = StartKnowledge::kAnswered;
+  task.m_started_at = now;
+  StepTask(fleet, job, reference, RunEvent::kStarted);
+}
+
 void ApplyRunning(Fleet& fleet, Worker& worker, const RunningRow& row,
                   TimePoint now) {
   Job* job = nullptr;
@@ -77,10 +84,8 @@
       !Adopt(fleet, *job, *task, worker, row.m_task, row.m_run)) {
     return StopStray(fleet, worker, row);
   }
-  if (task->m_state == RunState::kStarting ||
-      task->m_state == RunState::kUnsettled) {
-    task->m_started_at = now;
-    StepTask(fleet, *job, row.m_task, RunEvent::kStarted);
+  if (task->m_start != StartKnowledge::kAnswered) {
+    NoteStarted(fleet, *job, *task, row.m_task, now);
   }
   NoteLoad(*task, job->m_plan.m_steps[row.m_task.m_step], row, now);
   const bool is_unwanted = job->m_is_cancelled || job->m_has_failed;
@@ -145,8 +150,7 @@
     if (listed.count(reference) > 0) continue;
     Job* job = nullptr;
     const Task* task = FindTask(fleet, reference, job);
-    if (task == nullptr || task->m_state == RunState::kStarting ||
-        task->m_state == RunState::kUnsettled) {
+    if (task == nullptr || task->m_start != StartKnowledge::kAnswered) {
       continue;
     }
     if (task->m_started_at >= worker.m_look_sent_at) continue;
@@ -348,20 +352,19 @@
   if (!is_current) return;
   switch (outcome) {
     case StartOutcome::kStarted:
-      task->m_started_at = now;
-      StepTask(fleet, *job, order.m_task, RunEvent::kStarted);
+      NoteStarted(fleet, *job, *task, order.m_task, now);
       break;
     case StartOutcome::kRefused:
       // What it knows differs from what is known here; a look will tell.
       worker->m_aside_until =
           std::max(worker->m_aside_until, now + kRefusalAside);
-      // A report may have shown it before; then an earlier try took effect.
-      if (task->m_state != RunState::kRunning) {
-        StepTask(fleet, *job, order.m_task, RunEvent::kInterrupted);
-      }
+      // A look may have shown the run before this answer came.
+      if (task->m_start == StartKnowledge::kAnswered) break;
+      StepTask(fleet, *job, order.m_task, RunEvent::kInterrupted);
       break;
     case StartOutcome::kUnanswered:
-      if (task->m_state == RunState::kRunning) break;
+      if (task->m_start == StartKnowledge::kAnswered) break;
+      task->m_start = StartKnowledge::kUnanswered;
       StepTask(fleet, *job, order.m_task, RunEvent::kUnanswered);
       StepWorker(fleet, *worker, WorkerEvent::kOrderUnanswered);
       break;
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -120,6 +120,8 @@
   }
 }
 
+// The report under the new token has shown every start that took effect; the
+// others never will.
 void SettleRuns(WorkerContext& context) {
   const std::set<TaskReference> runs = context.m_worker.m_runs;
   for (const TaskReference& reference : runs) {
@@ -128,7 +130,7 @@
     const Task& task = job->m_steps[StepRunIndex(*job, reference.m_occurrence,
                                                  reference.m_step)]
                            .m_tasks[reference.m_index];
-    if (task.m_state != RunState::kUnsettled) continue;
+    if (task.m_start != StartKnowledge::kUnanswered) continue;
     StepTask(context.m_fleet, *job, reference, RunEvent::kInterrupted);
   }
 }
--- a/libraries/wire/fleet_fields.h
+++ b/libraries/wire/fleet_fields.h
@@ -43,6 +43,16 @@
   visit("missable", step.m_may_miss);
 }
 
+template <typename Visitor>
+void VisitFields(Visitor& visit, Queue& queue) {
+  visit("id", queue.m_id);
+  visit("pool", queue.m_pool);
+  visit("priority", queue.m_priority);
+  visit("maximum_attempts", queue.m_maximum_attempts);
+  visit("stretch", queue.m_stretch);
+  visit("target_us", queue.m_target);
+}
+
 template <typename Visitor>
 void VisitFields(Visitor& visit, JobPlan& plan) {
   visit("key", plan.m_key);
