fleet: Let the leases of silent workers run out

After a roll of leaders the next one waited 10 s for workers that nobody had reached. Change: looks at a worker that does not answer carry no lease; a leader that stops in order tells the next one which workers may run what unseen; a failed job stays failed.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -152,6 +152,8 @@
     }
   }
   for (const TaskProgress& row : progress.m_tasks) RestoreTask(*job, row);
+  // Its other tasks may still run; they are stopped, and none starts again.
+  job->m_has_failed = progress.m_state == JobState::kFailed;
   return job;
 }
 
@@ -269,6 +271,7 @@
   } else {
     ReleaseSteps(fleet, *job, 0);
   }
+  if (job->m_has_failed) EndEarly(fleet, *job, TimePoint());
   // A stored end of the last task may lack its outcome.
   if (HasSettled(*job)) NoteChange(fleet, *job);
 }
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -22,7 +22,7 @@
   Duration m_lease = std::chrono::seconds(4);
   /// How long an answer may wait for an end.
   Duration m_look_wait = std::chrono::milliseconds(1000);
-  /// A silent worker may run tasks of an earlier leader for this long.
+  /// A worker may run tasks of a leader that was cut off for this long.
   Duration m_inherited_lease = std::chrono::seconds(12);
   /// A serving task may be over its target for this long.
   Duration m_harm = std::chrono::milliseconds(4000);
@@ -85,7 +85,8 @@
   const FleetMachines* m_machines = nullptr;
   FleetLimits m_limits;
   Term m_term;
-  TimePoint m_took_over_at{};
+  /// When the last worker that has not answered can run nothing any more.
+  TimePoint m_unseen_ends_at{};
   std::map<QueueId, Queue> m_queues;
   std::map<WorkerId, Worker> m_workers;
   std::set<WorkerId> m_roster;  ///< Workers that are stored.
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -110,6 +110,10 @@
   TimePoint m_clock_read_at{};
   WorkerMilliseconds m_lease_until;  ///< The latest deadline sent.
 
+  /// Until then it may run tasks that an earlier leader started and that it
+  /// has not been asked about; past once it has answered.
+  TimePoint m_unseen_until{};
+
   std::uint32_t m_failures_in_row = 0;  ///< Runs that failed without a success.
   TimePoint m_aside_until{};
   /// Runs that no job of the fleet knows; their room is not known either.
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -253,16 +253,9 @@
 // After a take-over a worker of the roster that has not answered yet may run
 // any task that an earlier leader could have started.
 bool MayRunUnseen(const Fleet& fleet, TimePoint now) {
-  if (fleet.m_term.value() <= 1) return false;
-  if (now - fleet.m_took_over_at >= fleet.m_limits.m_inherited_lease) {
-    return false;
-  }
-  return std::any_of(fleet.m_workers.begin(), fleet.m_workers.end(),
-                     [](const auto& entry) {
-                       const Worker& worker = entry.second;
-                       return !worker.m_has_clock ||
-                              worker.m_state == WorkerState::kUnverified;
-                     });
+  return std::any_of(
+      fleet.m_workers.begin(), fleet.m_workers.end(),
+      [now](const auto& entry) { return now < entry.second.m_unseen_until; });
 }
 
 }  // namespace
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -203,14 +203,17 @@
   look.m_token = worker.m_token;
   look.m_acknowledged = worker.m_stored_end;
   worker.m_acknowledged_end = worker.m_stored_end;
-  look.m_has_lease = worker.m_has_clock;
-  if (worker.m_has_clock) {
+  // A worker that does not answer must not be granted more: an unanswered
+  // look may have arrived, and its lease would never be certainly over.
+  look.m_has_lease =
+      worker.m_has_clock && worker.m_state == WorkerState::kReady;
+  if (look.m_has_lease) {
     look.m_lease_until =
         WorkerClockAt(worker, now) +
         WorkerMilliseconds(InMilliseconds(fleet.m_limits.m_lease));
     worker.m_lease_until = std::max(worker.m_lease_until, look.m_lease_until);
   }
-  if (worker.m_state == WorkerState::kReady && worker.m_has_clock) {
+  if (look.m_has_lease) {
     look.m_wait = fleet.m_limits.m_look_wait;
     // Serving tasks beside fillers are watched more closely.
     if (!worker.m_serving.empty() && !worker.m_fillers.empty()) {
@@ -283,9 +286,7 @@
     const bool is_quiet = worker.m_state == WorkerState::kLapsed ||
                           worker.m_state == WorkerState::kSilent ||
                           worker.m_state == WorkerState::kUnverified;
-    // Until then a start of an earlier term may come into effect there.
-    const bool may_hold_inherited =
-        now - fleet.m_took_over_at < fleet.m_limits.m_inherited_lease;
+    const bool may_hold_inherited = now < worker.m_unseen_until;
     if (!is_listed && is_unused && is_quiet && !may_hold_inherited) {
       place = fleet.m_workers.erase(place);
     } else {
@@ -322,6 +323,7 @@
   }
   LoseMissing(fleet, *worker, report);
   if (worker->m_state != WorkerState::kReady) fleet.m_needs_placement = true;
+  worker->m_unseen_until = TimePoint();
   StepWorker(fleet, *worker, WorkerEvent::kReported);
   // With nothing to store, the ends can be acknowledged at once.
   if (fleet.m_changed.empty() && !fleet.m_is_storing) {
@@ -390,6 +392,10 @@
     RefreshRanks(fleet, now);
   }
   for (auto& entry : fleet.m_workers) TickWorker(fleet, entry.second, now);
+  if (fleet.m_unseen_ends_at != TimePoint() && now >= fleet.m_unseen_ends_at) {
+    fleet.m_unseen_ends_at = TimePoint();
+    fleet.m_needs_placement = true;
+  }
 }
 
 }  // namespace daisyarch::fleet
--- a/libraries/wire/fleet_fields.h
+++ b/libraries/wire/fleet_fields.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/fleet/fleet_job.h"
+#include "decisions/fleet/roster.h"
 #include "wire/placement_fields.h"
 
 namespace daisyarch {
@@ -76,6 +77,12 @@
   visit("checkpoint", task.m_checkpoint);
 }
 
+template <typename Visitor>
+void VisitFields(Visitor& visit, Handover& handover) {
+  visit("term", handover.m_term);
+  visit("unseen_ms", handover.m_unseen_ms);
+}
+
 template <typename Visitor>
 void VisitFields(Visitor& visit, JobProgress& progress) {
   visit("state", progress.m_state);
--- a/services/daisyarchd/fleet/fleet_node.h
+++ b/services/daisyarchd/fleet/fleet_node.h
@@ -26,6 +26,8 @@
   StoreRevision m_term_revision;
   TimePoint m_vacant_since{};
   TimePoint m_may_claim_at{};
+  Handover m_handover;  ///< As last seen.
+  bool m_is_writing_handover = false;
   Claim m_claim;
   LeaderPointer m_leader;
   TimePoint m_claim_valid_until{};
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -159,7 +159,11 @@
         if (!result) return self->m_on_claim_lost("roster not read");
         for (const StoredItem& item : result.assume_value().m_items) {
           const WorkerId worker(item.m_key.substr(kRosterPrefix.size()));
-          ApplyRosterLoaded(self->m_fleet, {worker, item.m_value});
+          const Duration unseen =
+              UnseenAfter(self->m_fleet.m_limits, self->m_handover,
+                          self->m_claim.m_term, worker);
+          ApplyRosterLoaded(self->m_fleet, {worker, item.m_value},
+                            Now(*self) + unseen);
         }
         self->m_is_loaded = true;
         on_loaded();
@@ -293,7 +297,6 @@
   Fleet& fleet = leader->m_fleet;
   fleet.m_machines = &leader->m_runtime.m_fleet_machines;
   fleet.m_term = leader->m_claim.m_term;
-  fleet.m_took_over_at = Now(*leader);
   ApplyQueues(fleet, QueuesOf(routes));
   const std::weak_ptr<Leader> weak = leader;
   leader->m_runtime.m_store.m_list(
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -36,6 +36,7 @@
   FleetRuntime& m_runtime;
   Claim m_claim;
   Fleet m_fleet;
+  Handover m_handover;  ///< Of the leader before, if it stopped in order.
   std::function<void(const std::string& reason)> m_on_claim_lost;
   std::function<bool()> m_may_start;
   bool m_is_loaded = false;
@@ -75,6 +76,10 @@
 /// True when every change is stored.
 bool HasStoredAll(const Leader& leader);
 
+/// Tells the next leader what it need not wait for; calls `on_written` in
+/// any case.
+void WriteHandover(const LeaderPointer& leader,
+                   std::function<void()> on_written);
 /// Starts, and goes on with, storing changes that are due.
 void WriteChanges(const LeaderPointer& leader);
 /// Removes what is kept of jobs that ended long ago.
--- a/services/daisyarchd/fleet/leader_writes.cc
+++ b/services/daisyarchd/fleet/leader_writes.cc
@@ -229,6 +229,22 @@
       });
 }
 
+void WriteHandover(const LeaderPointer& leader,
+                   std::function<void()> on_written) {
+  StoreTransaction transaction;
+  transaction.m_expectations.push_back(HolderExpectation(*leader));
+  transaction.m_puts.push_back(
+      {kHandoverKey,
+       WriteCbor(Encode(HandoverOf(leader->m_fleet, Now(*leader)))),
+       StoreLeaseId()});
+  leader->m_runtime.m_store.m_commit(
+      transaction, [on_written = std::move(on_written)](
+                       const Result<TransactionResult>& result) {
+        if (!result) LogError("handover_not_stored", result.assume_error());
+        on_written();
+      });
+}
+
 void WritePending(const LeaderPointer& leader) {
   const TimePoint now = Now(*leader);
   if (leader->m_is_writing_pending || now < leader->m_next_pending_at) return;
--- a/services/daisyarchd/fleet/node_lead.cc
+++ b/services/daisyarchd/fleet/node_lead.cc
@@ -6,6 +6,7 @@
 #include "base/stable_hash.h"
 #include "fleet/store_keys.h"
 #include "log/log.h"
+#include "wire/fleet_fields.h"
 
 namespace daisyarch::fleet {
 
@@ -57,6 +58,13 @@
   node.m_last_term = Term(std::strtoull(value.c_str(), nullptr, 10));
 }
 
+void SeeHandover(FleetNode& node, const std::string& value) {
+  auto handover = DecodeCbor<Handover>(value, "read handover", kHandoverKey);
+  if (!handover)
+    return LogError("handover_unreadable", handover.assume_error());
+  node.m_handover = std::move(handover).assume_value();
+}
+
 void BeginClaim(FleetNode& node);
 void BeginLoad(FleetNode& node);
 
@@ -139,6 +147,7 @@
             {"store_revision", node.m_claim.m_revision.value()}});
   node.m_leader = std::make_shared<Leader>(Leader{node.m_runtime});
   node.m_leader->m_claim = node.m_claim;
+  node.m_leader->m_handover = node.m_handover;
   node.m_leader->m_fleet.m_limits = LimitsOf(node.m_runtime.m_settings);
   node.m_leader->m_on_claim_lost = [&node](const std::string& reason) {
     LoseClaim(node, reason);
@@ -200,9 +209,10 @@
 }
 
 void TickHandover(FleetNode& node) {
-  if (HasStoredAll(*node.m_leader)) {
-    StepLead(node, LeadershipEvent::kHandedOver);
-  }
+  if (node.m_is_writing_handover || !HasStoredAll(*node.m_leader)) return;
+  node.m_is_writing_handover = true;
+  WriteHandover(node.m_leader,
+                [&node] { StepLead(node, LeadershipEvent::kHandedOver); });
 }
 
 }  // namespace
@@ -217,6 +227,8 @@
     for (const StoredItem& item : items) {
       if (item.m_key == kTermKey) {
         SeeTerm(node, item.m_value, item.m_revision);
+      } else if (item.m_key == kHandoverKey) {
+        SeeHandover(node, item.m_value);
       } else if (item.m_key == kHolderKey) {
         is_held = true;
         revision = item.m_revision;
@@ -228,6 +240,8 @@
     for (const StoreChange& change : changes) {
       if (change.m_key == kTermKey && change.m_value) {
         SeeTerm(node, *change.m_value, change.m_revision);
+      } else if (change.m_key == kHandoverKey && change.m_value) {
+        SeeHandover(node, *change.m_value);
       } else if (change.m_key == kHolderKey) {
         SeeHolder(node, change.m_value.has_value(), change.m_revision);
       }
--- a/services/daisyarchd/fleet/store_keys.h
+++ b/services/daisyarchd/fleet/store_keys.h
@@ -13,6 +13,8 @@
 inline const std::string kHolderKey = "daisyarch/lead/holder";
 /// Counts the leaders; outlives them.
 inline const std::string kTermKey = "daisyarch/lead/term";
+/// What the last leader that stopped in order told the next one.
+inline const std::string kHandoverKey = "daisyarch/lead/handover";
 /// Accepted jobs that have not ended, and their cancellations.
 inline const std::string kJobPrefix = "daisyarch/jobs/";
 /// What became of each job's tasks.
