--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -65,11 +65,11 @@
       StepRunIndex(job, reference.m_occurrence, reference.m_step);
   StepRun& step_run = job.m_steps[place];
   const StepPlan& step = job.m_plan.m_steps[reference.m_step];
-  if (!IsPlaced(before)) {
-    job.m_has_started = job.m_has_started || IsPlaced(after);
+  job.m_has_started = job.m_has_started || IsPlaced(after);
+  if (IsPlaced(after) || (after == RunState::kCancelled && !IsPlaced(before))) {
     return;
   }
-  if (IsPlaced(after)) return;
+  if (!IsPlaced(before)) --step_run.m_waiting;
   UpdateQueue(fleet, job, place);
   if (step.m_is_gang && after == RunState::kDone) {
     FinishGang(fleet, job, reference);
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -32,6 +32,7 @@
   kEndedDone,
   kEndedFailed,
   kInterrupted,  ///< Ended by no fault of the task's.
+  kAttemptsUsedUp,
   kCancelled,
 };
 
@@ -55,7 +56,7 @@
   RunNumber m_run;
   WorkerId m_worker;  ///< Empty while the task is nowhere.
   std::string m_checkpoint;
-  TimePoint m_started_at{};    ///< When the start was answered.
+  TimePoint m_started_at{};  ///< When the start was answered.
   TimePoint m_over_target_since{};
   TimePoint m_paced_at{};
   TimePoint m_stop_sent_at{};
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -111,8 +111,11 @@
   if (job.m_plan.m_steps[row.m_task.m_step].m_kind == StepKind::kService) {
     return;
   }
-  if (row.m_run < task.m_run && NoteFailedRun(task, row.m_run)) {
-    NoteChange(fleet, job);
+  if (row.m_run >= task.m_run || !NoteFailedRun(task, row.m_run)) return;
+  NoteChange(fleet, job);
+  const bool is_waiting = task.m_state == RunState::kWaiting;
+  if (is_waiting && task.m_failed_runs.size() >= job.m_maximum_attempts) {
+    StepTask(fleet, job, row.m_task, RunEvent::kAttemptsUsedUp);
   }
 }
 
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -19,6 +19,13 @@
          context.m_job.m_maximum_attempts;
 }
 
+// A failure that was told late may have been the last that was allowed.
+bool HasNoAttempts(const RunContext& context) {
+  return context.m_step.m_kind == StepKind::kFinite &&
+         context.m_task.m_failed_runs.size() >=
+             context.m_job.m_maximum_attempts;
+}
+
 void JoinNeighbours(Worker& worker, const StepPlan& step) {
   if (step.m_processor_use == ProcessorUse::kLeftover) {
     worker.m_used.m_processors -= step.m_demand.m_processors;
@@ -142,10 +149,11 @@
       {"waiting", "starting", "running", "unsettled", "stopping", "done",
        "failed", "cancelled"},
       {"placed", "started", "unanswered", "stop_requested", "ended_done",
-       "ended_failed", "interrupted", "cancelled"},
+       "ended_failed", "interrupted", "attempts_used_up", "cancelled"},
       {{"is_service", IsService},
        {"has_ended_early", HasEndedEarly},
-       {"may_run_again", MayRunAgain}},
+       {"may_run_again", MayRunAgain},
+       {"has_no_attempts", HasNoAttempts}},
       {{"reserve_room", ReserveRoom},
        {"release_room", ReleaseRoom},
        {"requeue", Requeue},
--- /dev/null
+++ b/standins/models/fleet_worker_model.cc
@@ -0,0 +1,138 @@
+#include "models/fleet_worker_model.h"
+
+#include <algorithm>
+
+namespace daisyarch::fleet {
+
+namespace {
+
+void Close(FleetWorkerModel& model, const TaskReference& task, RunNumber run,
+           RunEnd end) {
+  model.m_running.erase(task);
+  RunNumber& closed = model.m_closed_runs[task];
+  closed = std::max(closed, run);
+  EndedRow row;
+  row.m_number = EndNumber(++model.m_last_end);
+  row.m_task = task;
+  row.m_run = run;
+  row.m_end = end;
+  model.m_ended.push_back(row);
+  if (model.m_on_end) model.m_on_end(row);
+}
+
+bool IsFenced(FleetWorkerModel& model, FencingToken token) {
+  if (token < model.m_highest_token) return true;
+  model.m_highest_token = token;
+  return false;
+}
+
+Error Fenced(const FleetWorkerModel& model) {
+  return Error{ErrorCode::kConflict, "order", model.m_listing.m_worker.value(),
+               "a higher token was seen"};
+}
+
+}  // namespace
+
+WorkerMilliseconds ClockOf(const FleetWorkerModel& model, TimePoint now) {
+  return WorkerMilliseconds(static_cast<std::int64_t>(
+      static_cast<double>(InMilliseconds(now - model.m_born_at)) *
+      model.m_clock_rate));
+}
+
+void Advance(FleetWorkerModel& model, TimePoint now) {
+  if (!model.m_is_up) return;
+  const bool has_lapsed = ClockOf(model, now) > model.m_lease_until;
+  const auto running = model.m_running;
+  for (const auto& [task, run] : running) {
+    if (run.m_ends_at <= now) {
+      Close(model, task, run.m_run, run.m_end);
+    } else if (has_lapsed) {
+      Close(model, task, run.m_run, RunEnd::kLapsed);
+    }
+  }
+}
+
+void Crash(FleetWorkerModel& model, TimePoint now) {
+  Advance(model, now);
+  model.m_is_up = false;
+  model.m_running.clear();
+  model.m_ended.clear();
+  model.m_closed_runs.clear();
+  model.m_last_end = 0;
+  model.m_highest_token = FencingToken();
+  model.m_lease_until = WorkerMilliseconds();
+}
+
+void Revive(FleetWorkerModel& model, TimePoint now) {
+  model.m_is_up = true;
+  model.m_born_at = now;
+  model.m_listing.m_incarnation =
+      Incarnation(model.m_listing.m_incarnation.value() + 1);
+}
+
+StartOutcome Receive(FleetWorkerModel& model, const StartOrder& order,
+                     TimePoint now) {
+  Advance(model, now);
+  if (IsFenced(model, order.m_token)) return StartOutcome::kRefused;
+  const auto running = model.m_running.find(order.m_task);
+  if (running != model.m_running.end() &&
+      running->second.m_run == order.m_run) {
+    return StartOutcome::kStarted;
+  }
+  if (order.m_lease_until < ClockOf(model, now)) {
+    return StartOutcome::kRefused;
+  }
+  model.m_lease_until = std::max(model.m_lease_until, order.m_lease_until);
+  const auto closed = model.m_closed_runs.find(order.m_task);
+  const bool is_old =
+      closed != model.m_closed_runs.end() && order.m_run <= closed->second;
+  if (is_old || running != model.m_running.end()) {
+    return StartOutcome::kRefused;
+  }
+  ModelRun run = model.m_plan_run(order.m_task, order.m_run);
+  run.m_run = order.m_run;
+  run.m_started_at = now;
+  model.m_running[order.m_task] = run;
+  if (model.m_on_start) model.m_on_start(order.m_task, order.m_run);
+  return StartOutcome::kStarted;
+}
+
+Result<void> Receive(FleetWorkerModel& model, const StopOrder& order,
+                     TimePoint now) {
+  Advance(model, now);
+  if (IsFenced(model, order.m_token)) return Fenced(model);
+  const auto running = model.m_running.find(order.m_task);
+  if (running != model.m_running.end() &&
+      running->second.m_run == order.m_run) {
+    Close(model, order.m_task, order.m_run, RunEnd::kStopped);
+  } else {
+    RunNumber& closed = model.m_closed_runs[order.m_task];
+    closed = std::max(closed, order.m_run);
+  }
+  return Success();
+}
+
+Result<WorkerReport> Receive(FleetWorkerModel& model, const LookOrder& order,
+                             TimePoint now) {
+  Advance(model, now);
+  if (IsFenced(model, order.m_token)) return Fenced(model);
+  if (order.m_has_lease) {
+    model.m_lease_until = std::max(model.m_lease_until, order.m_lease_until);
+  }
+  auto& ended = model.m_ended;
+  ended.erase(std::remove_if(ended.begin(), ended.end(),
+                             [&order](const EndedRow& row) {
+                               return row.m_number <= order.m_acknowledged;
+                             }),
+              ended.end());
+  WorkerReport report;
+  report.m_incarnation = model.m_listing.m_incarnation;
+  report.m_clock = ClockOf(model, now);
+  for (const auto& [task, run] : model.m_running) {
+    report.m_running.push_back({task, run.m_run, "", 0, 0});
+  }
+  report.m_ended = ended;
+  return report;
+}
+
+}  // namespace daisyarch::fleet
