tests: Cover the fleet's decisions and the adapter's messages

Change: a test for each failure found (lease of a silent worker, start on its way, failed job loaded, failure told late, roster, handover), for placement, interference, the codecs with bad input, and the site's settings.

--- /dev/null
+++ b/tests/decisions/fleet/fleet_fixture.cc
@@ -0,0 +1,105 @@
+#include "decisions/fleet/fleet_fixture.h"
+
+namespace daisyarch::fleet {
+
+FleetFixture::FleetFixture()
+    : m_machines(LoadFleetMachines(DAISYARCH_CHARTS).assume_value()) {
+  m_fleet.m_machines = &m_machines;
+  m_fleet.m_term = Term(2);
+  Queue queue;
+  queue.m_id = QueueId("batch");
+  queue.m_pool = PoolId("pool");
+  queue.m_maximum_attempts = 3;
+  queue.m_stretch = 2.0;
+  queue.m_target = std::chrono::seconds(1);
+  m_fleet.m_queues.emplace(queue.m_id, queue);
+}
+
+void AddReadyWorkers(FleetFixture& fixture, int count, Millicores processors) {
+  std::vector<ListedWorker> listing;
+  for (int number = 0; number < count; ++number) {
+    ListedWorker worker;
+    worker.m_worker = WorkerId("w" + std::to_string(number));
+    worker.m_address = worker.m_worker.value();
+    worker.m_incarnation = Incarnation(1);
+    worker.m_pool = PoolId("pool");
+    worker.m_capacity =
+        Resources{processors, Mebibytes(64000), Accelerators(0)};
+    listing.push_back(worker);
+  }
+  ApplyListing(fixture.m_fleet, listing, fixture.m_now);
+  ApplyRosterStored(fixture.m_fleet, MissingFromRoster(fixture.m_fleet));
+  TickFleet(fixture.m_fleet, fixture.m_now, 0);
+  for (const ListedWorker& worker : listing) {
+    Report(fixture, worker.m_worker.value(), {}, {});
+  }
+  fixture.m_fleet.m_orders.clear();
+}
+
+JobPlan MakePlan(const std::string& key, std::uint32_t tasks,
+                 Millicores processors) {
+  JobPlan plan;
+  plan.m_key = JobKey(key);
+  plan.m_queue.m_id = QueueId("batch");
+  StepPlan step;
+  step.m_task_count = tasks;
+  step.m_demand = Resources{processors, Mebibytes(100), Accelerators(0)};
+  step.m_estimate = std::chrono::seconds(1);
+  plan.m_steps.push_back(step);
+  return plan;
+}
+
+void Submit(FleetFixture& fixture, const JobPlan& plan) {
+  AddJob(fixture.m_fleet, plan, {}, fixture.m_now);
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+}
+
+void Wait(FleetFixture& fixture, Duration duration) {
+  fixture.m_now += duration;
+  TickFleet(fixture.m_fleet, fixture.m_now, 0);
+}
+
+void Report(FleetFixture& fixture, const std::string& worker,
+            const std::vector<RunningRow>& running,
+            const std::vector<EndedRow>& ended) {
+  const Worker& known = *FindWorker(fixture.m_fleet, WorkerId(worker));
+  WorkerReport report;
+  report.m_incarnation = Incarnation(1);
+  report.m_clock =
+      WorkerMilliseconds(InMilliseconds(fixture.m_now.time_since_epoch()));
+  report.m_running = running;
+  report.m_ended = ended;
+  ApplyReport(fixture.m_fleet, WorkerId(worker), known.m_look, known.m_token,
+              report, fixture.m_now);
+}
+
+void FailLook(FleetFixture& fixture, const std::string& worker) {
+  const Worker& known = *FindWorker(fixture.m_fleet, WorkerId(worker));
+  ApplyLookFailure(fixture.m_fleet, WorkerId(worker), known.m_look,
+                   fixture.m_now);
+}
+
+RunningRow RowOf(const StartOrder& start) {
+  RunningRow row;
+  row.m_task = start.m_task;
+  row.m_run = start.m_run;
+  return row;
+}
+
+EndedRow EndOf(const StartOrder& start, std::uint64_t number, RunEnd end) {
+  EndedRow row;
+  row.m_number = EndNumber(number);
+  row.m_task = start.m_task;
+  row.m_run = start.m_run;
+  row.m_end = end;
+  return row;
+}
+
+Task& TaskOf(FleetFixture& fixture, const TaskReference& reference) {
+  Job& job = *FindJob(fixture.m_fleet, reference.m_job);
+  return job
+      .m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)]
+      .m_tasks[reference.m_index];
+}
+
+}  // namespace daisyarch::fleet
--- /dev/null
+++ b/tests/decisions/fleet/place_runs_test.cc
@@ -0,0 +1,116 @@
+#include <catch2/catch.hpp>
+
+#include "decisions/fleet/fleet_fixture.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+constexpr Millicores kCore{1000};
+}  // namespace
+
+TEST_CASE("Tasks start where they fit, and no further") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 2, Millicores(2500));
+  Submit(fixture, MakePlan("job", 6, kCore));
+  CHECK(TakeOrders<StartOrder>(fixture).size() == 4);
+}
+
+TEST_CASE("A step starts once all earlier ones are done") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(4000));
+  JobPlan plan = MakePlan("job", 2, kCore);
+  plan.m_steps.push_back(plan.m_steps.front());
+  plan.m_steps.back().m_after = {0};
+  Submit(fixture, plan);
+  const auto first = TakeOrders<StartOrder>(fixture);
+  REQUIRE(first.size() == 2);
+  for (const StartOrder& start : first) {
+    ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                      fixture.m_now);
+  }
+  Wait(fixture, std::chrono::milliseconds(10));
+  Report(fixture, "w0", {RowOf(first[1])}, {EndOf(first[0], 1, RunEnd::kDone)});
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).empty());
+  Wait(fixture, std::chrono::milliseconds(10));
+  Report(fixture, "w0", {}, {EndOf(first[1], 2, RunEnd::kDone)});
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).size() == 2);
+}
+
+TEST_CASE("A gang starts as a whole, under one run") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 2, kCore);
+  JobPlan plan = MakePlan("wide", 3, kCore);
+  plan.m_steps.front().m_is_gang = true;
+  Submit(fixture, plan);
+  CHECK(TakeOrders<StartOrder>(fixture).empty());
+  plan = MakePlan("pair", 2, kCore);
+  plan.m_steps.front().m_is_gang = true;
+  Submit(fixture, plan);
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 2);
+  CHECK(starts[0].m_run == starts[1].m_run);
+}
+
+TEST_CASE("Labels, limits per worker and leaving workers are kept to") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 3, Millicores(8000));
+  Worker& labelled = *FindWorker(fixture.m_fleet, WorkerId("w1"));
+  labelled.m_listing.m_labels = {"fast"};
+  JobPlan plan = MakePlan("labelled", 1, kCore);
+  plan.m_steps.front().m_required_label = "fast";
+  Submit(fixture, plan);
+  auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].m_worker == WorkerId("w1"));
+  labelled.m_listing.m_is_leaving = true;
+  plan = MakePlan("apart", 6, kCore);
+  plan.m_steps.front().m_maximum_per_worker = 2;
+  Submit(fixture, plan);
+  starts = TakeOrders<StartOrder>(fixture);
+  CHECK(starts.size() == 4);
+  for (const StartOrder& start : starts) {
+    CHECK(start.m_worker != WorkerId("w1"));
+  }
+}
+
+TEST_CASE("What has begun goes before what has not, and hopeless work last") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  const TimePoint start = fixture.m_now;
+  AddJob(fixture.m_fleet, MakePlan("old", 1, kCore), {}, start);
+  fixture.m_now += std::chrono::seconds(20);
+  AddJob(fixture.m_fleet, MakePlan("new", 1, kCore), {}, fixture.m_now);
+  RefreshRanks(fixture.m_fleet, fixture.m_now);
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].m_task.m_job == JobKey("new"));
+}
+
+TEST_CASE("Fillers take no reserved room, and stay off tasks they harm") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 2, Millicores(10000));
+  JobPlan serving = MakePlan("serving", 1, Millicores(4000));
+  serving.m_steps.front().m_kind = StepKind::kService;
+  serving.m_steps.front().m_image = ImageId("shop");
+  serving.m_steps.front().m_latency_target = std::chrono::milliseconds(18);
+  Submit(fixture, serving);
+  const auto placed = TakeOrders<StartOrder>(fixture);
+  REQUIRE(placed.size() == 1);
+  JobPlan filler = MakePlan("filler", 1, Millicores(5000));
+  filler.m_steps.front().m_processor_use = ProcessorUse::kLeftover;
+  filler.m_steps.front().m_image = ImageId("grinder");
+  fixture.m_fleet.m_interference
+      .m_pairs[{ImageId("shop"), ImageId("grinder")}] = {300, 10};
+  Submit(fixture, filler);
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].m_worker != placed[0].m_worker);
+  const Worker& worker = *FindWorker(fixture.m_fleet, starts[0].m_worker);
+  CHECK(worker.m_used.m_processors == Millicores(0));
+  CHECK(worker.m_filler_demand == Millicores(5000));
+}
+
+}  // namespace daisyarch::fleet
--- /dev/null
+++ b/tests/decisions/fleet/reports_test.cc
@@ -0,0 +1,169 @@
+#include <catch2/catch.hpp>
+
+#include "decisions/fleet/fleet_fixture.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+constexpr Millicores kCore{1000};
+
+StartOrder StartOne(FleetFixture& fixture) {
+  AddReadyWorkers(fixture, 1, kCore);
+  Submit(fixture, MakePlan("job", 1, kCore));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  return starts.front();
+}
+
+}  // namespace
+
+TEST_CASE("The lease of a worker that does not answer runs out") {
+  FleetFixture fixture;
+  const StartOrder start = StartOne(fixture);
+  ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                    fixture.m_now);
+  // Looks go on all the while, as they do while a worker is dark.
+  for (int look = 0; look < 60; ++look) {
+    Wait(fixture, std::chrono::milliseconds(100));
+    FailLook(fixture, "w0");
+  }
+  CHECK(TaskOf(fixture, start.m_task).m_state == RunState::kWaiting);
+  const Worker& worker = *FindWorker(fixture.m_fleet, WorkerId("w0"));
+  CHECK(worker.m_state == WorkerState::kLapsed);
+  CHECK(worker.m_runs.empty());
+}
+
+TEST_CASE("A task is not given up before the lease is certainly over") {
+  FleetFixture fixture;
+  const StartOrder start = StartOne(fixture);
+  ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                    fixture.m_now);
+  Wait(fixture, std::chrono::milliseconds(100));
+  FailLook(fixture, "w0");
+  // A worker's clock may run 2% slow.
+  Wait(fixture, fixture.m_fleet.m_limits.m_lease * 102 / 100 -
+                    std::chrono::milliseconds(100));
+  CHECK(TaskOf(fixture, start.m_task).m_state == RunState::kRunning);
+}
+
+TEST_CASE("A look that does not list a start on its way frees no room") {
+  FleetFixture fixture;
+  const StartOrder start = StartOne(fixture);
+  CancelJob(fixture.m_fleet, JobKey("job"), fixture.m_now);
+  Wait(fixture, std::chrono::milliseconds(10));
+  Report(fixture, "w0", {}, {});
+  const Worker& worker = *FindWorker(fixture.m_fleet, WorkerId("w0"));
+  CHECK(worker.m_used.m_processors == kCore);
+  ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kRefused,
+                    fixture.m_now);
+  CHECK(worker.m_used.m_processors == Millicores(0));
+}
+
+TEST_CASE("An unanswered start is settled by a look under a higher token") {
+  FleetFixture fixture;
+  const StartOrder start = StartOne(fixture);
+  const Worker& worker = *FindWorker(fixture.m_fleet, WorkerId("w0"));
+  ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kUnanswered,
+                    fixture.m_now);
+  CHECK(worker.m_token > start.m_token);
+  CHECK(TaskOf(fixture, start.m_task).m_state == RunState::kUnsettled);
+  Wait(fixture, std::chrono::milliseconds(200));
+  SECTION("it took effect") {
+    Report(fixture, "w0", {RowOf(start)}, {});
+    CHECK(TaskOf(fixture, start.m_task).m_state == RunState::kRunning);
+  }
+  SECTION("it did not, and never will") {
+    Report(fixture, "w0", {}, {});
+    CHECK(TaskOf(fixture, start.m_task).m_state == RunState::kWaiting);
+    CHECK(worker.m_runs.empty());
+  }
+}
+
+TEST_CASE("A failure told late uses up the last attempt") {
+  FleetFixture fixture;
+  const StartOrder start = StartOne(fixture);
+  Task& task = TaskOf(fixture, start.m_task);
+  task.m_failed_runs = {RunNumber(2), RunNumber(3)};
+  ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kRefused,
+                    fixture.m_now);
+  REQUIRE(task.m_state == RunState::kWaiting);
+  Wait(fixture, std::chrono::seconds(11));
+  EndedRow older = EndOf(start, 1, RunEnd::kFailed);
+  older.m_run = RunNumber(1);
+  Report(fixture, "w0", {}, {older});
+  CHECK(task.m_state == RunState::kFailed);
+  CHECK(FindJob(fixture.m_fleet, JobKey("job"))->m_state == JobState::kFailed);
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).empty());
+}
+
+TEST_CASE("A job that failed is loaded as failed and starts nothing") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  JobProgress progress;
+  progress.m_state = JobState::kFailed;
+  TaskProgress row;
+  row.m_run = RunNumber(3);
+  row.m_failed_runs = {RunNumber(1), RunNumber(2), RunNumber(3)};
+  progress.m_tasks.push_back(row);
+  AddJob(fixture.m_fleet, MakePlan("job", 2, kCore), progress, fixture.m_now);
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).empty());
+  CHECK(HasSettled(*FindJob(fixture.m_fleet, JobKey("job"))));
+}
+
+TEST_CASE("Another incarnation runs nothing of the one before") {
+  FleetFixture fixture;
+  const StartOrder start = StartOne(fixture);
+  ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                    fixture.m_now);
+  Wait(fixture, std::chrono::milliseconds(10));
+  Worker& worker = *FindWorker(fixture.m_fleet, WorkerId("w0"));
+  WorkerReport report;
+  report.m_incarnation = Incarnation(2);
+  ApplyReport(fixture.m_fleet, WorkerId("w0"), worker.m_look, worker.m_token,
+              report, fixture.m_now);
+  CHECK(TaskOf(fixture, start.m_task).m_state == RunState::kWaiting);
+  CHECK(worker.m_state == WorkerState::kUnverified);
+  CHECK(worker.m_seen_end == EndNumber());
+}
+
+TEST_CASE("Ends are acknowledged only once they are stored") {
+  FleetFixture fixture;
+  const StartOrder start = StartOne(fixture);
+  ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                    fixture.m_now);
+  Wait(fixture, std::chrono::milliseconds(10));
+  Report(fixture, "w0", {}, {EndOf(start, 1, RunEnd::kDone)});
+  const Worker& worker = *FindWorker(fixture.m_fleet, WorkerId("w0"));
+  CHECK(worker.m_stored_end == EndNumber(0));
+  const ChangeBatch batch = TakeChanges(fixture.m_fleet);
+  REQUIRE(batch.m_jobs.size() == 1);
+  CHECK(batch.m_jobs.front().m_progress.m_state == JobState::kCompleted);
+  ApplyStored(fixture.m_fleet, batch);
+  CHECK(worker.m_stored_end == EndNumber(1));
+  CHECK(FindJob(fixture.m_fleet, JobKey("job")) == nullptr);
+}
+
+TEST_CASE("A worker that fails run after run is set aside") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(3000));
+  Submit(fixture, MakePlan("job", 3, kCore));
+  std::uint64_t number = 0;
+  Wait(fixture, std::chrono::milliseconds(10));
+  std::vector<EndedRow> ended;
+  for (const StartOrder& start : TakeOrders<StartOrder>(fixture)) {
+    ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                      fixture.m_now);
+    ended.push_back(EndOf(start, ++number, RunEnd::kFailed));
+  }
+  Report(fixture, "w0", {}, ended);
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).empty());
+  fixture.m_now += std::chrono::seconds(4);
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).size() == 3);
+}
+
+}  // namespace daisyarch::fleet
--- /dev/null
+++ b/tests/settings/site_settings_test.cc
@@ -0,0 +1,52 @@
+#include "settings/site_settings.h"
+
+#include <catch2/catch.hpp>
+
+namespace daisyarch {
+
+namespace {
+
+const std::string kGood = R"(node: "n1"
+failure_domain: "a"
+charts: "charts"
+processor_share: 0.1
+far_factor: 1.5
+listen: {callers: "10.0.0.1:1", ready: "10.0.0.1:2", metrics: "10.0.0.1:3"}
+store: {address: "10.0.0.9:8169", lease_minimum_ms: 1000}
+timing: {worker_lease_maximum_ms: 10000, stop_grace_s: 6,
+  state_retention_s: 120, harm_ms: 4000}
+)";
+
+std::string FaultOf(const std::string& from, const std::string& to) {
+  std::string text = kGood;
+  text.replace(text.find(from), from.size(), to);
+  const auto settings = ParseSiteSettings(text, "site.yaml");
+  if (settings) return "";
+  return settings.assume_error().m_peer + " " +
+         settings.assume_error().m_detail;
+}
+
+}  // namespace
+
+TEST_CASE("Site settings are read with their units") {
+  const auto settings = ParseSiteSettings(kGood, "site.yaml");
+  REQUIRE(settings);
+  CHECK(settings.assume_value().m_node == NodeId("n1"));
+  CHECK(settings.assume_value().m_stop_grace == std::chrono::seconds(6));
+  CHECK(settings.assume_value().m_store_lease_minimum ==
+        std::chrono::seconds(1));
+}
+
+TEST_CASE("A fault in site settings names line and key") {
+  CHECK(FaultOf("node: \"n1\"", "node: \"\"") ==
+        "site.yaml:1 node: expected text");
+  CHECK(FaultOf("far_factor", "fare_factor") ==
+        "site.yaml:5 fare_factor: unknown key");
+  CHECK(FaultOf("\"10.0.0.9:8169\"", "store") ==
+        "site.yaml:7 address: expected IP:port");
+  CHECK(FaultOf("stop_grace_s: 6", "stop_grace_s: -6") ==
+        "site.yaml:8 stop_grace_s: expected a number above 0");
+  CHECK(FaultOf("store:", "node:") == "site.yaml:7 node: stands twice");
+}
+
+}  // namespace daisyarch
