fleet: Look again once ends can be acknowledged

Cause: a worker answers a look at once while it has ends to tell; between an end and the next store write each worker was asked some 60 times. Change: the next look waits until the ends are stored; ends share a write for 60 ms in place of 150.

--- a/libraries/decisions/fleet/change_batch.cc
+++ b/libraries/decisions/fleet/change_batch.cc
@@ -26,6 +26,7 @@
     if (worker == nullptr) continue;
     if (worker->m_listing.m_incarnation != applied.m_incarnation) continue;
     worker->m_stored_end = std::max(worker->m_stored_end, applied.m_end);
+    worker->m_next_look_at = TimePoint();
   }
   for (const JobChange& change : batch.m_jobs) {
     if (change.m_has_settled) ForgetJob(fleet, change.m_key);
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -13,6 +13,8 @@
 constexpr std::uint8_t kAtWorkPercent = 100;
 constexpr Duration kRankingInterval = std::chrono::milliseconds(250);
 constexpr Duration kStopRepeat = std::chrono::milliseconds(500);
+// While ends cannot be stored, leases are still extended this often.
+constexpr Duration kUnstoredLook = std::chrono::milliseconds(300);
 constexpr Duration kRetryLook = std::chrono::milliseconds(100);
 // A worker where nothing runs is looked at this rarely.
 constexpr Duration kIdleLook = std::chrono::seconds(10);
@@ -332,6 +334,11 @@
   if (fleet.m_changed.empty() && !fleet.m_is_storing) {
     worker->m_stored_end = worker->m_seen_end;
   }
+  // A worker answers at once while it has ends to tell, so the next look
+  // waits until these can be acknowledged.
+  if (worker->m_stored_end < worker->m_seen_end) {
+    worker->m_next_look_at = now + kUnstoredLook;
+  }
   NoteLoads(fleet, *worker);
   LearnInterference(fleet.m_interference, worker->m_serving, worker->m_fillers,
                     worker->m_listing.m_capacity.m_processors);
--- a/services/daisyarchd/fleet/leader_writes.cc
+++ b/services/daisyarchd/fleet/leader_writes.cc
@@ -11,7 +11,7 @@
 namespace {
 
 // Ends that nobody waits for share a write for this long.
-constexpr Duration kWriteInterval = std::chrono::milliseconds(150);
+constexpr Duration kWriteInterval = std::chrono::milliseconds(60);
 constexpr Duration kWriteRetry = std::chrono::milliseconds(100);
 constexpr Duration kPendingInterval = std::chrono::milliseconds(1000);
 constexpr Duration kRemovalInterval = std::chrono::seconds(5);
