daemon: Report a lost claim once

Cause: each answer that arrived before the claim was dropped logged the loss anew (four lines in the site's random test).

--- a/services/daisyarchd/fleet/fleet_node.h
+++ b/services/daisyarchd/fleet/fleet_node.h
@@ -30,6 +30,7 @@
   bool m_is_writing_handover = false;
   Claim m_claim;
   LeaderPointer m_leader;
+  bool m_is_losing_claim = false;
   TimePoint m_claim_valid_until{};
   TimePoint m_next_renewal_at{};
   bool m_is_renewing = false;
--- a/services/daisyarchd/fleet/node_lead.cc
+++ b/services/daisyarchd/fleet/node_lead.cc
@@ -31,12 +31,15 @@
 }
 
 void LoseClaim(FleetNode& node, const std::string& reason) {
-  if (!node.m_leader) return;
+  if (!node.m_leader || node.m_is_losing_claim) return;
+  node.m_is_losing_claim = true;
   LogEvent(LogLevel::kWarning, "lead_lost",
            {{"term", node.m_claim.m_term.value()}, {"reason", reason}});
   // The leader may be what calls this.
-  node.m_runtime.m_clock.m_defer(
-      [&node] { StepLead(node, LeadershipEvent::kClaimLost); });
+  node.m_runtime.m_clock.m_defer([&node] {
+    node.m_is_losing_claim = false;
+    StepLead(node, LeadershipEvent::kClaimLost);
+  });
 }
 
 void SeeHolder(FleetNode& node, bool is_held, StoreRevision revision) {
