placement: Let a filler that fits nowhere hold back its own image alone

Cause: one harmful filler that no worker could bear kept every larger filler of the pass out, harmless ones too. Change: fillers are compared by image; the list of what fits nowhere keeps only what is not implied by another entry.

--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -24,7 +24,7 @@
   Fleet& m_fleet;
   TimePoint m_now;
   bool m_has_silent_inheritance = false;
-  std::vector<std::pair<PoolId, StepPlan>> m_unplaceable;
+  std::vector<std::pair<PoolId, const StepPlan*>> m_unplaceable;
 };
 
 bool HasLabel(const Worker& worker, const std::string& label) {
@@ -157,16 +157,34 @@
   return best;
 }
 
+/// True when a worker that cannot take `failed` cannot take `step` either.
+bool IsHarderToPlace(const StepPlan& step, const StepPlan& failed) {
+  if (step.m_processor_use != failed.m_processor_use) return false;
+  // Fillers differ in whom they disturb.
+  const bool is_filler = step.m_processor_use == ProcessorUse::kLeftover;
+  if (is_filler && step.m_image != failed.m_image) return false;
+  return Fits(failed.m_demand, step.m_demand);
+}
+
 bool IsUnplaceable(const Pass& pass, const PoolId& pool, const StepPlan& step) {
   return std::any_of(pass.m_unplaceable.begin(), pass.m_unplaceable.end(),
                      [&](const auto& failed) {
                        return failed.first == pool &&
-                              failed.second.m_processor_use ==
-                                  step.m_processor_use &&
-                              Fits(failed.second.m_demand, step.m_demand);
+                              IsHarderToPlace(step, *failed.second);
                      });
 }
 
+void NoteUnplaceable(Pass& pass, const PoolId& pool, const StepPlan& step) {
+  auto& failed = pass.m_unplaceable;
+  failed.erase(std::remove_if(failed.begin(), failed.end(),
+                              [&](const auto& other) {
+                                return other.first == pool &&
+                                       IsHarderToPlace(*other.second, step);
+                              }),
+               failed.end());
+  failed.emplace_back(pool, &step);
+}
+
 void Start(Pass& pass, Job& job, const TaskReference& reference, Worker& worker,
            RunNumber run, const std::string& checkpoint) {
   Task& task =
@@ -209,7 +227,7 @@
     if (worker == nullptr) {
       const bool is_plain =
           step.m_required_label.empty() && step.m_maximum_per_worker == 0;
-      if (is_plain) pass.m_unplaceable.emplace_back(pool, step);
+      if (is_plain) NoteUnplaceable(pass, pool, step);
       break;
     }
     Start(pass, job, reference, *worker, NextRun(pass.m_fleet, task),
