interference: Place fillers with more care

Cause: with fillers allowed up to 0.8 of a target, and where they would be slowed to 0.6, half of those running were paced below 50 percent. Change: 0.65 of the target, 0.9 of the use, learning rate 0.1.

--- a/libraries/decisions/fleet/interference.cc
+++ b/libraries/decisions/fleet/interference.cc
@@ -8,7 +8,7 @@
 
 // Normalized least mean squares: the share of an error that one sample
 // corrects.
-constexpr double kLearningRate = 0.25;
+constexpr double kLearningRate = 0.1;
 constexpr double kBaseRate = 0.05;
 // Tails far over the target say no more about the slope.
 constexpr double kMaximumTailTargets = 4.0;
@@ -19,7 +19,7 @@
 // Below this share of the worker a filler's effect drowns in noise.
 constexpr double kLeastShare = 0.01;
 // The tail has to stay under this share of the target.
-constexpr double kTargetShare = 0.8;
+constexpr double kTargetShare = 0.65;
 
 double ShareOf(Millicores processors, Millicores capacity) {
   return static_cast<double>(processors.value()) /
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -16,7 +16,7 @@
 // demand.
 constexpr std::int64_t kLeastLeftoverPercent = 60;
 // A filler that would have to be slowed below this waits for another worker.
-constexpr double kLeastBearableShare = 0.6;
+constexpr double kLeastBearableShare = 0.9;
 constexpr std::int64_t kPercent = 100;
 
 /// One pass over the queue: demands that fit nowhere are not tried again.
