--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -207,8 +207,17 @@
 }
 
 void StepWorker(Fleet& fleet, Worker& worker, WorkerEvent event) {
+  static constexpr const char* kStateEvents[] = {
+      "worker_unverified", "worker_ready", "worker_silent", "worker_lapsed",
+      "worker_gone"};
   WorkerContext context{fleet, worker};
+  const WorkerState before = worker.m_state;
   fleet.m_machines->m_worker.Step(worker.m_state, event, context);
+  if (worker.m_state == before) return;
+  fleet.m_events.push_back(
+      {kStateEvents[static_cast<std::size_t>(worker.m_state)], JobKey(),
+       worker.m_listing.m_worker, RunNumber(),
+       worker.m_look_sent_at - worker.m_clock_read_at});
 }
 
 void UpdateQueue(Fleet& fleet, Job& job, std::size_t step_run) {
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -77,6 +77,15 @@
   kUnanswered,  ///< May run, now or later.
 };
 
+/// Something that an operator may have to be told, for the log.
+struct FleetEvent {
+  const char* m_name;  ///< What happened.
+  JobKey m_job;        ///< Empty where it concerns no job.
+  WorkerId m_worker;
+  RunNumber m_run;
+  Duration m_age{};  ///< Of the job, or since the worker last answered.
+};
+
 struct FleetMachines;
 
 /// All that a leader knows of its workers and jobs, and the orders that wait
@@ -104,6 +113,7 @@
   bool m_needs_placement = false;
   TimePoint m_next_ranking_at{};
   std::vector<Order> m_orders;
+  std::vector<FleetEvent> m_events;
 };
 
 /// What the guards and actions of charts/run.yaml read and change.
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -190,6 +190,11 @@
   Task& task =
       job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)]
           .m_tasks[reference.m_index];
+  if (!job.m_has_started) {
+    pass.m_fleet.m_events.push_back({"job_started", job.m_plan.m_key,
+                                     worker.m_listing.m_worker, run,
+                                     pass.m_now - job.m_accepted_at});
+  }
   task.m_run = run;
   task.m_checkpoint = checkpoint;
   task.m_worker = worker.m_listing.m_worker;
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -96,7 +96,7 @@
   }
 }
 
-void JudgeWorker(Worker& worker, RunEnd end, TimePoint now) {
+void JudgeWorker(Fleet& fleet, Worker& worker, RunEnd end, TimePoint now) {
   if (end == RunEnd::kDone) {
     worker.m_failures_in_row = 0;
     return;
@@ -104,6 +104,9 @@
   if (end != RunEnd::kFailed) return;
   if (++worker.m_failures_in_row < kFailuresBeforeAside) return;
   worker.m_aside_until = now + kAside;
+  fleet.m_events.push_back({"worker_set_aside", JobKey(),
+                            worker.m_listing.m_worker, RunNumber(),
+                            Duration{}});
 }
 
 // A failure of a run that a later one has replaced still counts as an
@@ -131,12 +134,15 @@
     return NoteOldEnd(fleet, *job, *task, row);
   }
   if (!row.m_checkpoint.empty()) task->m_checkpoint = row.m_checkpoint;
-  JudgeWorker(worker, row.m_end, now);
+  JudgeWorker(fleet, worker, row.m_end, now);
   switch (row.m_end) {
     case RunEnd::kDone:
       StepTask(fleet, *job, row.m_task, RunEvent::kEndedDone);
       break;
     case RunEnd::kFailed:
+      fleet.m_events.push_back({"run_failed", row.m_task.m_job,
+                                worker.m_listing.m_worker, row.m_run,
+                                now - task->m_started_at});
       StepTask(fleet, *job, row.m_task, RunEvent::kEndedFailed);
       break;
     default:
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -286,6 +286,7 @@
   for (const Order& order : orders) {
     std::visit([&](const auto& one) { SendOne(leader, one); }, order);
   }
+  LogFleetEvents(*leader);
   WriteRoster(leader);
   WriteChanges(leader);
 }
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -58,6 +58,8 @@
   bool m_is_removing = false;
   TimePoint m_next_removal_at{};
   bool m_is_settling = false;
+  TimePoint m_log_second{};       ///< When the budget of lines began.
+  std::uint64_t m_log_lines = 0;  ///< Written, or left out, since then.
 };
 
 using LeaderPointer = std::shared_ptr<Leader>;
@@ -84,6 +86,8 @@
 void WriteChanges(const LeaderPointer& leader);
 /// Removes what is kept of jobs that ended long ago.
 void RemoveOldProgress(const LeaderPointer& leader);
+/// Writes what happened in the fleet to log and metrics, in bounded volume.
+void LogFleetEvents(Leader& leader);
 /// Stores workers before they get work, and drops those that are gone.
 void WriteRoster(const LeaderPointer& leader);
 void WritePending(const LeaderPointer& leader);
