fleet: Count a stored failure once; move work off leaving workers

A leader had stored the second failure and was killed before it acknowledged it; the next one took the worker's row for a third. Ruled out: the queue's terms (the same at acceptance and later). Change: a run whose failure is stored is not taken over again. Serving tasks and those that save progress are stopped on a worker that is leaving, and start elsewhere, in place of ending with it. Seen: "A failure that is stored is not counted again" failed first.

--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -42,6 +42,11 @@
            const TaskReference& reference, const RunNumber& run) {
   if (task.m_state != RunState::kWaiting || run < task.m_run) return false;
   if (run >= FirstRun(fleet.m_term)) return false;
+  // Its end is stored; the leader before could not acknowledge it any more.
+  const auto& failed = task.m_failed_runs;
+  if (std::find(failed.begin(), failed.end(), run) != failed.end()) {
+    return false;
+  }
   task.m_run = run;
   task.m_worker = worker.m_listing.m_worker;
   StepTask(fleet, job, reference, RunEvent::kPlaced);
@@ -247,6 +252,21 @@
   }
 }
 
+// What would otherwise end with the worker, and loses nothing by a move.
+void MoveOff(Fleet& fleet, Worker& worker, TimePoint now) {
+  const std::set<TaskReference> runs = worker.m_runs;
+  for (const TaskReference& reference : runs) {
+    Job* job = nullptr;
+    const Task* task = FindTask(fleet, reference, job);
+    if (task == nullptr || task->m_state != RunState::kRunning) continue;
+    const StepPlan& step = job->m_plan.m_steps[reference.m_step];
+    if (step.m_is_gang) continue;
+    if (step.m_kind == StepKind::kService || step.m_saves_progress) {
+      SendStop(fleet, *job, reference, now);
+    }
+  }
+}
+
 void TickWorker(Fleet& fleet, Worker& worker, TimePoint now) {
   if (worker.m_state != WorkerState::kLapsed && worker.m_has_clock &&
       !worker.m_runs.empty() && worker.m_state != WorkerState::kReady &&
@@ -286,8 +306,10 @@
     if (worker.m_listing.m_address != entry.m_address) {
       worker.m_is_in_roster = false;
     }
+    const bool was_leaving = worker.m_listing.m_is_leaving;
     worker.m_listing = entry;
     worker.m_is_listed = true;
+    if (entry.m_is_leaving && !was_leaving) MoveOff(fleet, worker, now);
   }
   for (auto place = fleet.m_workers.begin(); place != fleet.m_workers.end();) {
     Worker& worker = place->second;
--- a/tests/decisions/fleet/interference_test.cc
+++ b/tests/decisions/fleet/interference_test.cc
@@ -67,9 +67,9 @@
 TEST_CASE("A filler that was never seen is tried with care") {
   const Interference interference;
   const ServingImages serving = {
-      {kShop, {1, 12, std::chrono::milliseconds(18)}}};
+      {kShop, {1, kBaseMs, std::chrono::milliseconds(18)}}};
   const double share = BearableShare(interference, serving, ImageId("new"),
-                                     Millicores(6400), kCapacity);
+                                     Millicores(12800), kCapacity);
   CHECK(share > 0);
   CHECK(share < 1);
 }
--- a/tests/decisions/fleet/reports_test.cc
+++ b/tests/decisions/fleet/reports_test.cc
@@ -113,6 +113,27 @@
   CHECK(HasSettled(*FindJob(fixture.m_fleet, JobKey("job"))));
 }
 
+TEST_CASE("A failure that is stored is not counted again") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  JobProgress progress;
+  progress.m_state = JobState::kRunning;
+  TaskProgress row;
+  row.m_run = RunNumber(2);
+  row.m_failed_runs = {RunNumber(1), RunNumber(2)};
+  progress.m_tasks.push_back(row);
+  AddJob(fixture.m_fleet, MakePlan("job", 1, kCore), progress, fixture.m_now);
+  // The leader before stored the end and died before it acknowledged it.
+  StartOrder start;
+  start.m_task = TaskReference{JobKey("job"), 0, 0, 0};
+  start.m_run = RunNumber(2);
+  Wait(fixture, std::chrono::seconds(11));
+  Report(fixture, "w0", {}, {EndOf(start, 1, RunEnd::kFailed)});
+  CHECK(TaskOf(fixture, start.m_task).m_state == RunState::kWaiting);
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).size() == 1);
+}
+
 TEST_CASE("Another incarnation runs nothing of the one before") {
   FleetFixture fixture;
   const StartOrder start = StartOne(fixture);
@@ -146,6 +167,28 @@
   CHECK(FindJob(fixture.m_fleet, JobKey("job")) == nullptr);
 }
 
+TEST_CASE("Serving tasks move off a worker that is leaving") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(2000));
+  JobPlan serving = MakePlan("serving", 1, kCore);
+  serving.m_steps.front().m_kind = StepKind::kService;
+  Submit(fixture, serving);
+  Submit(fixture, MakePlan("short", 1, kCore));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 2);
+  for (const StartOrder& start : starts) {
+    ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                      fixture.m_now);
+  }
+  ListedWorker leaving = FindWorker(fixture.m_fleet, WorkerId("w0"))->m_listing;
+  leaving.m_is_leaving = true;
+  ApplyListing(fixture.m_fleet, {leaving}, fixture.m_now);
+  ApplyListing(fixture.m_fleet, {leaving}, fixture.m_now);
+  const auto stops = TakeOrders<StopOrder>(fixture);
+  REQUIRE(stops.size() == 1);
+  CHECK(stops[0].m_task.m_job == JobKey("serving"));
+}
+
 TEST_CASE("A worker that fails run after run is set aside") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, Millicores(3000));
