--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -186,6 +186,10 @@
 
 Job* FindJob(Fleet& fleet, const JobKey& key);
 Worker* FindWorker(Fleet& fleet, const WorkerId& worker);
+/// The task and its job; nullptr if the fleet does not know it.
+Task* FindTask(Fleet& fleet, const TaskReference& reference, Job*& job);
+/// Gives up what the worker ran if it is another incarnation.
+void NoteIncarnation(Fleet& fleet, Worker& worker, Incarnation incarnation);
 /// Steps one task's chart; StepResult::kIgnored when the event does not fit.
 StepResult StepTask(Fleet& fleet, Job& job, const TaskReference& reference,
                     RunEvent event);
--- /dev/null
+++ b/libraries/decisions/fleet/listing.cc
@@ -0,0 +1,68 @@
+#include "decisions/fleet/fleet.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+// What would otherwise end with the worker, and loses nothing by a move.
+void MoveOff(Fleet& fleet, Worker& worker, TimePoint now) {
+  const std::set<TaskReference> runs = worker.m_runs;
+  for (const TaskReference& reference : runs) {
+    Job* job = nullptr;
+    const Task* task = FindTask(fleet, reference, job);
+    if (task == nullptr || task->m_state != RunState::kRunning) continue;
+    const StepPlan& step = job->m_plan.m_steps[reference.m_step];
+    if (step.m_is_gang) continue;
+    if (step.m_kind == StepKind::kService || step.m_saves_progress) {
+      SendStop(fleet, *job, reference, now);
+    }
+  }
+}
+
+}  // namespace
+
+void ApplyListing(Fleet& fleet, const std::vector<ListedWorker>& listing,
+                  TimePoint now) {
+  std::set<WorkerId> listed;
+  for (const ListedWorker& entry : listing) {
+    listed.insert(entry.m_worker);
+    const bool is_new = fleet.m_workers.count(entry.m_worker) == 0;
+    Worker& worker = fleet.m_workers[entry.m_worker];
+    if (is_new) {
+      worker.m_listing = entry;
+      worker.m_token = FirstToken(fleet.m_term);
+      continue;
+    }
+    // The worker's own word on its incarnation may be newer than the list.
+    const bool is_older = entry.m_incarnation < worker.m_listing.m_incarnation;
+    if (is_older) continue;
+    if (!worker.m_is_listed || worker.m_listing.m_is_leaving) {
+      fleet.m_needs_placement = true;
+    }
+    NoteIncarnation(fleet, worker, entry.m_incarnation);
+    if (worker.m_listing.m_address != entry.m_address) {
+      worker.m_is_in_roster = false;
+    }
+    const bool was_leaving = worker.m_listing.m_is_leaving;
+    worker.m_listing = entry;
+    worker.m_is_listed = true;
+    if (entry.m_is_leaving && !was_leaving) MoveOff(fleet, worker, now);
+  }
+  for (auto place = fleet.m_workers.begin(); place != fleet.m_workers.end();) {
+    Worker& worker = place->second;
+    const bool is_listed = listed.count(place->first) > 0;
+    if (!is_listed) worker.m_is_listed = false;
+    const bool is_unused = worker.m_runs.empty();
+    const bool is_quiet = worker.m_state == WorkerState::kLapsed ||
+                          worker.m_state == WorkerState::kSilent ||
+                          worker.m_state == WorkerState::kUnverified;
+    const bool may_hold_inherited = now < worker.m_unseen_until;
+    if (!is_listed && is_unused && is_quiet && !may_hold_inherited) {
+      place = fleet.m_workers.erase(place);
+    } else {
+      ++place;
+    }
+  }
+}
+
+}  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -11,25 +11,9 @@
 constexpr Duration kAside = std::chrono::seconds(3);
 constexpr Duration kRefusalAside = std::chrono::milliseconds(200);
 constexpr std::uint8_t kAtWorkPercent = 100;
-constexpr Duration kRankingInterval = std::chrono::milliseconds(250);
-constexpr Duration kStopRepeat = std::chrono::milliseconds(500);
 // While ends cannot be stored, leases are still extended this often.
 constexpr Duration kUnstoredLook = std::chrono::milliseconds(300);
 constexpr Duration kRetryLook = std::chrono::milliseconds(100);
-// A worker where nothing runs is looked at this rarely.
-constexpr Duration kIdleLook = std::chrono::seconds(10);
-
-Task* FindTask(Fleet& fleet, const TaskReference& reference, Job*& job) {
-  job = FindJob(fleet, reference.m_job);
-  if (job == nullptr || reference.m_step >= job->StepCount() ||
-      reference.m_occurrence >= job->m_plan.m_occurrences) {
-    return nullptr;
-  }
-  StepRun& step_run = job->m_steps[StepRunIndex(*job, reference.m_occurrence,
-                                                reference.m_step)];
-  if (reference.m_index >= step_run.m_tasks.size()) return nullptr;
-  return &step_run.m_tasks[reference.m_index];
-}
 
 bool IsRunHere(const Task& task, const Worker& worker, const RunNumber& run) {
   return IsPlaced(task.m_state) && task.m_run == run &&
@@ -195,6 +179,20 @@
   }
 }
 
+}  // namespace
+
+Task* FindTask(Fleet& fleet, const TaskReference& reference, Job*& job) {
+  job = FindJob(fleet, reference.m_job);
+  if (job == nullptr || reference.m_step >= job->StepCount() ||
+      reference.m_occurrence >= job->m_plan.m_occurrences) {
+    return nullptr;
+  }
+  StepRun& step_run = job->m_steps[StepRunIndex(*job, reference.m_occurrence,
+                                                reference.m_step)];
+  if (reference.m_index >= step_run.m_tasks.size()) return nullptr;
+  return &step_run.m_tasks[reference.m_index];
+}
+
 void NoteIncarnation(Fleet& fleet, Worker& worker, Incarnation incarnation) {
   if (incarnation == Incarnation() ||
       incarnation == worker.m_listing.m_incarnation) {
@@ -212,122 +210,6 @@
   StepWorker(fleet, worker, WorkerEvent::kReborn);
 }
 
-void SendLook(Fleet& fleet, Worker& worker, TimePoint now) {
-  LookOrder look;
-  look.m_worker = worker.m_listing.m_worker;
-  look.m_look = ++worker.m_look;
-  look.m_token = worker.m_token;
-  look.m_acknowledged = worker.m_stored_end;
-  worker.m_acknowledged_end = worker.m_stored_end;
-  // A worker that does not answer must not be granted more: an unanswered
-  // look may have arrived, and its lease would never be certainly over.
-  look.m_has_lease =
-      worker.m_has_clock && worker.m_state == WorkerState::kReady;
-  if (look.m_has_lease) {
-    look.m_lease_until =
-        WorkerClockAt(worker, now) +
-        WorkerMilliseconds(InMilliseconds(fleet.m_limits.m_lease));
-    worker.m_lease_until = std::max(worker.m_lease_until, look.m_lease_until);
-  }
-  if (look.m_has_lease) {
-    look.m_wait = fleet.m_limits.m_look_wait;
-    // Serving tasks beside fillers are watched more closely.
-    if (!worker.m_serving.empty() && !worker.m_fillers.empty()) {
-      look.m_wait /= 2;
-    }
-  }
-  worker.m_is_looking = true;
-  worker.m_look_sent_at = now;
-  fleet.m_orders.push_back(look);
-}
-
-void RepeatStops(Fleet& fleet, Worker& worker, TimePoint now) {
-  const std::set<TaskReference> runs = worker.m_runs;
-  for (const TaskReference& reference : runs) {
-    Job* job = nullptr;
-    const Task* task = FindTask(fleet, reference, job);
-    if (task == nullptr || task->m_state != RunState::kStopping) continue;
-    if (now - task->m_stop_sent_at < kStopRepeat) continue;
-    SendStop(fleet, *job, reference, now);
-  }
-}
-
-// What would otherwise end with the worker, and loses nothing by a move.
-void MoveOff(Fleet& fleet, Worker& worker, TimePoint now) {
-  const std::set<TaskReference> runs = worker.m_runs;
-  for (const TaskReference& reference : runs) {
-    Job* job = nullptr;
-    const Task* task = FindTask(fleet, reference, job);
-    if (task == nullptr || task->m_state != RunState::kRunning) continue;
-    const StepPlan& step = job->m_plan.m_steps[reference.m_step];
-    if (step.m_is_gang) continue;
-    if (step.m_kind == StepKind::kService || step.m_saves_progress) {
-      SendStop(fleet, *job, reference, now);
-    }
-  }
-}
-
-void TickWorker(Fleet& fleet, Worker& worker, TimePoint now) {
-  if (worker.m_state != WorkerState::kLapsed && worker.m_has_clock &&
-      !worker.m_runs.empty() && worker.m_state != WorkerState::kReady &&
-      now >= LeaseEndOf(worker)) {
-    StepWorker(fleet, worker, WorkerEvent::kLeaseLapsed);
-  }
-  if (worker.m_state == WorkerState::kReady) RepeatStops(fleet, worker, now);
-  if (worker.m_is_looking || now < worker.m_next_look_at) return;
-  const bool has_ends = worker.m_acknowledged_end < worker.m_stored_end;
-  const bool is_idle = worker.m_state == WorkerState::kReady &&
-                       worker.m_runs.empty() && worker.m_strays == 0;
-  if (is_idle && !has_ends && now - worker.m_look_sent_at < kIdleLook) return;
-  SendLook(fleet, worker, now);
-}
-
-}  // namespace
-
-void ApplyListing(Fleet& fleet, const std::vector<ListedWorker>& listing,
-                  TimePoint now) {
-  std::set<WorkerId> listed;
-  for (const ListedWorker& entry : listing) {
-    listed.insert(entry.m_worker);
-    const bool is_new = fleet.m_workers.count(entry.m_worker) == 0;
-    Worker& worker = fleet.m_workers[entry.m_worker];
-    if (is_new) {
-      worker.m_listing = entry;
-      worker.m_token = FirstToken(fleet.m_term);
-      continue;
-    }
-    // The worker's own word on its incarnation may be newer than the list.
-    const bool is_older = entry.m_incarnation < worker.m_listing.m_incarnation;
-    if (is_older) continue;
-    if (!worker.m_is_listed || worker.m_listing.m_is_leaving) {
-      fleet.m_needs_placement = true;
-    }
-    NoteIncarnation(fleet, worker, entry.m_incarnation);
-    if (worker.m_listing.m_address != entry.m_address) {
-      worker.m_is_in_roster = false;
-    }
-    const bool was_leaving = worker.m_listing.m_is_leaving;
-    worker.m_listing = entry;
-    worker.m_is_listed = true;
-    if (entry.m_is_leaving && !was_leaving) MoveOff(fleet, worker, now);
-  }
-  for (auto place = fleet.m_workers.begin(); place != fleet.m_workers.end();) {
-    Worker& worker = place->second;
-    const bool is_listed = listed.count(place->first) > 0;
-    if (!is_listed) worker.m_is_listed = false;
-    const bool is_unused = worker.m_runs.empty();
-    const bool is_quiet = worker.m_state == WorkerState::kLapsed ||
-                          worker.m_state == WorkerState::kSilent ||
-                          worker.m_state == WorkerState::kUnverified;
-    const bool may_hold_inherited = now < worker.m_unseen_until;
-    if (!is_listed && is_unused && is_quiet && !may_hold_inherited) {
-      place = fleet.m_workers.erase(place);
-    } else {
-      ++place;
-    }
-  }
-}
-
 void ApplyReport(Fleet& fleet, const WorkerId& worker_id, std::uint64_t look,
                  FencingToken token, const WorkerReport& report,
                  TimePoint now) {
@@ -417,23 +299,4 @@
   StepWorker(fleet, *worker, WorkerEvent::kOrderUnanswered);
 }
 
-void TickFleet(Fleet& fleet, TimePoint now, std::int64_t unix_ms) {
-  while (!fleet.m_timed.empty() &&
-         std::get<0>(*fleet.m_timed.begin()) <= unix_ms) {
-    const auto [due, key, turn] = *fleet.m_timed.begin();
-    fleet.m_timed.erase(fleet.m_timed.begin());
-    Job* job = FindJob(fleet, key);
-    if (job != nullptr && !HasSettled(*job)) ReleaseSteps(fleet, *job, turn);
-  }
-  if (now >= fleet.m_next_ranking_at) {
-    fleet.m_next_ranking_at = now + kRankingInterval;
-    RefreshRanks(fleet, now);
-  }
-  for (auto& entry : fleet.m_workers) TickWorker(fleet, entry.second, now);
-  if (fleet.m_unseen_ends_at != TimePoint() && now >= fleet.m_unseen_ends_at) {
-    fleet.m_unseen_ends_at = TimePoint();
-    fleet.m_needs_placement = true;
-  }
-}
-
 }  // namespace daisyarch::fleet
