fleet: Drop empty leaving workers from the roster; tasks that last come first

Ruled out: room (new workers had come); the move off leaving workers alone (the tasks would have ended with the worker). Change: the roster names leaving workers only while they run something; jobs whose tasks last take the turn of what has begun. Seen: both tests failed first.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -106,13 +106,22 @@
   job.m_maximum_attempts = terms.m_maximum_attempts;
 }
 
+bool IsService(const JobPlan& plan) {
+  return std::any_of(
+      plan.m_steps.begin(), plan.m_steps.end(),
+      [](const StepPlan& step) { return step.m_kind == StepKind::kService; });
+}
+
 QueueRank RankAt(const Job& job, TimePoint now) {
   QueueRank rank = job.m_rank;
   const TimePoint end = now + RemainingChain(job);
   const TimePoint due = job.m_accepted_at + job.m_objective;
   rank.m_due = due;
   const TimePoint last = job.m_accepted_at + job.m_objective * kLateObjectives;
-  if (end > last) {
+  if (IsService(job.m_plan)) {
+    // It has no end to be late for; each second away is lost.
+    rank.m_turn = Turn::kBegun;
+  } else if (end > last) {
     rank.m_turn = Turn::kHopeless;
   } else if (job.m_has_started) {
     rank.m_turn = Turn::kBegun;
--- a/libraries/decisions/fleet/roster.cc
+++ b/libraries/decisions/fleet/roster.cc
@@ -7,12 +7,20 @@
 namespace {
 // Covers a worker's clock that runs 2% slow over the longest lease.
 constexpr Duration kClockDriftSlack = std::chrono::milliseconds(300);
+
+// A leaving worker gets nothing more; once it runs nothing, a later leader has
+// no reason to wait for it.
+bool MayRunAnything(const Worker& worker) {
+  return !worker.m_listing.m_is_leaving || !worker.m_runs.empty() ||
+         worker.m_state != WorkerState::kReady || worker.m_strays > 0;
+}
+
 }  // namespace
 
 std::vector<RosterEntry> MissingFromRoster(const Fleet& fleet) {
   std::vector<RosterEntry> missing;
   for (const auto& [id, worker] : fleet.m_workers) {
-    if (worker.m_is_in_roster) continue;
+    if (worker.m_is_in_roster || !MayRunAnything(worker)) continue;
     missing.push_back({id, worker.m_listing.m_address});
   }
   return missing;
@@ -21,7 +29,10 @@
 std::vector<WorkerId> LeftInRoster(const Fleet& fleet) {
   std::vector<WorkerId> left;
   for (const WorkerId& id : fleet.m_roster) {
-    if (fleet.m_workers.count(id) == 0) left.push_back(id);
+    const auto worker = fleet.m_workers.find(id);
+    const bool is_needed =
+        worker != fleet.m_workers.end() && MayRunAnything(worker->second);
+    if (!is_needed) left.push_back(id);
   }
   return left;
 }
@@ -40,7 +51,11 @@
 }
 
 void ApplyRosterRemoved(Fleet& fleet, const std::vector<WorkerId>& removed) {
-  for (const WorkerId& id : removed) fleet.m_roster.erase(id);
+  for (const WorkerId& id : removed) {
+    fleet.m_roster.erase(id);
+    Worker* worker = FindWorker(fleet, id);
+    if (worker != nullptr) worker->m_is_in_roster = false;
+  }
 }
 
 void ApplyRosterLoaded(Fleet& fleet, const RosterEntry& entry,
--- a/tests/decisions/fleet/place_runs_test.cc
+++ b/tests/decisions/fleet/place_runs_test.cc
@@ -89,6 +89,21 @@
   CHECK(starts[0].m_task.m_job == JobKey("new"));
 }
 
+TEST_CASE("Tasks that last are never late for their turn") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  JobPlan lasting = MakePlan("lasting", 1, kCore);
+  lasting.m_steps.front().m_kind = StepKind::kService;
+  AddJob(fixture.m_fleet, lasting, {}, fixture.m_now);
+  fixture.m_now += std::chrono::seconds(100);
+  AddJob(fixture.m_fleet, MakePlan("new", 1, kCore), {}, fixture.m_now);
+  RefreshRanks(fixture.m_fleet, fixture.m_now);
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].m_task.m_job == JobKey("lasting"));
+}
+
 TEST_CASE("Fillers take no reserved room, and stay off tasks they harm") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 2, Millicores(10000));
--- a/tests/decisions/fleet/roster_test.cc
+++ b/tests/decisions/fleet/roster_test.cc
@@ -48,6 +48,24 @@
   }
 }
 
+TEST_CASE("A leaving worker stands in the roster while it runs something") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  Submit(fixture, MakePlan("job", 1, kCore));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  Worker& worker = *FindWorker(fixture.m_fleet, WorkerId("w0"));
+  worker.m_listing.m_is_leaving = true;
+  CHECK(LeftInRoster(fixture.m_fleet).empty());
+  ApplyStartOutcome(fixture.m_fleet, starts[0], StartOutcome::kRefused,
+                    fixture.m_now);
+  CHECK(LeftInRoster(fixture.m_fleet) == std::vector<WorkerId>{WorkerId("w0")});
+  ApplyRosterRemoved(fixture.m_fleet, {WorkerId("w0")});
+  CHECK(MissingFromRoster(fixture.m_fleet).empty());
+  worker.m_listing.m_is_leaving = false;
+  CHECK(MissingFromRoster(fixture.m_fleet).size() == 1);
+}
+
 TEST_CASE("New work does not wait for workers that do not answer") {
   FleetFixture fixture;
   ApplyRosterLoaded(fixture.m_fleet, {WorkerId("lost"), "lost"},
