placement: Let every job begin in a fleet with room

Change: below 60 percent of reserved processors the first task of a job that runs nothing is placed wherever its memory fits; pacing protects the tails.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -118,13 +118,12 @@
   const TimePoint due = job.m_accepted_at + job.m_objective;
   rank.m_due = due;
   const TimePoint last = job.m_accepted_at + job.m_objective * kLateObjectives;
-  if (IsService(job.m_plan)) {
-    // It has no end to be late for; each second away is lost.
+  const bool is_hopeless = end > last;
+  // A job that lasts has no end to be late for; each second away is lost.
+  if (IsService(job.m_plan) || (job.m_has_started && !is_hopeless)) {
     rank.m_turn = Turn::kBegun;
-  } else if (end > last) {
+  } else if (is_hopeless) {
     rank.m_turn = Turn::kHopeless;
-  } else if (job.m_has_started) {
-    rank.m_turn = Turn::kBegun;
   } else {
     rank.m_turn = end <= due ? Turn::kInTime : Turn::kLate;
   }
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -17,6 +17,8 @@
 constexpr std::int64_t kLeastLeftoverPercent = 60;
 // A filler that would have to be slowed below this waits for another worker.
 constexpr double kLeastBearableShare = 0.9;
+// Below this share of reserved processors every job has to find room.
+constexpr std::int64_t kRoomyPercent = 60;
 constexpr std::int64_t kPercent = 100;
 
 /// One pass over the queue: demands that fit nowhere are not tried again.
@@ -24,7 +26,11 @@
   Fleet& m_fleet;
   TimePoint m_now;
   bool m_has_silent_inheritance = false;
+  bool m_is_roomy = false;  ///< Much of the processors is not reserved.
   std::vector<std::pair<PoolId, const StepPlan*>> m_unplaceable;
+  /// The job at hand runs nothing in a roomy fleet; whatever its first task
+  /// disturbs, pacing alone has to protect.
+  bool m_must_begin = false;
 };
 
 bool HasLabel(const Worker& worker, const std::string& label) {
@@ -116,7 +122,7 @@
   return score + DisturbanceScore(fleet, worker, step);
 }
 
-bool MayTake(const Fleet& fleet, const Worker& worker, const StepPlan& step,
+bool MayTake(const Pass& pass, const Worker& worker, const StepPlan& step,
              const TaskReference& task) {
   if (!Fits(CountedDemand(step), worker.m_listing.m_capacity - worker.m_used)) {
     return false;
@@ -125,16 +131,17 @@
       !HasLabel(worker, step.m_required_label)) {
     return false;
   }
-  if (step.m_processor_use == ProcessorUse::kLeftover &&
+  const bool may_wait =
+      step.m_processor_use == ProcessorUse::kLeftover && !pass.m_must_begin;
+  if (may_wait &&
       Leftover(worker) * kPercent <
           step.m_demand.m_processors.value() * kLeastLeftoverPercent) {
     return false;
   }
-  if (step.m_processor_use == ProcessorUse::kLeftover &&
-      BearableShare(fleet.m_interference, worker.m_serving, step.m_image,
-                    step.m_demand.m_processors,
-                    worker.m_listing.m_capacity.m_processors) <
-          kLeastBearableShare) {
+  if (may_wait && BearableShare(pass.m_fleet.m_interference, worker.m_serving,
+                                step.m_image, step.m_demand.m_processors,
+                                worker.m_listing.m_capacity.m_processors) <
+                      kLeastBearableShare) {
     return false;
   }
   return step.m_maximum_per_worker == 0 ||
@@ -148,7 +155,7 @@
   for (auto& entry : pass.m_fleet.m_workers) {
     Worker& worker = entry.second;
     if (!IsUsable(worker, pool, pass.m_now)) continue;
-    if (!MayTake(pass.m_fleet, worker, step, task)) continue;
+    if (!MayTake(pass, worker, step, task)) continue;
     const std::int64_t score = Score(pass.m_fleet, worker, step);
     if (best != nullptr && score >= best_score) continue;
     best = &worker;
@@ -228,8 +235,10 @@
     Task& task = step_run.m_tasks[index];
     if (task.m_state != RunState::kWaiting) continue;
     const TaskReference reference = ReferenceOf(job, place, index);
+    pass.m_must_begin = pass.m_is_roomy && job.m_placed == 0;
     Worker* worker = ChooseWorker(pass, pool, step, reference);
     if (worker == nullptr) {
+      if (pass.m_must_begin) break;
       const bool is_plain =
           step.m_required_label.empty() && step.m_maximum_per_worker == 0;
       if (is_plain) NoteUnplaceable(pass, pool, step);
@@ -244,6 +253,7 @@
 void PlaceGang(Pass& pass, Job& job, std::size_t place, const PoolId& pool) {
   StepRun& step_run = job.m_steps[place];
   if (step_run.m_waiting != step_run.m_tasks.size()) return;
+  pass.m_must_begin = false;
   const StepPlan& step = job.m_plan.m_steps[place % job.StepCount()];
   std::vector<WorkerId> chosen;
   const Resources demand = CountedDemand(step);
@@ -281,18 +291,31 @@
       [now](const auto& entry) { return now < entry.second.m_unseen_until; });
 }
 
+bool IsRoomy(const Fleet& fleet) {
+  Millicores capacity;
+  Millicores reserved;
+  for (const auto& entry : fleet.m_workers) {
+    const Worker& worker = entry.second;
+    if (!worker.m_is_listed) continue;
+    capacity += worker.m_listing.m_capacity.m_processors;
+    reserved += worker.m_used.m_processors;
+  }
+  return reserved.value() * kPercent < capacity.value() * kRoomyPercent;
+}
+
 }  // namespace
 
 void PlaceRuns(Fleet& fleet, TimePoint now) {
   fleet.m_needs_placement = false;
-  Pass pass{fleet, now, MayRunUnseen(fleet, now), {}};
+  Pass pass{fleet, now, MayRunUnseen(fleet, now), IsRoomy(fleet), {}};
   const auto waiting = fleet.m_waiting;
   for (const auto& [rank, key, place] : waiting) {
     Job* job = FindJob(fleet, key);
     if (pass.m_has_silent_inheritance && job->m_is_inherited) continue;
     const PoolId pool = TermsOf(fleet, *job).m_pool;
     const StepPlan& step = job->m_plan.m_steps[place % job->StepCount()];
-    if (IsUnplaceable(pass, pool, step)) continue;
+    const bool may_wait = !pass.m_is_roomy || job->m_placed > 0;
+    if (may_wait && IsUnplaceable(pass, pool, step)) continue;
     if (step.m_is_gang) {
       PlaceGang(pass, *job, place, pool);
     } else {
--- a/tests/decisions/fleet/place_runs_test.cc
+++ b/tests/decisions/fleet/place_runs_test.cc
@@ -128,4 +128,33 @@
   CHECK(worker.m_filler_demand == Millicores(5000));
 }
 
+TEST_CASE("A job of fillers begins in a fleet with room") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(10000));
+  JobPlan serving = MakePlan("serving", 1, Millicores(4000));
+  serving.m_steps.front().m_kind = StepKind::kService;
+  serving.m_steps.front().m_image = ImageId("shop");
+  serving.m_steps.front().m_latency_target = std::chrono::milliseconds(18);
+  JobPlan filler = MakePlan("filler", 1, kCore);
+  filler.m_steps.front().m_processor_use = ProcessorUse::kLeftover;
+  filler.m_steps.front().m_image = ImageId("grinder");
+  fixture.m_fleet.m_interference
+      .m_pairs[{ImageId("shop"), ImageId("grinder")}] = {900, 10};
+  Submit(fixture, serving);
+  SECTION("half of it is free") {
+    fixture.m_fleet.m_orders.clear();
+    filler.m_steps.front().m_task_count = 2;
+    filler.m_steps.front().m_demand.m_processors = Millicores(12000);
+    Submit(fixture, filler);
+    // One task, so that the job has begun; the other waits.
+    CHECK(TakeOrders<StartOrder>(fixture).size() == 1);
+  }
+  SECTION("it is full") {
+    Submit(fixture, MakePlan("reserved", 1, Millicores(4000)));
+    fixture.m_fleet.m_orders.clear();
+    Submit(fixture, filler);
+    CHECK(TakeOrders<StartOrder>(fixture).empty());
+  }
+}
+
 }  // namespace daisyarch::fleet
