fleet: Keep the names of states with the constants

Cause: the linter refuses a static constant inside a function by its name. Change: the table moves to the file's constants.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -14,6 +14,11 @@
 constexpr std::int64_t kDriftPercent = 102;
 constexpr std::int64_t kPercent = 100;
 
+// In the order of WorkerState.
+constexpr const char* kStateEvents[] = {"worker_unverified", "worker_ready",
+                                        "worker_silent", "worker_lapsed",
+                                        "worker_gone"};
+
 void EndEarly(Fleet& fleet, Job& job, TimePoint now) {
   for (std::size_t place = 0; place < job.m_steps.size(); ++place) {
     StepRun& step_run = job.m_steps[place];
@@ -215,9 +220,6 @@
 }
 
 void StepWorker(Fleet& fleet, Worker& worker, WorkerEvent event) {
-  static constexpr const char* kStateEvents[] = {
-      "worker_unverified", "worker_ready", "worker_silent", "worker_lapsed",
-      "worker_gone"};
   WorkerContext context{fleet, worker};
   const WorkerState before = worker.m_state;
   fleet.m_machines->m_worker.Step(worker.m_state, event, context);
