--- a/libraries/decisions/fleet/interference.cc
+++ b/libraries/decisions/fleet/interference.cc
@@ -21,13 +21,14 @@
 // The tail has to stay under this share of the target.
 constexpr double kTargetShare = 0.65;
 
+constexpr double kMicrosecondsPerMillisecond = 1000.0;
+
 double ShareOf(Millicores processors, Millicores capacity) {
   return static_cast<double>(processors.value()) /
          static_cast<double>(std::max<std::int64_t>(1, capacity.value()));
 }
 
 double InMs(Duration duration) {
-  constexpr double kMicrosecondsPerMillisecond = 1000.0;
   return static_cast<double>(duration.count()) / kMicrosecondsPerMillisecond;
 }
 
--- a/libraries/decisions/fleet/pace_fillers.cc
+++ b/libraries/decisions/fleet/pace_fillers.cc
@@ -15,6 +15,8 @@
 // A filler that adds less than this share of the target is left alone.
 constexpr double kHarmlessShare = 0.04;
 constexpr double kSpeedUpStep = 15;
+// One cut leaves at least this share of the pace.
+constexpr double kDeepestCut = 0.3;
 constexpr double kFullPace = 100;
 constexpr double kLeastPace = 8;
 // The figures cover the last half second.
@@ -72,7 +74,6 @@
   verdict.m_may_speed_up = false;
   const double excess = serving.m_tail_ms - kAimedShare * target;
   const double kept = all > 0 ? 1.0 - excess / all : 0.0;
-  constexpr double kDeepestCut = 0.3;
   verdict.m_factor =
       std::min(verdict.m_factor, std::clamp(kept, kDeepestCut, 1.0));
 }
@@ -103,7 +104,9 @@
 std::uint8_t NextPace(std::uint8_t pace, const Verdict& verdict) {
   if (verdict.m_must_pause) return 0;
   double next = pace * verdict.m_factor;
-  if (verdict.m_factor < 1.0) return next < kLeastPace ? 0 : next;
+  if (verdict.m_factor < 1.0) {
+    return next < kLeastPace ? 0 : static_cast<std::uint8_t>(next);
+  }
   if (verdict.m_may_speed_up) next = std::min(kFullPace, next + kSpeedUpStep);
   return static_cast<std::uint8_t>(next);
 }
