placement: Let fillers use what reservations leave idle

Cause: a filler waited for a worker whose *reserved* processors left it room. Tasks that last reserve 80% of the fleet and use half of that, so most of the fleet was closed to fillers while it stood idle. Change: half of what is reserved counts as busy. The test fails with 100%.

--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -12,6 +12,9 @@
 constexpr std::int64_t kFarPenalty = 4000;
 constexpr std::int64_t kNeighbourPenalty = 2000;
 constexpr std::int64_t kFitScale = 1000;
+// What tasks use of the processors that they reserve; fillers beside them got
+// all that they asked for up to this share (journal, trials on leftovers).
+constexpr std::int64_t kBusyPercent = 50;
 // A filler waits for a worker that leaves it at least this share of its
 // demand.
 constexpr std::int64_t kLeastLeftoverPercent = 60;
@@ -68,10 +71,13 @@
   return count;
 }
 
+// Reservations are sized for peaks, so part of them is left over as well.
 std::int64_t Leftover(const Worker& worker) {
-  return (worker.m_listing.m_capacity.m_processors -
-          worker.m_used.m_processors - worker.m_filler_demand)
-      .value();
+  const std::int64_t busy =
+      worker.m_used.m_processors.value() * kBusyPercent / kPercent;
+  return (worker.m_listing.m_capacity.m_processors - worker.m_filler_demand)
+             .value() -
+         busy;
 }
 
 std::int64_t FitScore(const Worker& worker, const StepPlan& step) {
--- a/tests/decisions/fleet/place_runs_test.cc
+++ b/tests/decisions/fleet/place_runs_test.cc
@@ -128,6 +128,18 @@
   CHECK(worker.m_filler_demand == Millicores(5000));
 }
 
+TEST_CASE("Fillers use what reservations leave idle") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(10000));
+  Submit(fixture, MakePlan("reserved", 1, Millicores(9000)));
+  fixture.m_fleet.m_orders.clear();
+  JobPlan filler = MakePlan("filler", 3, Millicores(4000));
+  filler.m_steps.front().m_processor_use = ProcessorUse::kLeftover;
+  Submit(fixture, filler);
+  // 5.5 processors are likely idle: one filler fits, a second would be slow.
+  CHECK(TakeOrders<StartOrder>(fixture).size() == 1);
+}
+
 TEST_CASE("A job of fillers begins in a fleet with room") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, Millicores(10000));
