interference: Learn on target over tail; keep serving images together

The linear fit on tails took harm at a tenth of a worker for much less than it is at a third, and single readings cleared harmful pairs. Change: a Kalman filter with a diagonal covariance on target / tail, for pairs and for undisturbed tails; readings count once the fillers have settled; pairs that are not known are tried on two workers at once; serving tasks of one image share workers; fillers leave workers where few others can go to those.

--- a/libraries/decisions/fleet/interference.h
+++ b/libraries/decisions/fleet/interference.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
+#include <set>
 #include <utility>
 
 #include "base/ids.h"
@@ -9,51 +11,74 @@
 
 namespace daisyarch::fleet {
 
-/// How much one image of fillers lengthens the tail of one serving image,
-/// learnt from what workers report.
-struct PairEffect {
-  /// Milliseconds of tail for a filler that uses the whole worker.
-  double m_tail_ms = 0;
-  std::uint32_t m_samples = 0;
+/// A figure that is learnt from noisy readings.
+struct Estimate {
+  double m_mean = 0;
+  double m_variance = 0;
 };
 
-/// What is known of the tasks' effects on each other.
+/// What is known of the effects of tasks on each other. Headroom is a serving
+/// task's target divided by its tail: what the tasks beside it take of it adds
+/// up, while their effects on the tail itself do not.
 struct Interference {
-  std::map<std::pair<ImageId, ImageId>, PairEffect> m_pairs;
-  /// Tails of serving images that no filler disturbs, in milliseconds.
-  std::map<ImageId, double> m_base_tail_ms;
+  /// The headroom of a serving image that a filler's image would take if it
+  /// used the whole worker; serving image first.
+  std::map<std::pair<ImageId, ImageId>, Estimate> m_pairs;
+  /// Headroom of serving images that no filler disturbs.
+  std::map<ImageId, Estimate> m_undisturbed;
+  /// How many images of fillers each serving image cannot bear.
+  std::map<ImageId, std::uint32_t> m_harmful;
+  std::set<ImageId> m_fillers;  ///< Images of fillers that have run.
 };
 
 /// A serving image on one worker.
 struct ServingImage {
   std::uint32_t m_count = 0;
-  double m_tail_ms = 0;  ///< The worst, as last reported.
-  Duration m_target{};   ///< The shortest.
+  double m_tail_ms = 0;       ///< The worst, as last reported.
+  double m_mean_tail_ms = 0;  ///< Of the tasks at work, as last reported.
+  Duration m_target{};        ///< The shortest.
+  /// How far the headroom last was from what was expected, as the load that
+  /// these tasks serve goes up and down.
+  double m_deviation = 0;
 };
 
 /// Fillers of one image on one worker.
 struct FillerImage {
   std::uint32_t m_count = 0;
-  Millicores m_used;  ///< As last reported.
+  Millicores m_demand;  ///< Of all of them, if they get what they ask for.
+  Millicores m_used;    ///< As last reported.
 };
 
 using ServingImages = std::map<ImageId, ServingImage>;
 using FillerImages = std::map<ImageId, FillerImage>;
 
 /// Takes one worker's figures of one moment.
-void LearnInterference(Interference& interference, const ServingImages& serving,
+void LearnInterference(Interference& interference, ServingImages& serving,
                        const FillerImages& fillers, Millicores capacity);
 
-/// What the fillers of one image add to the tail, if they use `processors`
-/// of `capacity`; milliseconds.
-double TailAddedBy(const Interference& interference, const ImageId& serving,
-                   const ImageId& filler, Millicores processors,
-                   Millicores capacity);
-
-/// The share of `processors` that a filler may use beside these tasks, so
-/// that their tails stay under their targets; 0 to 1.
-double BearableShare(const Interference& interference,
-                     const ServingImages& serving, const ImageId& filler,
-                     Millicores processors, Millicores capacity);
+/// The headroom that fillers of one image take if they use `processors` of
+/// `capacity`.
+double HeadroomTakenBy(const Interference& interference, const ImageId& serving,
+                       const ImageId& filler, Millicores processors,
+                       Millicores capacity);
+
+/// What a worker's serving tasks can say to one more filler.
+enum class Bearing : std::uint8_t {
+  kBears,      ///< Tails stay well under their targets.
+  kUncertain,  ///< Some pair is not known yet; to be tried one at a time.
+  kSuffers,
+};
+
+/// Whether serving tasks of these images, beside these fillers, can bear one
+/// more filler of `demand`.
+Bearing BearingOf(const Interference& interference,
+                  const ServingImages& serving, const FillerImages& fillers,
+                  const ImageId& filler, Millicores demand,
+                  Millicores capacity);
+
+/// The share of known images of fillers that these serving tasks cannot bear;
+/// 0 to 1.
+double Exclusiveness(const Interference& interference,
+                     const ServingImages& serving);
 
 }  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/pace_fillers.cc
+++ b/libraries/decisions/fleet/pace_fillers.cc
@@ -6,14 +6,14 @@
 
 namespace {
 
-// Hysteresis: fillers slow down above the first share of a target and speed
-// up again below the second.
-constexpr double kSlowDownShare = 0.95;
-constexpr double kSpeedUpShare = 0.75;
-// A tail that is slowed for is brought down to this share.
-constexpr double kAimedShare = 0.8;
-// A filler that adds less than this share of the target is left alone.
-constexpr double kHarmlessShare = 0.04;
+// Headroom is a target divided by its tail. Hysteresis: fillers slow down
+// below the first and speed up again above the second.
+constexpr double kSlowDownHeadroom = 1.05;
+constexpr double kSpeedUpHeadroom = 1.35;
+// A tail that is slowed for gets this much.
+constexpr double kAimedHeadroom = 1.3;
+// A filler that takes less headroom is left alone.
+constexpr double kHarmlessHeadroom = 0.05;
 constexpr double kSpeedUpStep = 15;
 // One cut leaves at least this share of the pace.
 constexpr double kDeepestCut = 0.3;
@@ -39,41 +39,42 @@
   bool m_must_pause = false;
 };
 
-double AddedBy(const Fleet& fleet, const Worker& worker, const ImageId& serving,
+double TakenBy(const Fleet& fleet, const Worker& worker, const ImageId& serving,
                const ImageId& filler) {
   const auto found = worker.m_fillers.find(filler);
   if (found == worker.m_fillers.end()) return 0;
-  return TailAddedBy(fleet.m_interference, serving, filler,
-                     found->second.m_used,
-                     worker.m_listing.m_capacity.m_processors);
+  return HeadroomTakenBy(fleet.m_interference, serving, filler,
+                         found->second.m_used,
+                         worker.m_listing.m_capacity.m_processors);
 }
 
-double AddedByAll(const Fleet& fleet, const Worker& worker,
+double TakenByAll(const Fleet& fleet, const Worker& worker,
                   const ImageId& serving) {
-  double added = 0;
+  double taken = 0;
   for (const auto& entry : worker.m_fillers) {
-    added += AddedBy(fleet, worker, serving, entry.first);
+    taken += TakenBy(fleet, worker, serving, entry.first);
   }
-  return added;
+  return taken;
 }
 
 void JudgeBeside(const Fleet& fleet, const Worker& worker, const ImageId& image,
                  const ServingImage& serving, const ImageId& filler,
                  Verdict& verdict) {
-  const double target = InMs(serving.m_target);
-  const double added = AddedBy(fleet, worker, image, filler);
-  const double all = AddedByAll(fleet, worker, image);
-  const bool is_harmless = added < kHarmlessShare * target;
-  if (serving.m_tail_ms > kSpeedUpShare * target && !is_harmless) {
+  if (serving.m_tail_ms <= 0) return;
+  const double headroom = InMs(serving.m_target) / serving.m_tail_ms;
+  const double taken = TakenBy(fleet, worker, image, filler);
+  const double all = TakenByAll(fleet, worker, image);
+  const bool is_harmless = taken < kHarmlessHeadroom;
+  if (headroom < kSpeedUpHeadroom && !is_harmless) {
     verdict.m_may_speed_up = false;
   }
-  if (serving.m_tail_ms <= kSlowDownShare * target) return;
+  if (headroom >= kSlowDownHeadroom) return;
   // With no filler to blame, all of them are suspects.
-  const bool is_blamed = !is_harmless || all < kHarmlessShare * target;
+  const bool is_blamed = !is_harmless || all < kHarmlessHeadroom;
   if (!is_blamed) return;
   verdict.m_may_speed_up = false;
-  const double excess = serving.m_tail_ms - kAimedShare * target;
-  const double kept = all > 0 ? 1.0 - excess / all : 0.0;
+  const double missing = kAimedHeadroom - headroom;
+  const double kept = all > 0 ? 1.0 - missing / all : 0.0;
   verdict.m_factor =
       std::min(verdict.m_factor, std::clamp(kept, kDeepestCut, 1.0));
 }
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -18,8 +18,8 @@
 // A filler waits for a worker that leaves it at least this share of its
 // demand.
 constexpr std::int64_t kLeastLeftoverPercent = 60;
-// A filler that would have to be slowed below this waits for another worker.
-constexpr double kLeastBearableShare = 0.9;
+// So many workers at once try a pair of images that is not known.
+constexpr int kMaximumTrials = 2;
 // Below this share of reserved processors every job has to find room.
 constexpr std::int64_t kRoomyPercent = 60;
 constexpr std::int64_t kPercent = 100;
@@ -92,26 +92,35 @@
   return left * kFitScale / whole;
 }
 
-// What the step would do to the tasks beside it, or they to it, in
-// thousandths of what the serving tasks can bear.
+// What fillers already there would take of a serving task's headroom.
 std::int64_t DisturbanceScore(const Fleet& fleet, const Worker& worker,
                               const StepPlan& step) {
   const Millicores capacity = worker.m_listing.m_capacity.m_processors;
-  if (step.m_processor_use == ProcessorUse::kLeftover) {
-    const double share =
-        BearableShare(fleet.m_interference, worker.m_serving, step.m_image,
-                      step.m_demand.m_processors, capacity);
-    return static_cast<std::int64_t>((1.0 - share) * kNeighbourPenalty);
-  }
-  if (step.m_latency_target <= Duration{}) return 0;
   double added = 0;
   for (const auto& [filler, use] : worker.m_fillers) {
-    added += TailAddedBy(fleet.m_interference, step.m_image, filler, use.m_used,
-                         capacity);
+    added += HeadroomTakenBy(fleet.m_interference, step.m_image, filler,
+                             use.m_demand, capacity);
   }
-  const double target =
-      static_cast<double>(InMilliseconds(step.m_latency_target)) + 1;
-  return static_cast<std::int64_t>(added / target * kNeighbourPenalty);
+  return static_cast<std::int64_t>(added * kNeighbourPenalty);
+}
+
+// Serving tasks of one image keep together, so that each filler finds workers
+// where it disturbs nobody.
+std::int64_t ServingScore(const Fleet& fleet, const Worker& worker,
+                          const StepPlan& step) {
+  std::int64_t score = DisturbanceScore(fleet, worker, step);
+  if (worker.m_serving.empty()) return score + kNeighbourPenalty;
+  const bool is_among_own = worker.m_serving.count(step.m_image) > 0;
+  const auto others = static_cast<std::int64_t>(worker.m_serving.size()) -
+                      (is_among_own ? 1 : 0);
+  return score + 2 * others * kNeighbourPenalty;
+}
+
+// Workers where few fillers can go are used first by those that can.
+std::int64_t FillerScore(const Fleet& fleet, const Worker& worker) {
+  const double open =
+      1.0 - Exclusiveness(fleet.m_interference, worker.m_serving);
+  return static_cast<std::int64_t>(open * kNeighbourPenalty);
 }
 
 std::int64_t Score(const Fleet& fleet, const Worker& worker,
@@ -120,12 +129,37 @@
   if (!step.m_data_rack.empty() && !HasLabel(worker, step.m_data_rack)) {
     score += kFarPenalty;
   }
-  // Serving tasks keep together, so that whole workers are left to tasks
-  // that would disturb them.
-  if (step.m_latency_target > Duration{} && worker.m_serving.empty()) {
-    score += kNeighbourPenalty;
+  if (step.m_processor_use == ProcessorUse::kLeftover) {
+    return score + FillerScore(fleet, worker);
   }
-  return score + DisturbanceScore(fleet, worker, step);
+  if (step.m_latency_target > Duration{}) {
+    return score + ServingScore(fleet, worker, step);
+  }
+  return score;
+}
+
+// How many workers try whether serving tasks can bear this image of fillers.
+int TrialsOf(const Pass& pass, const Worker& worker, const StepPlan& step) {
+  int trials = 0;
+  for (const auto& entry : pass.m_fleet.m_workers) {
+    const Worker& other = entry.second;
+    if (other.m_fillers.count(step.m_image) == 0) continue;
+    trials += std::any_of(worker.m_serving.begin(), worker.m_serving.end(),
+                          [&](const auto& serving) {
+                            return other.m_serving.count(serving.first) > 0;
+                          });
+  }
+  return trials;
+}
+
+bool MayDisturb(const Pass& pass, const Worker& worker, const StepPlan& step) {
+  const Bearing bearing =
+      BearingOf(pass.m_fleet.m_interference, worker.m_serving, worker.m_fillers,
+                step.m_image, step.m_demand.m_processors,
+                worker.m_listing.m_capacity.m_processors);
+  if (bearing != Bearing::kUncertain) return bearing == Bearing::kBears;
+  return worker.m_fillers.count(step.m_image) == 0 &&
+         TrialsOf(pass, worker, step) < kMaximumTrials;
 }
 
 bool MayTake(const Pass& pass, const Worker& worker, const StepPlan& step,
@@ -144,10 +178,7 @@
           step.m_demand.m_processors.value() * kLeastLeftoverPercent) {
     return false;
   }
-  if (may_wait && BearableShare(pass.m_fleet.m_interference, worker.m_serving,
-                                step.m_image, step.m_demand.m_processors,
-                                worker.m_listing.m_capacity.m_processors) <
-                      kLeastBearableShare) {
+  if (may_wait && !MayDisturb(pass, worker, step)) {
     return false;
   }
   return step.m_maximum_per_worker == 0 ||
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <numeric>
 
 #include "decisions/fleet/fleet.h"
 
@@ -13,6 +14,8 @@
 constexpr std::uint8_t kAtWorkPercent = 100;
 // While ends cannot be stored, leases are still extended this often.
 constexpr Duration kUnstoredLook = std::chrono::milliseconds(300);
+// What workers report of tails covers this long, and a little to arrive.
+constexpr Duration kTailWindow = std::chrono::milliseconds(600);
 constexpr Duration kRetryLook = std::chrono::milliseconds(100);
 
 bool IsRunHere(const Task& task, const Worker& worker, const RunNumber& run) {
@@ -158,9 +161,30 @@
   }
 }
 
+// A task that is still starting has no tail of its own yet.
+bool HasTail(const Task& task, const StepPlan& step) {
+  return step.m_latency_target > Duration{} &&
+         task.m_progress_percent >= kAtWorkPercent;
+}
+
+// Tails are measured over a while, so one says nothing of a filler that has
+// just started or changed its pace.
+bool HaveFillersSettled(Fleet& fleet, const Worker& worker, TimePoint now) {
+  for (const TaskReference& reference : worker.m_runs) {
+    Job* job = nullptr;
+    const Task* task = FindTask(fleet, reference, job);
+    if (task == nullptr || task->m_state != RunState::kRunning) continue;
+    const StepPlan& step = job->m_plan.m_steps[reference.m_step];
+    if (step.m_processor_use != ProcessorUse::kLeftover) continue;
+    const TimePoint since = std::max(task->m_started_at, task->m_paced_at);
+    if (now - since < kTailWindow) return false;
+  }
+  return true;
+}
+
 // Sums the runs' figures up by image.
 void NoteLoads(Fleet& fleet, Worker& worker) {
-  for (auto& entry : worker.m_serving) entry.second.m_tail_ms = 0;
+  std::map<ImageId, std::vector<double>> tails;
   for (auto& entry : worker.m_fillers) entry.second.m_used = Millicores(0);
   for (const TaskReference& reference : worker.m_runs) {
     Job* job = nullptr;
@@ -170,13 +194,18 @@
     if (step.m_processor_use == ProcessorUse::kLeftover) {
       worker.m_fillers[step.m_image].m_used += Millicores(task->m_load);
     }
-    // A task that is still starting has no tail of its own yet.
-    if (step.m_latency_target > Duration{} &&
-        task->m_progress_percent >= kAtWorkPercent) {
-      double& tail = worker.m_serving[step.m_image].m_tail_ms;
-      tail = std::max(tail, static_cast<double>(task->m_load));
+    if (HasTail(*task, step)) {
+      tails[step.m_image].push_back(static_cast<double>(task->m_load));
     }
   }
+  for (auto& [image, serving] : worker.m_serving) {
+    const std::vector<double>& own = tails[image];
+    serving.m_tail_ms = serving.m_mean_tail_ms = 0;
+    if (own.empty()) continue;
+    serving.m_tail_ms = *std::max_element(own.begin(), own.end());
+    serving.m_mean_tail_ms = std::accumulate(own.begin(), own.end(), 0.0) /
+                             static_cast<double>(own.size());
+  }
 }
 
 }  // namespace
@@ -250,8 +279,11 @@
     worker->m_next_look_at = now + kUnstoredLook;
   }
   NoteLoads(fleet, *worker);
-  LearnInterference(fleet.m_interference, worker->m_serving, worker->m_fillers,
-                    worker->m_listing.m_capacity.m_processors);
+  if (HaveFillersSettled(fleet, *worker, now)) {
+    LearnInterference(fleet.m_interference, worker->m_serving,
+                      worker->m_fillers,
+                      worker->m_listing.m_capacity.m_processors);
+  }
   PaceFillers(fleet, *worker, now);
 }
 
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -30,7 +30,9 @@
   if (step.m_processor_use == ProcessorUse::kLeftover) {
     worker.m_used.m_processors -= step.m_demand.m_processors;
     worker.m_filler_demand += step.m_demand.m_processors;
-    ++worker.m_fillers[step.m_image].m_count;
+    FillerImage& filler = worker.m_fillers[step.m_image];
+    filler.m_demand += step.m_demand.m_processors;
+    ++filler.m_count;
   }
   if (step.m_latency_target > Duration{}) {
     ServingImage& serving = worker.m_serving[step.m_image];
@@ -53,6 +55,7 @@
   if (step.m_processor_use == ProcessorUse::kLeftover) {
     worker.m_used.m_processors += step.m_demand.m_processors;
     worker.m_filler_demand -= step.m_demand.m_processors;
+    worker.m_fillers[step.m_image].m_demand -= step.m_demand.m_processors;
     RemoveImage(worker.m_fillers, step.m_image);
   }
   if (step.m_latency_target > Duration{}) {
