pacing: Cut less at a time

Cause: one bad reading of the worst tail cut fillers to 30%, and 15% a step brought them back after 3 s, as long as they run; batch jobs were late for nothing. Change: one cut leaves at least 60% of the pace.

--- a/libraries/decisions/fleet/pace_fillers.cc
+++ b/libraries/decisions/fleet/pace_fillers.cc
@@ -16,7 +16,7 @@
 constexpr double kHarmlessHeadroom = 0.05;
 constexpr double kSpeedUpStep = 15;
 // One cut leaves at least this share of the pace.
-constexpr double kDeepestCut = 0.3;
+constexpr double kDeepestCut = 0.6;
 constexpr double kFullPace = 100;
 constexpr double kLeastPace = 8;
 // The figures cover the last half second.
