--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -173,7 +173,9 @@
 void Requeue(Fleet& fleet, Job& job, const QueueRank& before) {
   for (std::size_t place = 0; place < job.m_steps.size(); ++place) {
     const auto entry = std::make_tuple(before, job.m_plan.m_key, place);
-    if (fleet.m_waiting.erase(entry) > 0) UpdateQueue(fleet, job, place);
+    if (QueueOf(fleet, job, place).erase(entry) > 0) {
+      UpdateQueue(fleet, job, place);
+    }
   }
 }
 
@@ -230,15 +232,22 @@
        worker.m_look_sent_at - worker.m_clock_read_at});
 }
 
+WaitingSteps& QueueOf(Fleet& fleet, const Job& job, std::size_t step_run) {
+  const StepPlan& step = job.m_plan.m_steps[step_run % job.StepCount()];
+  return step.m_processor_use == ProcessorUse::kLeftover
+             ? fleet.m_waiting_fillers
+             : fleet.m_waiting;
+}
+
 void UpdateQueue(Fleet& fleet, Job& job, std::size_t step_run) {
   const StepRun& run = job.m_steps[step_run];
   const auto entry = std::make_tuple(job.m_rank, job.m_plan.m_key, step_run);
   const bool has_ended = job.m_is_cancelled || job.m_has_failed;
   if (run.m_is_released && run.m_waiting > 0 && !has_ended) {
-    fleet.m_waiting.insert(entry);
+    QueueOf(fleet, job, step_run).insert(entry);
     fleet.m_needs_placement = true;
   } else {
-    fleet.m_waiting.erase(entry);
+    QueueOf(fleet, job, step_run).erase(entry);
   }
 }
 
@@ -328,7 +337,7 @@
   Job* job = FindJob(fleet, key);
   if (job == nullptr) return;
   for (std::size_t place = 0; place < job->m_steps.size(); ++place) {
-    fleet.m_waiting.erase(std::make_tuple(job->m_rank, key, place));
+    QueueOf(fleet, *job, place).erase(std::make_tuple(job->m_rank, key, place));
   }
   fleet.m_changed.erase(key);
   fleet.m_jobs.erase(key.value());
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -27,6 +27,9 @@
   /// A serving task may be over its target for this long.
   Duration m_harm = std::chrono::milliseconds(4000);
   double m_far_factor = 1.5;  ///< How much slower a task is off its rack.
+  /// Nothing starts on the word of a listing that was asked for longer ago:
+  /// a worker may have said since then that it leaves.
+  Duration m_listing_age = std::chrono::milliseconds(1700);
 };
 
 struct StartOrder {
@@ -88,6 +91,9 @@
 
 struct FleetMachines;
 
+/// Steps by job and place in it, the most urgent first.
+using WaitingSteps = std::set<std::tuple<QueueRank, JobKey, std::size_t>>;
+
 /// All that a leader knows of its workers and jobs, and the orders that wait
 /// to be sent.
 struct Fleet {
@@ -98,10 +104,16 @@
   TimePoint m_unseen_ends_at{};
   std::map<QueueId, Queue> m_queues;
   std::map<WorkerId, Worker> m_workers;
+  TimePoint m_listed_at{};      ///< When the latest listing was asked for.
   std::set<WorkerId> m_roster;  ///< Workers that are stored.
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
-  /// Released steps with waiting tasks, the most urgent first.
-  std::set<std::tuple<QueueRank, JobKey, std::size_t>> m_waiting;
+  /// Released steps with waiting tasks on reserved processors.
+  WaitingSteps m_waiting;
+  /// The same for fillers, which take none of these. Finding them a place is
+  /// costly, so it is done now and then, for many at once.
+  WaitingSteps m_waiting_fillers;
+  TimePoint m_next_filler_pass_at{};
+  TimePoint m_next_stop_repeat_at{};
   Interference m_interference;
   /// Occurrences that are not due yet.
   std::set<std::tuple<std::int64_t, JobKey, std::uint32_t>> m_timed;
@@ -164,9 +176,10 @@
 void CancelJob(Fleet& fleet, const JobKey& key, TimePoint now);
 /// Drops a job whose end is stored.
 void ForgetJob(Fleet& fleet, const JobKey& key);
-/// Takes over the platform's whole list of workers.
+/// Takes over the platform's whole list of workers, as it was at some moment
+/// after `asked_at`.
 void ApplyListing(Fleet& fleet, const std::vector<ListedWorker>& listing,
-                  TimePoint now);
+                  TimePoint asked_at, TimePoint now);
 void ApplyReport(Fleet& fleet, const WorkerId& worker, std::uint64_t look,
                  FencingToken token, const WorkerReport& report, TimePoint now);
 void ApplyLookFailure(Fleet& fleet, const WorkerId& worker, std::uint64_t look,
@@ -198,6 +211,8 @@
               TimePoint now);
 /// Releases the steps of one occurrence whose earlier steps are done.
 void ReleaseSteps(Fleet& fleet, Job& job, std::uint32_t occurrence);
+/// Where a step of the job waits.
+WaitingSteps& QueueOf(Fleet& fleet, const Job& job, std::size_t step_run);
 /// Puts a step into the queue, or takes it out, as its waiting tasks say.
 void UpdateQueue(Fleet& fleet, Job& job, std::size_t step_run);
 /// Works the job's visible state out and notes that it has to be stored.
--- a/libraries/decisions/fleet/fleet_timers.cc
+++ b/libraries/decisions/fleet/fleet_timers.cc
@@ -8,6 +8,7 @@
 
 constexpr Duration kRankingInterval = std::chrono::milliseconds(250);
 constexpr Duration kStopRepeat = std::chrono::milliseconds(500);
+constexpr Duration kStopSweep = std::chrono::milliseconds(100);
 // A worker where nothing runs is looked at this rarely.
 constexpr Duration kIdleLook = std::chrono::seconds(10);
 
@@ -41,13 +42,16 @@
 }
 
 void RepeatStops(Fleet& fleet, Worker& worker, TimePoint now) {
-  const std::set<TaskReference> runs = worker.m_runs;
-  for (const TaskReference& reference : runs) {
+  std::vector<TaskReference> unanswered;
+  for (const TaskReference& reference : worker.m_runs) {
     Job* job = nullptr;
     const Task* task = FindTask(fleet, reference, job);
     if (task == nullptr || task->m_state != RunState::kStopping) continue;
     if (now - task->m_stop_sent_at < kStopRepeat) continue;
-    SendStop(fleet, *job, reference, now);
+    unanswered.push_back(reference);
+  }
+  for (const TaskReference& reference : unanswered) {
+    SendStop(fleet, *FindJob(fleet, reference.m_job), reference, now);
   }
 }
 
@@ -57,7 +61,6 @@
       now >= LeaseEndOf(worker)) {
     StepWorker(fleet, worker, WorkerEvent::kLeaseLapsed);
   }
-  if (worker.m_state == WorkerState::kReady) RepeatStops(fleet, worker, now);
   if (worker.m_is_looking || now < worker.m_next_look_at) return;
   const bool has_ends = worker.m_acknowledged_end < worker.m_stored_end;
   const bool is_idle = worker.m_state == WorkerState::kReady &&
@@ -81,6 +84,17 @@
     RefreshRanks(fleet, now);
   }
   for (auto& entry : fleet.m_workers) TickWorker(fleet, entry.second, now);
+  if (now >= fleet.m_next_stop_repeat_at) {
+    fleet.m_next_stop_repeat_at = now + kStopSweep;
+    for (auto& [id, worker] : fleet.m_workers) {
+      if (worker.m_state == WorkerState::kReady) {
+        RepeatStops(fleet, worker, now);
+      }
+    }
+  }
+  if (now >= fleet.m_next_filler_pass_at && !fleet.m_waiting_fillers.empty()) {
+    fleet.m_needs_placement = true;
+  }
   if (fleet.m_unseen_ends_at != TimePoint() && now >= fleet.m_unseen_ends_at) {
     fleet.m_unseen_ends_at = TimePoint();
     fleet.m_needs_placement = true;
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -95,6 +95,8 @@
   ServingImages m_serving;     ///< Runs with a latency target.
   FillerImages m_fillers;      ///< Runs on leftover processors.
   Millicores m_filler_demand;  ///< What these would use if they could.
+  /// Of the serving images; empty until asked for after a change.
+  std::vector<ServingHeadroom> m_headrooms;
 
   bool m_is_looking = false;
   std::uint64_t m_look = 0;  ///< Number of the latest look.
--- a/libraries/decisions/fleet/interference.cc
+++ b/libraries/decisions/fleet/interference.cc
@@ -126,18 +126,6 @@
                                                    : found->second.m_mean;
 }
 
-double HeadroomBeside(const Interference& interference, const ImageId& image,
-                      const ServingImage& serving, const FillerImages& fillers,
-                      Millicores capacity) {
-  double headroom =
-      UndisturbedOf(interference, image) + std::min(0.0, serving.m_deviation);
-  for (const auto& [filler, use] : fillers) {
-    headroom -= CautiousEffect(EffectOf(interference, image, filler)) *
-                ShareOf(use.m_demand, capacity);
-  }
-  return headroom;
-}
-
 }  // namespace
 
 void LearnInterference(Interference& interference, ServingImages& serving,
@@ -156,23 +144,32 @@
          ShareOf(processors, capacity);
 }
 
-Bearing BearingOf(const Interference& interference,
-                  const ServingImages& serving, const FillerImages& fillers,
-                  const ImageId& filler, Millicores demand,
-                  Millicores capacity) {
-  Bearing bearing = Bearing::kBears;
+std::vector<ServingHeadroom> HeadroomsBeside(const Interference& interference,
+                                             const ServingImages& serving,
+                                             const FillerImages& fillers,
+                                             Millicores capacity) {
+  std::vector<ServingHeadroom> headrooms;
   for (const auto& [image, one] : serving) {
     double headroom =
-        HeadroomBeside(interference, image, one, fillers, capacity);
-    const Estimate effect = EffectOf(interference, image, filler);
-    if (effect.m_variance > kUncertainVariance) {
-      bearing = Bearing::kUncertain;
-    } else {
-      headroom -= CautiousEffect(effect) * ShareOf(demand, capacity);
+        UndisturbedOf(interference, image) + std::min(0.0, one.m_deviation);
+    for (const auto& [filler, use] : fillers) {
+      headroom -= CautiousEffect(EffectOf(interference, image, filler)) *
+                  ShareOf(use.m_demand, capacity);
     }
-    if (headroom < kPlannedHeadroom) return Bearing::kSuffers;
+    headrooms.push_back({image, headroom});
   }
-  return bearing;
+  return headrooms;
+}
+
+Bearing BearingOf(const Interference& interference,
+                  const ServingHeadroom& serving, const ImageId& filler,
+                  Millicores demand, Millicores capacity) {
+  if (serving.m_headroom < kPlannedHeadroom) return Bearing::kSuffers;
+  const Estimate effect = EffectOf(interference, serving.m_image, filler);
+  if (effect.m_variance > kUncertainVariance) return Bearing::kUncertain;
+  const double left =
+      serving.m_headroom - CautiousEffect(effect) * ShareOf(demand, capacity);
+  return left < kPlannedHeadroom ? Bearing::kSuffers : Bearing::kBears;
 }
 
 double Exclusiveness(const Interference& interference,
--- a/libraries/decisions/fleet/interference.h
+++ b/libraries/decisions/fleet/interference.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/quantity.h"
@@ -52,6 +53,13 @@
 using ServingImages = std::map<ImageId, ServingImage>;
 using FillerImages = std::map<ImageId, FillerImage>;
 
+/// A serving image on one worker, and the headroom that the fillers beside it
+/// leave, once they use all that they ask for.
+struct ServingHeadroom {
+  ImageId m_image;
+  double m_headroom = 0;
+};
+
 /// Takes one worker's figures of one moment.
 void LearnInterference(Interference& interference, ServingImages& serving,
                        const FillerImages& fillers, Millicores capacity);
@@ -69,12 +77,16 @@
   kSuffers,
 };
 
-/// Whether serving tasks of these images, beside these fillers, can bear one
-/// more filler of `demand`.
+std::vector<ServingHeadroom> HeadroomsBeside(const Interference& interference,
+                                             const ServingImages& serving,
+                                             const FillerImages& fillers,
+                                             Millicores capacity);
+
+/// Whether a serving image with this headroom can bear one more filler of
+/// `demand`.
 Bearing BearingOf(const Interference& interference,
-                  const ServingImages& serving, const FillerImages& fillers,
-                  const ImageId& filler, Millicores demand,
-                  Millicores capacity);
+                  const ServingHeadroom& serving, const ImageId& filler,
+                  Millicores demand, Millicores capacity);
 
 /// The share of known images of fillers that these serving tasks cannot bear;
 /// 0 to 1.
--- a/libraries/decisions/fleet/listing.cc
+++ b/libraries/decisions/fleet/listing.cc
@@ -22,7 +22,8 @@
 }  // namespace
 
 void ApplyListing(Fleet& fleet, const std::vector<ListedWorker>& listing,
-                  TimePoint now) {
+                  TimePoint asked_at, TimePoint now) {
+  fleet.m_listed_at = asked_at;
   std::set<WorkerId> listed;
   for (const ListedWorker& entry : listing) {
     listed.insert(entry.m_worker);
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -279,6 +279,7 @@
     worker->m_next_look_at = now + kUnstoredLook;
   }
   NoteLoads(fleet, *worker);
+  worker->m_headrooms.clear();
   if (HaveFillersSettled(fleet, *worker, now)) {
     LearnInterference(fleet.m_interference, worker->m_serving,
                       worker->m_fillers,
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -27,6 +27,7 @@
 }
 
 void JoinNeighbours(Worker& worker, const StepPlan& step) {
+  worker.m_headrooms.clear();
   if (step.m_processor_use == ProcessorUse::kLeftover) {
     worker.m_used.m_processors -= step.m_demand.m_processors;
     worker.m_filler_demand += step.m_demand.m_processors;
@@ -52,6 +53,7 @@
 }
 
 void LeaveNeighbours(Worker& worker, const StepPlan& step) {
+  worker.m_headrooms.clear();
   if (step.m_processor_use == ProcessorUse::kLeftover) {
     worker.m_used.m_processors += step.m_demand.m_processors;
     worker.m_filler_demand -= step.m_demand.m_processors;
--- a/libraries/settings/site_settings.cc
+++ b/libraries/settings/site_settings.cc
@@ -114,10 +114,11 @@
     TRY_ASSIGN(const YAML::Node timing,
                Section(root, "timing",
                        {"worker_lease_maximum_ms", "stop_grace_s",
-                        "state_retention_s", "harm_ms"}));
+                        "state_retention_s", "harm_ms", "leaving_ms"}));
     TRY_ASSIGN(settings.m_worker_lease_maximum,
                Milliseconds(timing, "worker_lease_maximum_ms"));
     TRY_ASSIGN(settings.m_harm, Milliseconds(timing, "harm_ms"));
+    TRY_ASSIGN(settings.m_leaving, Milliseconds(timing, "leaving_ms"));
     TRY_ASSIGN(settings.m_stop_grace, Seconds(timing, "stop_grace_s"));
     TRY_ASSIGN(settings.m_state_retention,
                Seconds(timing, "state_retention_s"));
--- a/services/daisyarchd/fleet/fleet_node.cc
+++ b/services/daisyarchd/fleet/fleet_node.cc
@@ -11,6 +11,12 @@
 // another node.
 constexpr Duration kUnreadyAfter = std::chrono::milliseconds(3500);
 
+// A configuration that was confirmed this long ago is taken for the newest.
+constexpr Duration kConfirmationAge = std::chrono::milliseconds(300);
+// A change has to be in force within 2 s; a watch on a connection that went
+// silent is given up well before.
+constexpr Duration kConfigurationWait = std::chrono::milliseconds(1000);
+
 void TakeConfiguration(FleetNode& node, const std::string& text,
                        StoreRevision revision) {
   auto routes = node.m_runtime.m_codec.m_read_configuration(text);
@@ -37,6 +43,7 @@
   node.m_configuration_watch = std::make_shared<PrefixWatch>();
   PrefixWatch& watch = *node.m_configuration_watch;
   watch.m_prefix = node.m_runtime.m_codec.m_configuration_key;
+  watch.m_wait = kConfigurationWait;
   watch.m_on_listing = [&node](const std::vector<StoredItem>& items) {
     for (const StoredItem& item : items) {
       if (item.m_key != node.m_runtime.m_codec.m_configuration_key) continue;
@@ -68,6 +75,34 @@
   TickLead(node);
 }
 
+void ConfirmConfiguration(FleetNode& node, std::function<void()> then) {
+  const TimePoint now = node.m_runtime.m_clock.m_now();
+  if (now - node.m_configuration_confirmed_at < kConfirmationAge) {
+    return then();
+  }
+  node.m_waiting_for_confirmation.push_back(std::move(then));
+  if (node.m_is_confirming) return;
+  node.m_is_confirming = true;
+  node.m_runtime.m_store.m_read(
+      node.m_runtime.m_codec.m_configuration_key, ReadFreshness::kCurrent,
+      [&node, now](Result<std::optional<StoredItem>> result) {
+        node.m_is_confirming = false;
+        const bool could_confirm = node.m_could_confirm;
+        node.m_could_confirm = result.has_value();
+        if (!result && could_confirm) {
+          LogError("configuration_not_confirmed", result.assume_error());
+        }
+        if (result) {
+          node.m_configuration_confirmed_at = now;
+          const auto& item = result.assume_value();
+          if (item) TakeConfiguration(node, item->m_value, item->m_revision);
+        }
+        const auto waiting = std::move(node.m_waiting_for_confirmation);
+        node.m_waiting_for_confirmation.clear();
+        for (const auto& one : waiting) one();
+      });
+}
+
 void StopFleetNode(FleetNode& node) {
   if (node.m_is_stopping) return;
   node.m_is_stopping = true;
--- a/services/daisyarchd/fleet/fleet_node.h
+++ b/services/daisyarchd/fleet/fleet_node.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "decisions/fleet/job_routes.h"
 #include "fleet/fleet_runtime.h"
@@ -18,6 +20,10 @@
   JobRoutes m_routes;
   bool m_has_routes = false;
   PrefixWatchPointer m_configuration_watch;
+  TimePoint m_configuration_confirmed_at{};  ///< When it was last the newest.
+  bool m_is_confirming = false;
+  bool m_could_confirm = true;  ///< The last time; a loss is logged once.
+  std::vector<std::function<void()>> m_waiting_for_confirmation;
 
   LeadershipState m_leadership = LeadershipState::kFollowing;
   PrefixWatchPointer m_lead_watch;
@@ -42,6 +48,10 @@
 /// Begins to follow the store.
 void StartFleetNode(FleetNode& node);
 
+/// Calls `then` once the configuration was the newest a moment ago, or the
+/// store cannot tell.
+void ConfirmConfiguration(FleetNode& node, std::function<void()> then);
+
 /// Everything that depends on time; every few milliseconds.
 void TickFleetNode(FleetNode& node);
 
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -11,7 +11,8 @@
 namespace {
 
 constexpr Duration kListingInterval = std::chrono::milliseconds(700);
-constexpr Duration kLoadRetry = std::chrono::milliseconds(200);
+// A listing that failed has used up most of the age that it may have.
+constexpr Duration kListingRetry = std::chrono::milliseconds(100);
 const std::string kCancelSuffix = "/cancel";
 
 TimePoint Now(const Leader& leader) { return leader.m_runtime.m_clock.m_now(); }
@@ -87,23 +88,41 @@
   leader->m_jobs_watch = std::move(watch);
 }
 
+// One line when listings cease and one when they come again.
+void NoteListing(Leader& leader, const Result<StoreListing>& result) {
+  if (leader.m_has_listing == result.has_value()) return;
+  leader.m_has_listing = result.has_value();
+  if (!result) {
+    return LogError("worker_listing_lost", result.assume_error());
+  }
+  LogEvent(
+      LogLevel::kInfo, "worker_listing_regained",
+      {{"age_ms", InMilliseconds(Now(leader) - leader.m_fleet.m_listed_at)},
+       {"store_revision", result.assume_value().m_as_of.value()}});
+}
+
 void ListWorkers(const LeaderPointer& leader) {
   if (leader->m_is_listing) return;
   leader->m_is_listing = true;
+  const TimePoint asked_at = Now(*leader);
   const std::weak_ptr<Leader> weak = leader;
   leader->m_runtime.m_store.m_list(
       leader->m_runtime.m_codec.m_worker_prefix,
-      [weak](Result<StoreListing> result) {
+      [weak, asked_at](Result<StoreListing> result) {
         const LeaderPointer self = weak.lock();
         if (!self) return;
         self->m_is_listing = false;
-        self->m_next_listing_at = Now(*self) + kListingInterval;
-        if (!result) return;
+        if (!result) {
+          self->m_next_listing_at = Now(*self) + kListingRetry;
+          return NoteListing(*self, result);
+        }
+        NoteListing(*self, result);
+        self->m_next_listing_at = asked_at + kListingInterval;
         self->m_has_workers = true;
         ApplyListing(self->m_fleet,
                      self->m_runtime.m_codec.m_read_workers(
                          result.assume_value().m_items),
-                     Now(*self));
+                     asked_at, Now(*self));
         SettleSoon(self);
       });
 }
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -48,6 +48,7 @@
   TimePoint m_next_write_at{};
   bool m_is_listing = false;
   bool m_has_workers = false;
+  bool m_has_listing = true;  ///< The latest listing was answered.
   TimePoint m_next_listing_at{};
   std::map<QueueId, std::uint64_t> m_stored_pending;
   StoreRevision m_pending_revision;
--- a/services/daisyarchd/fleet/node_lead.cc
+++ b/services/daisyarchd/fleet/node_lead.cc
@@ -20,6 +20,8 @@
 // A leader without the store keeps what runs alive for so long.
 constexpr Duration kIsolationLimit = std::chrono::seconds(6);
 constexpr Duration kWorkerLease = std::chrono::seconds(4);
+// From the decision to the task's start on the worker.
+constexpr Duration kStartSlack = std::chrono::milliseconds(300);
 // Leaves room for a late answer below the worker's own maximum.
 constexpr std::int64_t kLeasePercent = 80;
 constexpr std::int64_t kPercent = 100;
@@ -140,6 +142,7 @@
       kWorkerLease, settings.m_worker_lease_maximum * kLeasePercent / kPercent);
   limits.m_inherited_lease = kIsolationLimit + limits.m_lease;
   limits.m_harm = settings.m_harm;
+  limits.m_listing_age = settings.m_leaving - kStartSlack;
   limits.m_far_factor = settings.m_far_factor;
   return limits;
 }
--- a/tests/decisions/fleet/fleet_fixture.cc
+++ b/tests/decisions/fleet/fleet_fixture.cc
@@ -6,6 +6,8 @@
     : m_machines(LoadFleetMachines(DAISYARCH_CHARTS).assume_value()) {
   m_fleet.m_machines = &m_machines;
   m_fleet.m_term = Term(2);
+  // Most tests list workers once and then let much time pass.
+  m_fleet.m_limits.m_listing_age = std::chrono::hours(1);
   Queue queue;
   queue.m_id = QueueId("batch");
   queue.m_pool = PoolId("pool");
@@ -27,7 +29,7 @@
         Resources{processors, Mebibytes(64000), Accelerators(0)};
     listing.push_back(worker);
   }
-  ApplyListing(fixture.m_fleet, listing, fixture.m_now);
+  ApplyListing(fixture.m_fleet, listing, fixture.m_now, fixture.m_now);
   ApplyRosterStored(fixture.m_fleet, MissingFromRoster(fixture.m_fleet));
   TickFleet(fixture.m_fleet, fixture.m_now, 0);
   for (const ListedWorker& worker : listing) {
@@ -50,6 +52,8 @@
 }
 
 void Submit(FleetFixture& fixture, const JobPlan& plan) {
+  // Fillers are placed now and then only.
+  fixture.m_now += std::chrono::milliseconds(60);
   AddJob(fixture.m_fleet, plan, {}, fixture.m_now);
   PlaceRuns(fixture.m_fleet, fixture.m_now);
 }
--- a/tests/decisions/fleet/interference_test.cc
+++ b/tests/decisions/fleet/interference_test.cc
@@ -47,10 +47,19 @@
   }
 }
 
+Bearing BearingBeside(const Interference& interference,
+                      const ServingImages& serving, const FillerImages& fillers,
+                      const ImageId& filler, double share) {
+  const auto headrooms =
+      HeadroomsBeside(interference, serving, fillers, kCapacity);
+  REQUIRE(headrooms.size() == 1);
+  return BearingOf(interference, headrooms.front(), filler, Share(share),
+                   kCapacity);
+}
+
 Bearing BearingBeside(const Interference& interference, const ImageId& filler,
                       double share) {
-  return BearingOf(interference, Shop(kUndisturbed), {}, filler, Share(share),
-                   kCapacity);
+  return BearingBeside(interference, Shop(kUndisturbed), {}, filler, share);
 }
 
 }  // namespace
@@ -73,8 +82,7 @@
   Teach(interference, random, 300);
   CHECK(BearingBeside(interference, kHarmless, 0.3) == Bearing::kBears);
   CHECK(BearingBeside(interference, kHarmful, 0.15) == Bearing::kSuffers);
-  CHECK(BearingOf(interference, {}, {}, kHarmful, kCapacity, kCapacity) ==
-        Bearing::kBears);
+  CHECK(HeadroomsBeside(interference, {}, {}, kCapacity).empty());
 }
 
 TEST_CASE("Fillers that are already there count, also before they show") {
@@ -82,12 +90,12 @@
   Random random{9};
   Teach(interference, random, 300);
   FillerImage placed = Filler(0.05);
-  CHECK(BearingOf(interference, Shop(kUndisturbed), {{kHarmful, placed}},
-                  kHarmful, Share(0.02), kCapacity) == Bearing::kBears);
+  CHECK(BearingBeside(interference, Shop(kUndisturbed), {{kHarmful, placed}},
+                      kHarmful, 0.02) == Bearing::kBears);
   placed.m_demand = Share(0.1);
   placed.m_used = Millicores(0);
-  CHECK(BearingOf(interference, Shop(kUndisturbed), {{kHarmful, placed}},
-                  kHarmful, Share(0.02), kCapacity) == Bearing::kSuffers);
+  CHECK(BearingBeside(interference, Shop(kUndisturbed), {{kHarmful, placed}},
+                      kHarmful, 0.02) == Bearing::kSuffers);
 }
 
 TEST_CASE("Serving tasks under more load than usual bear less") {
@@ -95,11 +103,11 @@
   Random random{10};
   Teach(interference, random, 300);
   ServingImages serving = Shop(kUndisturbed);
-  CHECK(BearingOf(interference, serving, {}, kHarmful, Share(0.05),
-                  kCapacity) == Bearing::kBears);
+  CHECK(BearingBeside(interference, serving, {}, kHarmful, 0.05) ==
+        Bearing::kBears);
   serving.begin()->second.m_deviation = -0.7;
-  CHECK(BearingOf(interference, serving, {}, kHarmful, Share(0.05),
-                  kCapacity) == Bearing::kSuffers);
+  CHECK(BearingBeside(interference, serving, {}, kHarmful, 0.05) ==
+        Bearing::kSuffers);
 }
 
 TEST_CASE("A pair that was never seen is uncertain until it has been read") {
--- a/tests/decisions/fleet/place_runs_test.cc
+++ b/tests/decisions/fleet/place_runs_test.cc
@@ -75,6 +75,21 @@
   }
 }
 
+TEST_CASE("Nothing starts on the word of an old listing") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  fixture.m_fleet.m_limits.m_listing_age = std::chrono::milliseconds(1700);
+  const ListedWorker worker =
+      FindWorker(fixture.m_fleet, WorkerId("w0"))->m_listing;
+  fixture.m_now += std::chrono::milliseconds(1800);
+  Submit(fixture, MakePlan("job", 1, kCore));
+  CHECK(TakeOrders<StartOrder>(fixture).empty());
+  CHECK(fixture.m_fleet.m_needs_placement);
+  ApplyListing(fixture.m_fleet, {worker}, fixture.m_now, fixture.m_now);
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).size() == 1);
+}
+
 TEST_CASE("What has begun goes before what has not, and hopeless work last") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, kCore);
--- a/tests/decisions/fleet/reports_test.cc
+++ b/tests/decisions/fleet/reports_test.cc
@@ -182,8 +182,8 @@
   }
   ListedWorker leaving = FindWorker(fixture.m_fleet, WorkerId("w0"))->m_listing;
   leaving.m_is_leaving = true;
-  ApplyListing(fixture.m_fleet, {leaving}, fixture.m_now);
-  ApplyListing(fixture.m_fleet, {leaving}, fixture.m_now);
+  ApplyListing(fixture.m_fleet, {leaving}, fixture.m_now, fixture.m_now);
+  ApplyListing(fixture.m_fleet, {leaving}, fixture.m_now, fixture.m_now);
   const auto stops = TakeOrders<StopOrder>(fixture);
   REQUIRE(stops.size() == 1);
   CHECK(stops[0].m_task.m_job == JobKey("serving"));
--- a/tests/fakes/fake_site.cc
+++ b/tests/fakes/fake_site.cc
@@ -15,6 +15,7 @@
 constexpr Duration kTick = std::chrono::milliseconds(40);
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
+constexpr Duration kWatchSlack = std::chrono::milliseconds(500);
 constexpr Duration kLeaseCheck = std::chrono::milliseconds(50);
 
 Error StoreDown() {
@@ -79,6 +80,10 @@
   if (IsStoreAway(site, node)) {
     return Deliver(site, node, kTick, [answer] { answer(StoreDown()); });
   }
+  if (site.m_loop.m_now < site.m_faults.m_watches_silent_until) {
+    return Deliver(site, node, until - site.m_loop.m_now + kWatchSlack,
+                   [answer] { answer(NoAnswer("store")); });
+  }
   auto changes = ChangesAfter(site.m_store, prefix, after);
   const bool is_over = !changes || !changes.assume_value().m_changes.empty() ||
                        site.m_loop.m_now >= until;
@@ -380,11 +385,18 @@
   site.m_workers[id] = std::move(model);
 }
 
+void Configure(FakeSite& site, const JobRoutes& routes) {
+  site.m_routes = routes;
+  StoreTransaction transaction;
+  transaction.m_puts.push_back({kConfiguration,
+                                std::to_string(routes.m_version.value()),
+                                StoreLeaseId()});
+  Apply(site.m_store, transaction);
+}
+
 FakeSiteNode& AddSiteNode(FakeSite& site, const std::string& name) {
   if (site.m_nodes.empty()) {
-    StoreTransaction transaction;
-    transaction.m_puts.push_back({kConfiguration, "1", StoreLeaseId()});
-    Apply(site.m_store, transaction);
+    Configure(site, site.m_routes);
     ExpireForever(site);
   }
   site.m_nodes.push_back(std::make_unique<FakeSiteNode>());
@@ -396,6 +408,7 @@
   settings.m_store_lease_minimum = std::chrono::seconds(1);
   settings.m_state_retention = std::chrono::seconds(600);
   settings.m_harm = std::chrono::seconds(4);
+  settings.m_leaving = std::chrono::seconds(2);
   auto machines = LoadFleetMachines(DAISYARCH_CHARTS);
   auto leadership = LeadershipMachine::Load(DAISYARCH_CHARTS, "leadership",
                                             LeadershipBinding());
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -20,6 +20,9 @@
   double m_lose_order = 0;   ///< An order that takes effect unanswered.
   double m_order_late = 0;   ///< An order carried out 2 to 12 s later.
   TimePoint m_store_down_until{};
+  /// Calls that wait for changes are never answered, as on connections that
+  /// went silent; others are.
+  TimePoint m_watches_silent_until{};
 };
 
 /// A node of the site; a killed one hears no answers any more.
@@ -57,6 +60,8 @@
                    const Resources& capacity);
 FakeSiteNode& AddSiteNode(FakeSite& site, const std::string& name);
 void KillSiteNode(FakeSite& site, FakeSiteNode& node);
+/// The operator changes the configuration.
+void Configure(FakeSite& site, const JobRoutes& routes);
 /// The node that leads, or nullptr.
 FakeSiteNode* FindLeader(FakeSite& site);
 
--- a/tests/settings/site_settings_test.cc
+++ b/tests/settings/site_settings_test.cc
@@ -14,7 +14,7 @@
 listen: {callers: "10.0.0.1:1", ready: "10.0.0.1:2", metrics: "10.0.0.1:3"}
 store: {address: "10.0.0.9:8169", lease_minimum_ms: 1000}
 timing: {worker_lease_maximum_ms: 10000, stop_grace_s: 6,
-  state_retention_s: 120, harm_ms: 4000}
+  state_retention_s: 120, harm_ms: 4000, leaving_ms: 2000}
 )";
 
 std::string FaultOf(const std::string& from, const std::string& to) {
