fleet: Know a dead leader by its node; settle starts in a worker's new life

Ruled out: asking the old leader's node directly (an endpoint and a protocol more). Change: the term's key names the leader; a process that finds its own node leading stores that this term is over and gives the claim back at once. A leader stores when nothing of earlier ones can run. No lease outlasts the claim by more than 6 s, which also closes a gap: with the claim taken away, grants could last 12 s against the 10 s waited for. Starts that may be in a worker's new life are settled by its first report, or given up after the longest lease. A fence that an older token met is no sign of another leader.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -362,6 +362,12 @@
          WorkerMilliseconds(InMilliseconds(now - worker.m_clock_read_at));
 }
 
+WorkerMilliseconds LeaseGrantedAt(const Fleet& fleet, const Worker& worker,
+                                  TimePoint now) {
+  return WorkerClockAt(
+      worker, std::min(now + fleet.m_limits.m_lease, fleet.m_grants_end_at));
+}
+
 TimePoint LeaseEndOf(const Worker& worker) {
   const std::int64_t left = std::max<std::int64_t>(
       0, (worker.m_lease_until - worker.m_clock).value());
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -20,10 +20,12 @@
 struct FleetLimits {
   /// Of each lease that is granted; well under the worker's own maximum.
   Duration m_lease = std::chrono::seconds(4);
+  /// Longer leases are shortened by the workers.
+  Duration m_longest_lease = std::chrono::seconds(10);
   /// How long an answer may wait for an end.
   Duration m_look_wait = std::chrono::milliseconds(1000);
   /// A worker may run tasks of a leader that was cut off for this long.
-  Duration m_inherited_lease = std::chrono::seconds(12);
+  Duration m_inherited_lease = std::chrono::milliseconds(8500);
   /// A serving task may be over its target for this long.
   Duration m_harm = std::chrono::milliseconds(4000);
   double m_far_factor = 1.5;  ///< How much slower a task is off its rack.
@@ -102,6 +104,9 @@
   Term m_term;
   /// When the last worker that has not answered can run nothing any more.
   TimePoint m_unseen_ends_at{};
+  /// No lease that this leader grants lasts longer, so that a later leader
+  /// knows when all of them are over.
+  TimePoint m_grants_end_at = TimePoint::max();
   std::map<QueueId, Queue> m_queues;
   std::map<WorkerId, Worker> m_workers;
   TimePoint m_listed_at{};      ///< When the latest listing was asked for.
@@ -201,8 +206,9 @@
 Worker* FindWorker(Fleet& fleet, const WorkerId& worker);
 /// The task and its job; nullptr if the fleet does not know it.
 Task* FindTask(Fleet& fleet, const TaskReference& reference, Job*& job);
-/// Gives up what the worker ran if it is another incarnation.
-void NoteIncarnation(Fleet& fleet, Worker& worker, Incarnation incarnation);
+/// Gives up what the worker ran before if it is another incarnation.
+void NoteIncarnation(Fleet& fleet, Worker& worker, Incarnation incarnation,
+                     TimePoint now);
 /// Steps one task's chart; StepResult::kIgnored when the event does not fit.
 StepResult StepTask(Fleet& fleet, Job& job, const TaskReference& reference,
                     RunEvent event);
@@ -219,6 +225,9 @@
 void NoteChange(Fleet& fleet, Job& job);
 /// The terms in force for the job's queue, or those at its acceptance.
 const Queue& TermsOf(const Fleet& fleet, const Job& job);
+/// The deadline of a lease that is granted now, by the worker's clock.
+WorkerMilliseconds LeaseGrantedAt(const Fleet& fleet, const Worker& worker,
+                                  TimePoint now);
 WorkerMilliseconds WorkerClockAt(const Worker& worker, TimePoint now);
 /// When the worker's lease is certainly over.
 TimePoint LeaseEndOf(const Worker& worker);
--- a/libraries/decisions/fleet/fleet_timers.cc
+++ b/libraries/decisions/fleet/fleet_timers.cc
@@ -21,12 +21,11 @@
   worker.m_acknowledged_end = worker.m_stored_end;
   // A worker that does not answer must not be granted more: an unanswered
   // look may have arrived, and its lease would never be certainly over.
-  look.m_has_lease =
-      worker.m_has_clock && worker.m_state == WorkerState::kReady;
+  look.m_has_lease = worker.m_has_clock &&
+                     worker.m_state == WorkerState::kReady &&
+                     now < fleet.m_grants_end_at;
   if (look.m_has_lease) {
-    look.m_lease_until =
-        WorkerClockAt(worker, now) +
-        WorkerMilliseconds(InMilliseconds(fleet.m_limits.m_lease));
+    look.m_lease_until = LeaseGrantedAt(fleet, worker, now);
     worker.m_lease_until = std::max(worker.m_lease_until, look.m_lease_until);
   }
   if (look.m_has_lease) {
@@ -61,6 +60,10 @@
       now >= LeaseEndOf(worker)) {
     StepWorker(fleet, worker, WorkerEvent::kLeaseLapsed);
   }
+  if (worker.m_doubt_ends_at != TimePoint() && now >= worker.m_doubt_ends_at) {
+    worker.m_doubt_ends_at = TimePoint();
+    StepWorker(fleet, worker, WorkerEvent::kLeaseLapsed);
+  }
   if (worker.m_is_looking || now < worker.m_next_look_at) return;
   const bool has_ends = worker.m_acknowledged_end < worker.m_stored_end;
   const bool is_idle = worker.m_state == WorkerState::kReady &&
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -116,6 +116,10 @@
   /// has not been asked about; past once it has answered.
   TimePoint m_unseen_until{};
 
+  /// Its new life, not heard from yet, runs nothing that was started before
+  /// that life was known, once this is past; 0: nothing is in doubt.
+  TimePoint m_doubt_ends_at{};
+
   std::uint32_t m_failures_in_row = 0;  ///< Runs that failed without a success.
   TimePoint m_aside_until{};
   /// Runs that no job of the fleet knows; their room is not known either.
--- a/libraries/decisions/fleet/listing.cc
+++ b/libraries/decisions/fleet/listing.cc
@@ -40,7 +40,7 @@
     if (!worker.m_is_listed || worker.m_listing.m_is_leaving) {
       fleet.m_needs_placement = true;
     }
-    NoteIncarnation(fleet, worker, entry.m_incarnation);
+    NoteIncarnation(fleet, worker, entry.m_incarnation, now);
     if (worker.m_listing.m_address != entry.m_address) {
       worker.m_is_in_roster = false;
     }
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "decisions/fleet/choose_worker.h"
+#include "decisions/fleet/roster.h"
 
 namespace daisyarch::fleet {
 
@@ -30,8 +31,7 @@
   task.m_start = StartKnowledge::kPending;
   StepTask(pass.m_fleet, job, reference, RunEvent::kPlaced);
   const WorkerMilliseconds until =
-      WorkerClockAt(worker, pass.m_now) +
-      WorkerMilliseconds(InMilliseconds(pass.m_fleet.m_limits.m_lease));
+      LeaseGrantedAt(pass.m_fleet, worker, pass.m_now);
   worker.m_lease_until = std::max(worker.m_lease_until, until);
   pass.m_fleet.m_orders.push_back(StartOrder{
       worker.m_listing.m_worker, worker.m_listing.m_incarnation, reference, run,
@@ -107,14 +107,6 @@
   }
 }
 
-// After a take-over a worker of the roster that has not answered yet may run
-// any task that an earlier leader could have started.
-bool MayRunUnseen(const Fleet& fleet, TimePoint now) {
-  return std::any_of(
-      fleet.m_workers.begin(), fleet.m_workers.end(),
-      [now](const auto& entry) { return now < entry.second.m_unseen_until; });
-}
-
 bool IsRoomy(const Fleet& fleet) {
   Millicores capacity;
   Millicores reserved;
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -14,6 +14,8 @@
 constexpr std::uint8_t kAtWorkPercent = 100;
 // While ends cannot be stored, leases are still extended this often.
 constexpr Duration kUnstoredLook = std::chrono::milliseconds(300);
+// A worker's clock that is 2% slow, and a start on its way.
+constexpr Duration kNewLifeSlack = std::chrono::milliseconds(700);
 // What workers report of tails covers this long, and a little to arrive.
 constexpr Duration kTailWindow = std::chrono::milliseconds(600);
 constexpr Duration kRetryLook = std::chrono::milliseconds(100);
@@ -222,7 +224,8 @@
   return &step_run.m_tasks[reference.m_index];
 }
 
-void NoteIncarnation(Fleet& fleet, Worker& worker, Incarnation incarnation) {
+void NoteIncarnation(Fleet& fleet, Worker& worker, Incarnation incarnation,
+                     TimePoint now) {
   if (incarnation == Incarnation() ||
       incarnation == worker.m_listing.m_incarnation) {
     return;
@@ -236,6 +239,8 @@
   worker.m_clock = worker.m_lease_until = WorkerMilliseconds();
   worker.m_strays = 0;
   worker.m_failures_in_row = 0;
+  // Its clock began anew, so the deadlines that it was sent say nothing.
+  worker.m_doubt_ends_at = now + fleet.m_limits.m_longest_lease + kNewLifeSlack;
   StepWorker(fleet, worker, WorkerEvent::kReborn);
 }
 
@@ -247,7 +252,7 @@
   worker->m_is_looking = false;
   worker->m_next_look_at = now;
   const Incarnation before = worker->m_listing.m_incarnation;
-  NoteIncarnation(fleet, *worker, report.m_incarnation);
+  NoteIncarnation(fleet, *worker, report.m_incarnation, now);
   // The lists of a new life are asked for under the new token.
   if (before != Incarnation() && before != worker->m_listing.m_incarnation) {
     return;
@@ -267,7 +272,7 @@
   }
   LoseMissing(fleet, *worker, report);
   if (worker->m_state != WorkerState::kReady) fleet.m_needs_placement = true;
-  worker->m_unseen_until = TimePoint();
+  worker->m_unseen_until = worker->m_doubt_ends_at = TimePoint();
   StepWorker(fleet, *worker, WorkerEvent::kReported);
   // With nothing to store, the ends can be acknowledged at once.
   if (fleet.m_changed.empty() && !fleet.m_is_storing) {
--- a/libraries/decisions/fleet/roster.cc
+++ b/libraries/decisions/fleet/roster.cc
@@ -81,15 +81,48 @@
   return handover;
 }
 
-Duration UnseenAfter(const FleetLimits& limits, const Handover& handover,
-                     Term term, const WorkerId& worker) {
-  const bool is_orderly = Next(handover.m_term) == term;
-  if (!is_orderly) return limits.m_inherited_lease;
-  const auto unseen = handover.m_unseen_ms.find(worker);
-  if (unseen != handover.m_unseen_ms.end()) {
-    return FromMilliseconds(unseen->second);
+namespace {
+
+// Its last grant may have left it just before it ended. What the leaders
+// before it granted is over that long after it began to lead.
+TimePoint EndOfGrants(const FleetLimits& limits,
+                      const Predecessor& predecessor) {
+  const TimePoint own =
+      predecessor.m_ended_at + limits.m_lease + kClockDriftSlack;
+  if (predecessor.m_has_settled) return own;
+  return std::max(own, predecessor.m_seen_at + limits.m_inherited_lease);
+}
+
+}  // namespace
+
+TimePoint UnseenUntil(const FleetLimits& limits, const Predecessor& predecessor,
+                      Term term, const WorkerId& worker, TimePoint now) {
+  const Handover& handover = predecessor.m_handover;
+  if (Next(handover.m_term) == term) {
+    const auto unseen = handover.m_unseen_ms.find(worker);
+    const Duration left = unseen == handover.m_unseen_ms.end()
+                              ? limits.m_lease + kClockDriftSlack
+                              : FromMilliseconds(unseen->second);
+    return now + left;
+  }
+  const TimePoint latest = now + limits.m_inherited_lease;
+  if (predecessor.m_ended_at == TimePoint()) return latest;
+  return std::min(latest, EndOfGrants(limits, predecessor));
+}
+
+bool MayRunUnseen(const Fleet& fleet, TimePoint now) {
+  return std::any_of(
+      fleet.m_workers.begin(), fleet.m_workers.end(),
+      [now](const auto& entry) { return now < entry.second.m_unseen_until; });
+}
+
+void ApplyPredecessorEnded(Fleet& fleet, const Predecessor& predecessor) {
+  const TimePoint end = EndOfGrants(fleet.m_limits, predecessor);
+  fleet.m_unseen_ends_at = std::min(fleet.m_unseen_ends_at, end);
+  for (auto& [id, worker] : fleet.m_workers) {
+    worker.m_unseen_until = std::min(worker.m_unseen_until, end);
   }
-  return limits.m_lease + kClockDriftSlack;
+  fleet.m_needs_placement = true;
 }
 
 }  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/roster.h
+++ b/libraries/decisions/fleet/roster.h
@@ -38,9 +38,25 @@
 
 Handover HandoverOf(const Fleet& fleet, TimePoint now);
 
-/// How long a worker may run tasks unseen after a take-over. Without a
-/// handover of the term before, the earlier leader may be cut off and go on.
-Duration UnseenAfter(const FleetLimits& limits, const Handover& handover,
-                     Term term, const WorkerId& worker);
+/// What a new leader knows of the one before.
+struct Predecessor {
+  Handover m_handover;    ///< If it stopped in order.
+  TimePoint m_seen_at{};  ///< When this node first saw it lead.
+  /// No worker runs anything that a leader before it started.
+  bool m_has_settled = false;
+  TimePoint m_ended_at{};  ///< When its process was known to be gone, or 0.
+};
+
+/// Until when a worker may run tasks unseen after a take-over at `now`. A
+/// leader that did not stop in order may be cut off and go on.
+TimePoint UnseenUntil(const FleetLimits& limits, const Predecessor& predecessor,
+                      Term term, const WorkerId& worker, TimePoint now);
+
+/// True while a worker that has not answered yet may run what an earlier
+/// leader started.
+bool MayRunUnseen(const Fleet& fleet, TimePoint now);
+
+/// Takes over that the process of the leader before is gone.
+void ApplyPredecessorEnded(Fleet& fleet, const Predecessor& predecessor);
 
 }  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -132,6 +132,26 @@
   }
 }
 
+// What was shown to run before is gone. A start that was answered since the
+// worker last reported may have reached its new life, whose first report
+// settles it.
+void DoubtRuns(WorkerContext& context) {
+  Worker& worker = context.m_worker;
+  const std::set<TaskReference> runs = worker.m_runs;
+  for (const TaskReference& reference : runs) {
+    Job* job = nullptr;
+    Task* task = FindTask(context.m_fleet, reference, job);
+    if (task == nullptr) continue;
+    const bool is_old = task->m_start == StartKnowledge::kAnswered &&
+                        task->m_started_at <= worker.m_clock_read_at;
+    if (is_old) {
+      StepTask(context.m_fleet, *job, reference, RunEvent::kInterrupted);
+    } else {
+      task->m_start = StartKnowledge::kUnanswered;
+    }
+  }
+}
+
 // The report under the new token has shown every start that took effect; the
 // others never will.
 void SettleRuns(WorkerContext& context) {
@@ -176,6 +196,7 @@
       {},
       {{"raise_token", RaiseToken},
        {"lose_runs", LoseRuns},
+       {"doubt_runs", DoubtRuns},
        {"settle_runs", SettleRuns}},
   };
 }
--- a/services/daisyarchd/fleet/fleet_node.h
+++ b/services/daisyarchd/fleet/fleet_node.h
@@ -32,6 +32,12 @@
   StoreRevision m_term_revision;
   TimePoint m_vacant_since{};
   TimePoint m_may_claim_at{};
+  NodeId m_last_leader;        ///< Of the last term.
+  TimePoint m_term_seen_at{};  ///< When the last term was first seen.
+  Term m_ended_term;  ///< The last one whose leader is known to be gone.
+  TimePoint m_ended_seen_at{};
+  Term m_settled_term;  ///< The last one without runs of earlier leaders.
+  bool m_has_reported_end = false;
   Handover m_handover;  ///< As last seen.
   bool m_is_writing_handover = false;
   Claim m_claim;
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -170,24 +170,24 @@
 
 void LoadRoster(const LeaderPointer& leader, std::function<void()> on_loaded) {
   const std::weak_ptr<Leader> weak = leader;
-  leader->m_runtime.m_store.m_list(
-      kRosterPrefix,
-      [weak, on_loaded = std::move(on_loaded)](Result<StoreListing> result) {
-        const LeaderPointer self = weak.lock();
-        if (!self) return;
-        if (!result) return self->m_on_claim_lost("roster not read");
-        for (const StoredItem& item : result.assume_value().m_items) {
-          const WorkerId worker(item.m_key.substr(kRosterPrefix.size()));
-          const Duration unseen =
-              UnseenAfter(self->m_fleet.m_limits, self->m_handover,
-                          self->m_claim.m_term, worker);
-          ApplyRosterLoaded(self->m_fleet, {worker, item.m_value},
-                            Now(*self) + unseen);
-        }
-        self->m_is_loaded = true;
-        on_loaded();
-        ListWorkers(self);
-      });
+  leader->m_runtime.m_store.m_list(kRosterPrefix, [weak, on_loaded = std::move(
+                                                             on_loaded)](
+                                                      Result<StoreListing>
+                                                          result) {
+    const LeaderPointer self = weak.lock();
+    if (!self) return;
+    if (!result) return self->m_on_claim_lost("roster not read");
+    for (const StoredItem& item : result.assume_value().m_items) {
+      const WorkerId worker(item.m_key.substr(kRosterPrefix.size()));
+      const TimePoint unseen_until =
+          UnseenUntil(self->m_fleet.m_limits, self->m_predecessor,
+                      self->m_claim.m_term, worker, Now(*self));
+      ApplyRosterLoaded(self->m_fleet, {worker, item.m_value}, unseen_until);
+    }
+    self->m_is_loaded = true;
+    on_loaded();
+    ListWorkers(self);
+  });
 }
 
 void LoadProgress(const LeaderPointer& leader, StoreListing jobs,
@@ -239,13 +239,21 @@
       });
 }
 
+// An order that was overtaken by one under a newer token of this leader says
+// nothing of other leaders.
+void AfterFence(Leader& leader, const WorkerId& worker, FencingToken token) {
+  const Worker* known = FindWorker(leader.m_fleet, worker);
+  if (known != nullptr && token < known->m_token) return;
+  leader.m_on_claim_lost("fenced by worker " + worker.value());
+}
+
 // Stops and paces differ in how they are sent alone.
 void AfterOrder(const std::weak_ptr<Leader>& weak, const WorkerId& worker,
-                const Result<void>& result) {
+                FencingToken token, const Result<void>& result) {
   const LeaderPointer self = weak.lock();
   if (!self || result) return;
   if (result.assume_error().m_code == ErrorCode::kConflict) {
-    return self->m_on_claim_lost("fenced by worker " + worker.value());
+    return AfterFence(*self, worker, token);
   }
   if (result.assume_error().m_code == ErrorCode::kUnavailable) return;
   ApplyOrderFailure(self->m_fleet, worker);
@@ -256,8 +264,9 @@
   const std::weak_ptr<Leader> weak = leader;
   leader->m_runtime.m_orders.m_stop(
       AddressOf(*leader, order.m_worker), order,
-      [weak, worker = order.m_worker](Result<void> result) {
-        AfterOrder(weak, worker, result);
+      [weak, worker = order.m_worker,
+       token = order.m_token](const Result<void>& result) {
+        AfterOrder(weak, worker, token, result);
       });
 }
 
@@ -265,8 +274,9 @@
   const std::weak_ptr<Leader> weak = leader;
   leader->m_runtime.m_orders.m_pace(
       AddressOf(*leader, order.m_worker), order,
-      [weak, worker = order.m_worker](Result<void> result) {
-        AfterOrder(weak, worker, result);
+      [weak, worker = order.m_worker,
+       token = order.m_token](const Result<void>& result) {
+        AfterOrder(weak, worker, token, result);
       });
 }
 
@@ -279,8 +289,7 @@
         if (!self) return;
         if (!result) {
           if (result.assume_error().m_code == ErrorCode::kConflict) {
-            return self->m_on_claim_lost("fenced by worker " +
-                                         order.m_worker.value());
+            AfterFence(*self, order.m_worker, order.m_token);
           }
           ApplyLookFailure(self->m_fleet, order.m_worker, order.m_look,
                            Now(*self));
@@ -346,6 +355,7 @@
             leader->m_runtime.m_clock.m_now);
   if (Now(*leader) >= leader->m_next_listing_at) ListWorkers(leader);
   WritePending(leader);
+  WriteSettled(leader);
   RemoveOldProgress(leader);
   SettleSoon(leader);
 }
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -19,6 +19,7 @@
   StoreLeaseId m_lease;
   StoreRevision m_revision;  ///< Of the holder's key; every write expects it.
   StoreRevision m_term_revision;
+  Predecessor m_predecessor;  ///< As known when the claim was sent.
 };
 
 /// A batch of changes on its way into the store, one transaction at a time.
@@ -36,7 +37,7 @@
   FleetRuntime& m_runtime;
   Claim m_claim;
   Fleet m_fleet;
-  Handover m_handover;  ///< Of the leader before, if it stopped in order.
+  Predecessor m_predecessor;
   std::function<void(const std::string& reason)> m_on_claim_lost;
   std::function<bool()> m_may_start;
   bool m_is_loaded = false;
@@ -54,6 +55,7 @@
   StoreRevision m_pending_revision;
   bool m_is_writing_pending = false;
   TimePoint m_next_pending_at{};
+  bool m_has_settled = false;  ///< Stored, or on its way.
   bool m_is_writing_roster = false;
   TimePoint m_next_roster_at{};
   bool m_is_removing = false;
@@ -92,5 +94,7 @@
 /// Stores workers before they get work, and drops those that are gone.
 void WriteRoster(const LeaderPointer& leader);
 void WritePending(const LeaderPointer& leader);
+/// Stores, once a term, that nothing of earlier leaders can run any more.
+void WriteSettled(const LeaderPointer& leader);
 
 }  // namespace daisyarch::fleet
--- a/services/daisyarchd/fleet/leader_writes.cc
+++ b/services/daisyarchd/fleet/leader_writes.cc
@@ -245,6 +245,24 @@
       });
 }
 
+void WriteSettled(const LeaderPointer& leader) {
+  if (leader->m_has_settled || !leader->m_has_workers) return;
+  if (MayRunUnseen(leader->m_fleet, Now(*leader))) return;
+  leader->m_has_settled = true;
+  StoreTransaction transaction;
+  transaction.m_expectations.push_back(HolderExpectation(*leader));
+  transaction.m_puts.push_back({kSettledKey,
+                                std::to_string(leader->m_claim.m_term.value()),
+                                StoreLeaseId()});
+  const std::weak_ptr<Leader> weak = leader;
+  leader->m_runtime.m_store.m_commit(
+      transaction, [weak](const Result<TransactionResult>& result) {
+        const LeaderPointer self = weak.lock();
+        if (!self || (result && result.assume_value().m_is_applied)) return;
+        self->m_has_settled = false;
+      });
+}
+
 void WritePending(const LeaderPointer& leader) {
   const TimePoint now = Now(*leader);
   if (leader->m_is_writing_pending || now < leader->m_next_pending_at) return;
--- a/services/daisyarchd/fleet/node_lead.cc
+++ b/services/daisyarchd/fleet/node_lead.cc
@@ -17,6 +17,8 @@
 constexpr Duration kClaimTerm = std::chrono::milliseconds(2000);
 constexpr Duration kRenewalInterval = std::chrono::milliseconds(500);
 constexpr Duration kClaimRetry = std::chrono::milliseconds(300);
+// A worker's clock may run 2% slow over the longest lease.
+constexpr Duration kClockDriftSlack = std::chrono::milliseconds(500);
 // A leader without the store keeps what runs alive for so long.
 constexpr Duration kIsolationLimit = std::chrono::seconds(6);
 constexpr Duration kWorkerLease = std::chrono::seconds(4);
@@ -57,10 +59,63 @@
   }
 }
 
+// The number of the term, and who leads in it.
+std::string TermValue(Term term, const NodeId& leader) {
+  return std::to_string(term.value()) + " " + leader.value();
+}
+
 void SeeTerm(FleetNode& node, const std::string& value,
              StoreRevision revision) {
   node.m_term_revision = revision;
-  node.m_last_term = Term(std::strtoull(value.c_str(), nullptr, 10));
+  const Term term(std::strtoull(value.c_str(), nullptr, 10));
+  if (term == node.m_last_term) return;
+  node.m_last_term = term;
+  node.m_term_seen_at = Now(node);
+  const std::size_t space = value.find(' ');
+  node.m_last_leader =
+      NodeId(space == std::string::npos ? "" : value.substr(space + 1));
+}
+
+void SeeSettled(FleetNode& node, const std::string& value) {
+  node.m_settled_term = Term(std::strtoull(value.c_str(), nullptr, 10));
+}
+
+// The process that leads in this term is known to be gone.
+void SeeEnded(FleetNode& node, const std::string& value) {
+  const Term term(std::strtoull(value.c_str(), nullptr, 10));
+  if (term <= node.m_ended_term) return;
+  node.m_ended_term = term;
+  node.m_ended_seen_at = Now(node);
+  if (!node.m_leader || Next(term) != node.m_claim.m_term) return;
+  Leader& leader = *node.m_leader;
+  leader.m_predecessor.m_ended_at = Now(node);
+  ApplyPredecessorEnded(leader.m_fleet, leader.m_predecessor);
+}
+
+// A process that finds its own node leading, though it never claimed, knows
+// that the process before it is gone; nobody has to wait for the lease.
+void ReportEnd(FleetNode& node, bool is_held, const std::string& holder,
+               StoreRevision revision) {
+  if (node.m_has_reported_end) return;
+  node.m_has_reported_end = true;
+  const NodeId& self = node.m_runtime.m_settings.m_node;
+  if (node.m_last_leader != self) return;
+  StoreTransaction transaction;
+  transaction.m_expectations.push_back({kTermKey, node.m_term_revision});
+  transaction.m_puts.push_back(
+      {kEndedKey, std::to_string(node.m_last_term.value()), StoreLeaseId()});
+  if (is_held && NodeId(holder) == self) {
+    transaction.m_expectations.push_back({kHolderKey, revision});
+    transaction.m_removals.push_back(kHolderKey);
+  }
+  LogEvent(LogLevel::kInfo, "earlier_lead_ended",
+           {{"term", node.m_last_term.value()},
+            {"store_revision", node.m_term_revision.value()}});
+  node.m_runtime.m_store.m_commit(
+      transaction, [](const Result<TransactionResult>& result) {
+        // The claim then runs out by itself.
+        if (!result) LogError("lead_end_not_stored", result.assume_error());
+      });
 }
 
 void SeeHandover(FleetNode& node, const std::string& value) {
@@ -91,15 +146,29 @@
   StepLead(node, LeadershipEvent::kClaimFailed);
 }
 
+Predecessor PredecessorOf(const FleetNode& node) {
+  Predecessor predecessor;
+  predecessor.m_handover = node.m_handover;
+  predecessor.m_seen_at = node.m_term_seen_at;
+  predecessor.m_has_settled = node.m_settled_term == node.m_last_term;
+  if (node.m_ended_term == node.m_last_term) {
+    predecessor.m_ended_at = node.m_ended_seen_at;
+  }
+  return predecessor;
+}
+
 void WriteClaim(FleetNode& node, TimePoint sent_at) {
   const Term term = Next(node.m_last_term);
+  // The watch may tell of this claim before the store's answer does.
+  node.m_claim.m_predecessor = PredecessorOf(node);
   StoreTransaction transaction;
   transaction.m_expectations = {{kHolderKey, StoreRevision()},
                                 {kTermKey, node.m_term_revision}};
   transaction.m_puts = {
       {kHolderKey, node.m_runtime.m_settings.m_node.value(),
        node.m_claim.m_lease},
-      {kTermKey, std::to_string(term.value()), StoreLeaseId()}};
+      {kTermKey, TermValue(term, node.m_runtime.m_settings.m_node),
+       StoreLeaseId()}};
   node.m_runtime.m_store.m_commit(
       transaction, [&node, term, sent_at](Result<TransactionResult> result) {
         if (!result) return FailClaim(node, result.assume_error());
@@ -140,7 +209,9 @@
   FleetLimits limits;
   limits.m_lease = std::min(
       kWorkerLease, settings.m_worker_lease_maximum * kLeasePercent / kPercent);
-  limits.m_inherited_lease = kIsolationLimit + limits.m_lease;
+  // A claim that was taken away is held on to for a term.
+  limits.m_inherited_lease = kClaimTerm + kIsolationLimit + kClockDriftSlack;
+  limits.m_longest_lease = settings.m_worker_lease_maximum;
   limits.m_harm = settings.m_harm;
   limits.m_listing_age = settings.m_leaving - kStartSlack;
   limits.m_far_factor = settings.m_far_factor;
@@ -153,7 +224,7 @@
             {"store_revision", node.m_claim.m_revision.value()}});
   node.m_leader = std::make_shared<Leader>(Leader{node.m_runtime});
   node.m_leader->m_claim = node.m_claim;
-  node.m_leader->m_handover = node.m_handover;
+  node.m_leader->m_predecessor = node.m_claim.m_predecessor;
   node.m_leader->m_fleet.m_limits = LimitsOf(node.m_runtime.m_settings);
   node.m_leader->m_on_claim_lost = [&node](const std::string& reason) {
     LoseClaim(node, reason);
@@ -206,6 +277,10 @@
     node.m_next_renewal_at = now + kRenewalInterval;
     Renew(node);
   }
+  if (node.m_leader) {
+    node.m_leader->m_fleet.m_grants_end_at =
+        node.m_claim_valid_until + kIsolationLimit;
+  }
   const bool is_valid = now < node.m_claim_valid_until;
   StepLead(node, is_valid ? LeadershipEvent::kContactRegained
                           : LeadershipEvent::kContactLost);
@@ -229,18 +304,25 @@
   watch.m_prefix = kLeadPrefix;
   watch.m_on_listing = [&node](const std::vector<StoredItem>& items) {
     bool is_held = false;
+    std::string holder;
     StoreRevision revision = node.m_lead_watch->m_as_of;
     for (const StoredItem& item : items) {
       if (item.m_key == kTermKey) {
         SeeTerm(node, item.m_value, item.m_revision);
       } else if (item.m_key == kHandoverKey) {
         SeeHandover(node, item.m_value);
+      } else if (item.m_key == kEndedKey) {
+        SeeEnded(node, item.m_value);
+      } else if (item.m_key == kSettledKey) {
+        SeeSettled(node, item.m_value);
       } else if (item.m_key == kHolderKey) {
         is_held = true;
+        holder = item.m_value;
         revision = item.m_revision;
       }
     }
     SeeHolder(node, is_held, revision);
+    ReportEnd(node, is_held, holder, revision);
   };
   watch.m_on_changes = [&node](const std::vector<StoreChange>& changes) {
     for (const StoreChange& change : changes) {
@@ -248,6 +330,10 @@
         SeeTerm(node, *change.m_value, change.m_revision);
       } else if (change.m_key == kHandoverKey && change.m_value) {
         SeeHandover(node, *change.m_value);
+      } else if (change.m_key == kEndedKey && change.m_value) {
+        SeeEnded(node, *change.m_value);
+      } else if (change.m_key == kSettledKey && change.m_value) {
+        SeeSettled(node, *change.m_value);
       } else if (change.m_key == kHolderKey) {
         SeeHolder(node, change.m_value.has_value(), change.m_revision);
       }
--- a/services/daisyarchd/fleet/store_keys.h
+++ b/services/daisyarchd/fleet/store_keys.h
@@ -13,6 +13,11 @@
 inline const std::string kHolderKey = "daisyarch/lead/holder";
 /// Counts the leaders; outlives them.
 inline const std::string kTermKey = "daisyarch/lead/term";
+/// The term of the last leader whose process is known to be gone.
+inline const std::string kEndedKey = "daisyarch/lead/ended";
+/// The last term in which every worker had answered, or could run nothing of
+/// earlier leaders any more.
+inline const std::string kSettledKey = "daisyarch/lead/settled";
 /// What the last leader that stopped in order told the next one.
 inline const std::string kHandoverKey = "daisyarch/lead/handover";
 /// Accepted jobs that have not ended, and their cancellations.
--- a/tests/decisions/fleet/reports_test.cc
+++ b/tests/decisions/fleet/reports_test.cc
@@ -140,6 +140,8 @@
   ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
                     fixture.m_now);
   Wait(fixture, std::chrono::milliseconds(10));
+  Report(fixture, "w0", {RowOf(start)}, {});
+  Wait(fixture, std::chrono::milliseconds(10));
   Worker& worker = *FindWorker(fixture.m_fleet, WorkerId("w0"));
   WorkerReport report;
   report.m_incarnation = Incarnation(2);
@@ -209,4 +211,43 @@
   CHECK(TakeOrders<StartOrder>(fixture).size() == 3);
 }
 
+TEST_CASE("A start that reached a worker's new life is not run twice") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 2, kCore);
+  Submit(fixture, MakePlan("old", 1, kCore));
+  const auto old = TakeOrders<StartOrder>(fixture);
+  REQUIRE(old.size() == 1);
+  const std::string name = old[0].m_worker.value();
+  ApplyStartOutcome(fixture.m_fleet, old[0], StartOutcome::kStarted,
+                    fixture.m_now);
+  Wait(fixture, std::chrono::milliseconds(10));
+  Report(fixture, name, {}, {EndOf(old[0], 1, RunEnd::kDone)});
+  Wait(fixture, std::chrono::milliseconds(10));
+  fixture.m_fleet.m_orders.clear();
+  // The worker starts anew, unnoticed, and then gets this.
+  FindWorker(fixture.m_fleet, WorkerId(name == "w0" ? "w1" : "w0"))
+      ->m_aside_until = fixture.m_now + std::chrono::milliseconds(100);
+  Submit(fixture, MakePlan("new", 1, kCore));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  REQUIRE(starts[0].m_worker == WorkerId(name));
+  ApplyStartOutcome(fixture.m_fleet, starts[0], StartOutcome::kStarted,
+                    fixture.m_now);
+  std::vector<ListedWorker> listing;
+  for (const auto& [id, worker] : fixture.m_fleet.m_workers) {
+    listing.push_back(worker.m_listing);
+    if (id == WorkerId(name)) listing.back().m_incarnation = Incarnation(2);
+  }
+  ApplyListing(fixture.m_fleet, listing, fixture.m_now, fixture.m_now);
+  Wait(fixture, std::chrono::milliseconds(200));
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).empty());
+  CHECK(TaskOf(fixture, starts[0].m_task).m_state == RunState::kRunning);
+  SECTION("a new life that is never heard from is given up") {
+    Wait(fixture, std::chrono::seconds(11));
+    PlaceRuns(fixture.m_fleet, fixture.m_now);
+    CHECK(TakeOrders<StartOrder>(fixture).size() == 1);
+  }
+}
+
 }  // namespace daisyarch::fleet
--- a/tests/decisions/fleet/roster_test.cc
+++ b/tests/decisions/fleet/roster_test.cc
@@ -76,18 +76,75 @@
 }
 
 TEST_CASE("After an orderly handover leases alone are waited out") {
-  FleetLimits limits;
-  Handover handover;
-  handover.m_term = Term(4);
-  handover.m_unseen_ms[WorkerId("dark")] = 7000;
+  const FleetLimits limits;
+  const TimePoint now(std::chrono::seconds(100));
+  Predecessor before;
+  before.m_handover.m_term = Term(4);
+  before.m_handover.m_unseen_ms[WorkerId("dark")] = 7000;
   const WorkerId known("known");
   const WorkerId dark("dark");
-  CHECK(UnseenAfter(limits, handover, Term(5), known) < kUnseen / 2);
-  CHECK(UnseenAfter(limits, handover, Term(5), known) > limits.m_lease);
-  CHECK(UnseenAfter(limits, handover, Term(5), dark) ==
-        std::chrono::seconds(7));
-  CHECK(UnseenAfter(limits, handover, Term(6), known) ==
-        limits.m_inherited_lease);
+  CHECK(UnseenUntil(limits, before, Term(5), known, now) < now + kUnseen / 2);
+  CHECK(UnseenUntil(limits, before, Term(5), known, now) >
+        now + limits.m_lease);
+  CHECK(UnseenUntil(limits, before, Term(5), dark, now) ==
+        now + std::chrono::seconds(7));
+  CHECK(UnseenUntil(limits, before, Term(6), known, now) ==
+        now + limits.m_inherited_lease);
+}
+
+TEST_CASE("Of a leader that is gone the last leases alone are waited out") {
+  const FleetLimits limits;
+  const TimePoint now(std::chrono::seconds(100));
+  const WorkerId worker("w");
+  Predecessor before;
+  before.m_seen_at = now - std::chrono::minutes(1);
+  before.m_ended_at = now;
+  const TimePoint until = UnseenUntil(limits, before, Term(6), worker, now);
+  CHECK(until > now + limits.m_lease);
+  CHECK(until < now + limits.m_inherited_lease * 2 / 3);
+  // What the leader before that one granted may last longer.
+  before.m_seen_at = now - std::chrono::seconds(1);
+  CHECK(UnseenUntil(limits, before, Term(6), worker, now) ==
+        before.m_seen_at + limits.m_inherited_lease);
+}
+
+TEST_CASE("Inherited work starts again once the leader before is gone") {
+  FleetFixture fixture;
+  Fleet& fleet = fixture.m_fleet;
+  ApplyRosterLoaded(fleet, {WorkerId("lost"), "lost"},
+                    fixture.m_now + fleet.m_limits.m_inherited_lease);
+  AddReadyWorkers(fixture, 1, kCore);
+  AddJob(fleet, MakePlan("job", 1, kCore), {}, fixture.m_now);
+  FindJob(fleet, JobKey("job"))->m_is_inherited = true;
+  Predecessor before;
+  before.m_seen_at = fixture.m_now - std::chrono::minutes(1);
+  before.m_ended_at = fixture.m_now;
+  ApplyPredecessorEnded(fleet, before);
+  PlaceRuns(fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).empty());
+  Wait(fixture, fleet.m_limits.m_lease + std::chrono::seconds(1));
+  CHECK(fleet.m_needs_placement);
+  PlaceRuns(fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).size() == 1);
+}
+
+TEST_CASE("No lease outlasts what the next leader waits for") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(4000));
+  Fleet& fleet = fixture.m_fleet;
+  fleet.m_grants_end_at = fixture.m_now + std::chrono::seconds(1);
+  Submit(fixture, MakePlan("job", 1, kCore));
+  const Worker& worker = *FindWorker(fleet, WorkerId("w0"));
+  const WorkerMilliseconds latest =
+      WorkerClockAt(worker, fleet.m_grants_end_at);
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].m_lease_until == latest);
+  Report(fixture, "w0", {RowOf(starts[0])}, {});
+  Wait(fixture, std::chrono::milliseconds(100));
+  const auto looks = TakeOrders<LookOrder>(fixture);
+  REQUIRE(looks.size() == 1);
+  CHECK(looks[0].m_lease_until == latest);
 }
 
 }  // namespace daisyarch::fleet
--- /dev/null
+++ b/tests/invariants/take_over_test.cc
@@ -0,0 +1,62 @@
+#include <catch2/catch.hpp>
+
+#include "fakes/fake_site.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+// A job that is waiting may go 7 s without a start: the users count 3 s, once
+// 4 s have been calm.
+constexpr Duration kLongestPause = std::chrono::seconds(7);
+// Two steps of tasks that each take up to 1.5 s, and their way to and fro.
+constexpr Duration kWork = std::chrono::milliseconds(3500);
+const Resources kCapacity{Millicores(4000), Mebibytes(8000), Accelerators(0)};
+
+void BuildSite(FakeSite& site) {
+  site.m_routes = MakeTestRoutes();
+  for (int number = 0; number < 4; ++number) {
+    AddSiteWorker(site, "w" + std::to_string(number), kCapacity);
+  }
+  for (int number = 0; number < 3; ++number) {
+    AddSiteNode(site, "n" + std::to_string(number));
+  }
+  RunFor(site.m_loop, std::chrono::seconds(12));
+}
+
+// One worker is gone for good at the moment at which the leader dies, so
+// that nobody can tell the next leader what it ran.
+void KillLeaderAndWorker(FakeSite& site, Duration restart_after) {
+  FakeSiteNode* leader = FindLeader(site);
+  REQUIRE(leader != nullptr);
+  const std::string name = leader->m_name;
+  KillSiteNode(site, *leader);
+  FleetWorkerModel& worker = *site.m_workers.begin()->second;
+  Crash(worker, site.m_loop.m_now);
+  site.m_unlisted.insert(worker.m_listing.m_worker);
+  RunAfter(site.m_loop, restart_after,
+           [&site, name] { AddSiteNode(site, name); });
+}
+
+}  // namespace
+
+TEST_CASE("Inherited work starts soon once the dead leader's node is back") {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    INFO("seed " << seed);
+    FakeSite site(seed);
+    BuildSite(site);
+    for (int number = 0; number < 6; ++number) {
+      SubmitToSite(site, *site.m_nodes[number % 3], MakeTestJob(number, 3));
+    }
+    RunFor(site.m_loop, std::chrono::milliseconds(300));
+    KillLeaderAndWorker(site, std::chrono::milliseconds(700));
+    const bool has_ended =
+        RunUntilTrue(site.m_loop, kLongestPause + kWork,
+                     [&site] { return FindUnfinished(site).empty(); });
+    CHECK(site.m_violation.empty());
+    INFO(site.m_violation << FindUnfinished(site));
+    CHECK(has_ended);
+  }
+}
+
+}  // namespace daisyarch::fleet
