--- a/libraries/settings/site_settings.h
+++ b/libraries/settings/site_settings.h
@@ -23,7 +23,7 @@
   Duration m_worker_lease_maximum{};
   Duration m_stop_grace{};       ///< From SIGTERM to the end.
   Duration m_state_retention{};  ///< How long an ended job is answered for.
-  Duration m_harm{};  ///< How long a serving task may be over its target.
+  Duration m_harm{};     ///< How long a serving task may be over its target.
   Duration m_leaving{};  ///< A leaving worker gets nothing new after this.
   double m_far_factor = 1.0;  ///< How much slower a task is off its rack.
 };
--- a/services/daisyarchd/fleet/fleet_node.cc
+++ b/services/daisyarchd/fleet/fleet_node.cc
@@ -11,6 +11,8 @@
 // another node.
 constexpr Duration kUnreadyAfter = std::chrono::milliseconds(3500);
 
+// The watch is answered every second, or given up and asked again within two.
+constexpr Duration kAwayAfter = std::chrono::milliseconds(2000);
 // A configuration that was confirmed this long ago is taken for the newest.
 constexpr Duration kConfirmationAge = std::chrono::milliseconds(300);
 // A change has to be in force within 2 s; a watch on a connection that went
@@ -60,6 +62,11 @@
   };
 }
 
+Duration SinceStoreAnswered(const FleetNode& node) {
+  return node.m_runtime.m_clock.m_now() -
+         node.m_configuration_watch->m_answered_at;
+}
+
 }  // namespace
 
 void StartFleetNode(FleetNode& node) {
@@ -114,9 +121,11 @@
 
 bool IsReady(const FleetNode& node) {
   if (!node.m_has_routes || node.m_is_stopping) return false;
-  return node.m_runtime.m_clock.m_now() -
-             node.m_configuration_watch->m_answered_at <
-         kUnreadyAfter;
+  return SinceStoreAnswered(node) < kUnreadyAfter;
+}
+
+bool IsStoreAway(const FleetNode& node) {
+  return SinceStoreAnswered(node) >= kAwayAfter;
 }
 
 bool HasHandedOver(const FleetNode& node) {
--- a/services/daisyarchd/fleet/fleet_node.h
+++ b/services/daisyarchd/fleet/fleet_node.h
@@ -67,6 +67,10 @@
 /// True while the balancer should send callers here.
 bool IsReady(const FleetNode& node);
 
+/// True when the store has not answered for so long that a write would most
+/// likely wait in vain.
+bool IsStoreAway(const FleetNode& node);
+
 /// True when nothing is left to hand over.
 bool HasHandedOver(const FleetNode& node);
 
--- a/tests/fakes/fake_site.cc
+++ b/tests/fakes/fake_site.cc
@@ -49,6 +49,10 @@
 template <typename Value>
 void CallStore(FakeSite& site, FakeSiteNode& node, StoreAnswer<Value> on_answer,
                std::function<Result<Value>()> effect) {
+  if (IsStoreAway(site, node) && site.m_faults.m_is_store_silent) {
+    return Deliver(site, node, kStoreTimeout,
+                   [on_answer] { on_answer(NoAnswer("store")); });
+  }
   if (IsStoreAway(site, node)) {
     return Deliver(site, node, StoreDelay(site),
                    [on_answer] { on_answer(StoreDown()); });
--- a/tests/platform/ingress_test.cc
+++ b/tests/platform/ingress_test.cc
@@ -55,4 +55,32 @@
   CHECK(StatusOf(site, "/unknown/") == 404);
 }
 
+TEST_CASE("A job is refused at once while the store is known to be away") {
+  fleet::FakeSite site(1);
+  site.m_routes = fleet::MakeTestRoutes();
+  fleet::AddSiteNode(site, "n0");
+  RunFor(site.m_loop, std::chrono::seconds(2));
+  site.m_faults.m_store_down_until =
+      site.m_loop.m_now + std::chrono::minutes(1);
+  site.m_faults.m_is_store_silent = true;
+  RunFor(site.m_loop, std::chrono::milliseconds(3500));
+  HttpRequest request = Ask("/batch/0123456789abcdef");
+  request.m_method = "POST";
+  request.m_body =
+      R"({"spec":"x","steps":[{"count":1,"cpu":500,"mem_mb":256,"est_ms":9}]})";
+  HttpResponse answer;
+  HandleCaller(*site.m_nodes.front()->m_node, request,
+               [&answer](const HttpResponse& given) { answer = given; });
+  RunFor(site.m_loop, std::chrono::milliseconds(10));
+  CHECK(answer.m_status == 503);
+  CHECK(FindHeader(answer.m_headers, "Retry-After") == "1");
+  // It is taken again as soon as the store is back.
+  site.m_faults.m_store_down_until = site.m_loop.m_now;
+  RunFor(site.m_loop, std::chrono::seconds(2));
+  HandleCaller(*site.m_nodes.front()->m_node, request,
+               [&answer](const HttpResponse& given) { answer = given; });
+  RunFor(site.m_loop, std::chrono::seconds(1));
+  CHECK(answer.m_status == 200);
+}
+
 }  // namespace daisyarch::adapter
