--- a/libraries/decisions/fleet/job_plan.h
+++ b/libraries/decisions/fleet/job_plan.h
@@ -40,7 +40,7 @@
   std::uint32_t m_maximum_per_worker = 0;  ///< 0: no limit.
   ImageId m_image;
   Duration m_latency_target{};  ///< Of a serving task's tail; 0: none.
-  std::uint32_t m_may_miss = 0;
+  std::uint32_t m_missable_tasks = 0;
 };
 
 /// What a queue promises, and where its tasks may run.
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -119,9 +119,11 @@
   return reserved.value() * kPercent < capacity.value() * kRoomyPercent;
 }
 
-// On a copy: steps leave the queue as they are placed.
-void PlaceWaiting(PlacementPass& pass, WaitingSteps waiting) {
+void PlaceWaiting(PlacementPass& pass, const WaitingSteps& queue) {
   Fleet& fleet = pass.m_fleet;
+  // Steps leave the queue as they are placed.
+  const std::vector<WaitingSteps::value_type> waiting(queue.begin(),
+                                                      queue.end());
   for (const auto& [rank, key, place] : waiting) {
     Job* job = FindJob(fleet, key);
     if (pass.m_has_silent_inheritance && job->m_is_inherited) continue;
--- a/libraries/wire/fleet_fields.h
+++ b/libraries/wire/fleet_fields.h
@@ -41,7 +41,7 @@
   visit("maximum_per_worker", step.m_maximum_per_worker);
   visit("image", step.m_image);
   visit("latency_target_us", step.m_latency_target);
-  visit("missable", step.m_may_miss);
+  visit("missable", step.m_missable_tasks);
 }
 
 template <typename Visitor>
