fleet: Give long lists the time that they need

Cause: list calls were given up after 700 ms since, for the sake of the workers' listing; a page may have 1 MB, which a link of 10 Mbit/s carries in 0.8 s, so a new leader on such a node could never load. Ruled out: longer calls for the workers' listing (DRAIN). Change: the caller of a list says how long each page may take: 700 ms for the workers' listing, 3 s for a load, 1.5 s elsewhere. Shown: the test fails with 700 ms.

--- a/libraries/platform/store.h
+++ b/libraries/platform/store.h
@@ -78,8 +78,9 @@
                      StoreAnswer<std::optional<StoredItem>>)>
       m_read;
   /// Every item below the prefix; pages are joined, and need not belong to
-  /// one moment.
-  std::function<void(const std::string& prefix, StoreAnswer<StoreListing>)>
+  /// one moment. Each page may take `patience`.
+  std::function<void(const std::string& prefix, Duration patience,
+                     StoreAnswer<StoreListing>)>
       m_list;
   /// Answers once something below the prefix changed after `after`, or empty
   /// after `wait`. kConflict when that history is gone.
--- a/services/daisyarchd/fleet/job_service.cc
+++ b/services/daisyarchd/fleet/job_service.cc
@@ -11,6 +11,7 @@
 
 namespace {
 
+constexpr Duration kListPatience = std::chrono::milliseconds(1500);
 constexpr Duration kRepeatWrite = std::chrono::milliseconds(100);
 constexpr int kCancelTries = 4;
 
@@ -150,7 +151,7 @@
     return cancellation->m_on_answer(Acceptance::kUnknown);
   }
   cancellation->m_runtime.m_store.m_list(
-      JobItemKey(cancellation->m_key),
+      JobItemKey(cancellation->m_key), kListPatience,
       [cancellation](Result<StoreListing> result) {
         if (!result) {
           return cancellation->m_on_answer(AcceptanceOf(result.assume_error()));
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -11,6 +11,11 @@
 namespace {
 
 constexpr Duration kListingInterval = std::chrono::milliseconds(700);
+// A call on a connection that went silent is given up early, so that two of
+// them fit into a listing's age.
+constexpr Duration kListingPatience = std::chrono::milliseconds(700);
+// A page may have 1 MB, which takes 0.8 s on a link of 10 Mbit/s alone.
+constexpr Duration kLoadPatience = std::chrono::seconds(3);
 // A listing that failed has used up most of the age that it may have.
 constexpr Duration kListingRetry = std::chrono::milliseconds(100);
 const std::string kCancelSuffix = "/cancel";
@@ -107,7 +112,7 @@
   const TimePoint asked_at = Now(*leader);
   const std::weak_ptr<Leader> weak = leader;
   leader->m_runtime.m_store.m_list(
-      leader->m_runtime.m_codec.m_worker_prefix,
+      leader->m_runtime.m_codec.m_worker_prefix, kListingPatience,
       [weak, asked_at](Result<StoreListing> result) {
         const LeaderPointer self = weak.lock();
         if (!self) return;
@@ -170,31 +175,31 @@
 
 void LoadRoster(const LeaderPointer& leader, std::function<void()> on_loaded) {
   const std::weak_ptr<Leader> weak = leader;
-  leader->m_runtime.m_store.m_list(kRosterPrefix, [weak, on_loaded = std::move(
-                                                             on_loaded)](
-                                                      Result<StoreListing>
-                                                          result) {
-    const LeaderPointer self = weak.lock();
-    if (!self) return;
-    if (!result) return self->m_on_claim_lost("roster not read");
-    for (const StoredItem& item : result.assume_value().m_items) {
-      const WorkerId worker(item.m_key.substr(kRosterPrefix.size()));
-      const TimePoint unseen_until =
-          UnseenUntil(self->m_fleet.m_limits, self->m_predecessor,
-                      self->m_claim.m_term, worker, Now(*self));
-      ApplyRosterLoaded(self->m_fleet, {worker, item.m_value}, unseen_until);
-    }
-    self->m_is_loaded = true;
-    on_loaded();
-    ListWorkers(self);
-  });
+  leader->m_runtime.m_store.m_list(
+      kRosterPrefix, kLoadPatience,
+      [weak, on_loaded = std::move(on_loaded)](Result<StoreListing> result) {
+        const LeaderPointer self = weak.lock();
+        if (!self) return;
+        if (!result) return self->m_on_claim_lost("roster not read");
+        for (const StoredItem& item : result.assume_value().m_items) {
+          const WorkerId worker(item.m_key.substr(kRosterPrefix.size()));
+          const TimePoint unseen_until =
+              UnseenUntil(self->m_fleet.m_limits, self->m_predecessor,
+                          self->m_claim.m_term, worker, Now(*self));
+          ApplyRosterLoaded(self->m_fleet, {worker, item.m_value},
+                            unseen_until);
+        }
+        self->m_is_loaded = true;
+        on_loaded();
+        ListWorkers(self);
+      });
 }
 
 void LoadProgress(const LeaderPointer& leader, StoreListing jobs,
                   std::function<void()> on_loaded) {
   const std::weak_ptr<Leader> weak = leader;
   leader->m_runtime.m_store.m_list(
-      kProgressPrefix,
+      kProgressPrefix, kLoadPatience,
       [weak, jobs = std::move(jobs),
        on_loaded = std::move(on_loaded)](Result<StoreListing> result) mutable {
         const LeaderPointer self = weak.lock();
@@ -329,8 +334,9 @@
   ApplyQueues(fleet, QueuesOf(routes));
   const std::weak_ptr<Leader> weak = leader;
   leader->m_runtime.m_store.m_list(
-      kJobPrefix, [weak, on_loaded = std::move(on_loaded)](
-                      Result<StoreListing> result) mutable {
+      kJobPrefix, kLoadPatience,
+      [weak,
+       on_loaded = std::move(on_loaded)](Result<StoreListing> result) mutable {
         const LeaderPointer self = weak.lock();
         if (!self) return;
         if (!result) return self->m_on_claim_lost("jobs not read");
--- a/services/daisyarchd/fleet/prefix_watch.cc
+++ b/services/daisyarchd/fleet/prefix_watch.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Duration kRetry = std::chrono::milliseconds(200);
+// A page may have 1 MB, which takes 0.8 s on a link of 10 Mbit/s alone.
+constexpr Duration kListPatience = std::chrono::milliseconds(1500);
 
 using Pointer = PrefixWatchPointer;
 using ClockFunction = std::function<TimePoint()>;
@@ -23,7 +25,7 @@
 void List(const Pointer& watch, const Store& store,
           const ClockFunction& clock) {
   const std::weak_ptr<PrefixWatch> weak = watch;
-  store.m_list(watch->m_prefix,
+  store.m_list(watch->m_prefix, kListPatience,
                [weak, store, clock](Result<StoreListing> result) {
                  const Pointer self = weak.lock();
                  if (!self) return;
--- a/tests/fakes/fake_site.cc
+++ b/tests/fakes/fake_site.cc
@@ -116,7 +116,18 @@
               {key, found->second.m_value, found->second.m_revision});
         });
   };
-  store.m_list = [&site, &node](const std::string& prefix, auto on_answer) {
+  store.m_list = [&site, &node](const std::string& prefix, Duration patience,
+                                auto on_answer) {
+    const Duration transfer = site.m_faults.m_list_takes;
+    if (transfer > patience) {
+      return Deliver(site, node, patience,
+                     [on_answer] { on_answer(NoAnswer("store")); });
+    }
+    if (transfer > Duration{}) {
+      return Deliver(site, node, transfer, [&site, prefix, on_answer] {
+        on_answer(List(site.m_store, prefix));
+      });
+    }
     CallStore<StoreListing>(site, node, on_answer,
                             [&site, prefix]() -> Result<StoreListing> {
                               return List(site.m_store, prefix);
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -21,6 +21,7 @@
   double m_order_late = 0;   ///< An order carried out 2 to 12 s later.
   TimePoint m_store_down_until{};
   bool m_is_store_silent = false;  ///< While it is down; else it says so.
+  Duration m_list_takes{};  ///< Of long lists on a slow link; 0: as usual.
   /// Calls that wait for changes are never answered, as on connections that
   /// went silent; others are.
   TimePoint m_watches_silent_until{};
--- a/tests/invariants/take_over_test.cc
+++ b/tests/invariants/take_over_test.cc
@@ -59,4 +59,20 @@
   }
 }
 
+TEST_CASE("A leader on a slow link loads long lists") {
+  FakeSite site(1);
+  BuildSite(site);
+  SubmitToSite(site, *site.m_nodes[0], MakeTestJob(0, 3));
+  RunFor(site.m_loop, std::chrono::milliseconds(300));
+  site.m_faults.m_list_takes = std::chrono::milliseconds(1000);
+  FakeSiteNode* leader = FindLeader(site);
+  REQUIRE(leader != nullptr);
+  KillSiteNode(site, *leader);
+  // The claim runs out, and three lists are read one after the other.
+  const bool has_leader =
+      RunUntilTrue(site.m_loop, std::chrono::seconds(7),
+                   [&site] { return FindLeader(site) != nullptr; });
+  CHECK(has_leader);
+}
+
 }  // namespace daisyarch::fleet
