fleet: Tell why a step does not run

The leader logged events only, so nothing told that its loop was late, how old its worker listing and its watch on jobs were, how many tasks waited, and why.

leader_status tells these every two seconds; step_stalled names a step that has had tasks left and none at work for 3 s, with its cause; jobs_watch_lost tells that the watch on jobs fails; lead_claimed names the node's processor share.

--- a/libraries/decisions/fleet/choose_worker.h
+++ b/libraries/decisions/fleet/choose_worker.h
@@ -34,6 +34,10 @@
 Worker* ChooseWorker(PlacementPass& pass, const PoolId& pool,
                      const StepPlan& step, const TaskReference& task);
 
+/// Returns whether the tasks reserve so few processors that a job without
+/// placed tasks need not wait for a better worker.
+bool HasAmpleCapacity(const Fleet& fleet);
+
 /// Counts the start of a best-effort task as a trial of its pairs.
 void RecordTrial(PlacementPass& pass, const Worker& worker,
                  const StepPlan& step);
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -69,7 +69,8 @@
   std::uint32_t m_done = 0;
   std::uint32_t m_placed = 0;  ///< Starting, running, unconfirmed or stopping.
   std::uint32_t m_waiting = 0;
-  bool m_is_released = false;  ///< All steps that it waits for are done.
+  bool m_is_released = false;   ///< All steps that it waits for are done.
+  TimePoint m_stalled_since{};  ///< 0: not known to be stalled.
 };
 
 /// State of a job as reported to its submitter.
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -109,18 +109,6 @@
   }
 }
 
-bool HasAmpleCapacity(const Fleet& fleet) {
-  Millicores capacity;
-  Millicores reserved;
-  for (const auto& entry : fleet.m_workers) {
-    const Worker& worker = entry.second;
-    if (!worker.m_is_listed) continue;
-    capacity += worker.m_listing.m_capacity.m_processors;
-    reserved += worker.m_used.m_processors;
-  }
-  return reserved.value() * kPercent < capacity.value() * kAmpleCapacityPercent;
-}
-
 void PlaceWaiting(PlacementPass& pass, const WaitingSteps& queue) {
   Fleet& fleet = pass.m_fleet;
   // Placing a step removes it from the set, so a copy is iterated.
@@ -145,6 +133,18 @@
 
 }  // namespace
 
+bool HasAmpleCapacity(const Fleet& fleet) {
+  Millicores capacity;
+  Millicores reserved;
+  for (const auto& entry : fleet.m_workers) {
+    const Worker& worker = entry.second;
+    if (!worker.m_is_listed) continue;
+    capacity += worker.m_listing.m_capacity.m_processors;
+    reserved += worker.m_used.m_processors;
+  }
+  return reserved.value() * kPercent < capacity.value() * kAmpleCapacityPercent;
+}
+
 void PlaceRuns(Fleet& fleet, TimePoint now) {
   // m_needs_placement stays set, so every tick retries until a listing arrives.
   if (now - fleet.m_listed_at > fleet.m_limits.m_maximum_listing_age) return;
--- /dev/null
+++ b/libraries/decisions/fleet/stalled_steps.cc
@@ -0,0 +1,148 @@
+#include "decisions/fleet/stalled_steps.h"
+
+#include <algorithm>
+
+#include "decisions/fleet/choose_worker.h"
+#include "decisions/fleet/roster.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+void CountTasks(const StepRun& step_run, FleetSummary& summary) {
+  if (step_run.m_is_released) summary.m_waiting += step_run.m_waiting;
+  if (step_run.m_placed == 0) return;
+  for (const Task& task : step_run.m_tasks) {
+    switch (task.m_state) {
+      case RunState::kStarting:
+        ++summary.m_starting;
+        break;
+      case RunState::kRunning:
+        ++summary.m_running;
+        break;
+      case RunState::kUnconfirmed:
+        ++summary.m_unconfirmed;
+        break;
+      case RunState::kStopping:
+        ++summary.m_stopping;
+        break;
+      default:
+        break;
+    }
+  }
+}
+
+bool HasRunningTask(const StepRun& step_run) {
+  return std::any_of(
+      step_run.m_tasks.begin(), step_run.m_tasks.end(),
+      [](const Task& task) { return task.m_state == RunState::kRunning; });
+}
+
+// The load of a serving task says nothing about its progress.
+bool IsWorking(const Task& task, const StepPlan& step) {
+  if (task.m_state != RunState::kRunning) return false;
+  return step.m_latency_target > Duration{} || task.m_load > 0;
+}
+
+bool IsIdle(const Job& job, std::size_t step_run_index) {
+  const StepRun& step_run = job.m_steps[step_run_index];
+  if (job.m_is_cancelled || job.m_has_failed || !step_run.m_is_released) {
+    return false;
+  }
+  if (step_run.m_waiting + step_run.m_placed == 0) return false;
+  const StepPlan& step = job.m_plan.m_steps[step_run_index % job.StepCount()];
+  return std::none_of(
+      step_run.m_tasks.begin(), step_run.m_tasks.end(),
+      [&step](const Task& task) { return IsWorking(task, step); });
+}
+
+StallCause CauseOf(PlacementPass& pass, const Job& job,
+                   std::size_t step_run_index) {
+  Fleet& fleet = pass.m_fleet;
+  const StepRun& step_run = job.m_steps[step_run_index];
+  if (HasRunningTask(step_run)) return StallCause::kNotWorking;
+  if (step_run.m_waiting == 0) return StallCause::kStartUnconfirmed;
+  const Duration listing_age = pass.m_now - fleet.m_listed_at;
+  if (listing_age > fleet.m_limits.m_maximum_listing_age) {
+    return StallCause::kListingTooOld;
+  }
+  if (pass.m_may_have_inherited_runs && job.m_is_inherited) {
+    return StallCause::kEarlierLeader;
+  }
+  const StepPlan& step = job.m_plan.m_steps[step_run_index % job.StepCount()];
+  TaskReference task{job.m_plan.m_key};
+  task.m_occurrence =
+      static_cast<std::uint32_t>(step_run_index / job.StepCount());
+  task.m_step = static_cast<std::uint32_t>(step_run_index % job.StepCount());
+  pass.m_must_start_job = pass.m_has_ample_capacity && job.m_placed == 0;
+  const Worker* worker =
+      ChooseWorker(pass, QueueSettingsOf(fleet, job).m_pool, step, task);
+  return worker == nullptr ? StallCause::kNoWorker : StallCause::kNotTried;
+}
+
+WorkerId FirstWorkerOf(const StepRun& step_run) {
+  for (const Task& task : step_run.m_tasks) {
+    if (IsPlaced(task.m_state)) return task.m_worker;
+  }
+  return {};
+}
+
+}  // namespace
+
+const char* NameOf(StallCause cause) {
+  switch (cause) {
+    case StallCause::kListingTooOld:
+      return "listing_too_old";
+    case StallCause::kEarlierLeader:
+      return "earlier_leader";
+    case StallCause::kNoWorker:
+      return "no_worker";
+    case StallCause::kNotTried:
+      return "not_tried";
+    case StallCause::kStartUnconfirmed:
+      return "start_unconfirmed";
+    case StallCause::kNotWorking:
+      return "not_working";
+  }
+  return "unknown";
+}
+
+FleetSummary Summarize(const Fleet& fleet) {
+  FleetSummary summary;
+  for (const auto& [key, job] : fleet.m_jobs) {
+    for (const StepRun& step_run : job->m_steps) CountTasks(step_run, summary);
+  }
+  for (const auto& [id, worker] : fleet.m_workers) {
+    const bool is_ready = worker.m_state == WorkerState::kReady;
+    ++(is_ready ? summary.m_ready_workers : summary.m_other_workers);
+  }
+  return summary;
+}
+
+std::vector<StalledStep> FindStalledSteps(Fleet& fleet, Duration minimum,
+                                          std::size_t maximum_count,
+                                          TimePoint now) {
+  PlacementPass pass{fleet, now, MayHaveInheritedRuns(fleet, now),
+                     HasAmpleCapacity(fleet)};
+  std::vector<StalledStep> stalled;
+  for (const auto& [key, job] : fleet.m_jobs) {
+    for (std::size_t index = 0; index < job->m_steps.size(); ++index) {
+      StepRun& step_run = job->m_steps[index];
+      if (!IsIdle(*job, index)) {
+        step_run.m_stalled_since = TimePoint();
+        continue;
+      }
+      if (step_run.m_stalled_since == TimePoint()) {
+        step_run.m_stalled_since = now;
+      }
+      const Duration stalled_for = now - step_run.m_stalled_since;
+      if (stalled_for < minimum || stalled.size() >= maximum_count) continue;
+      stalled.push_back({job->m_plan.m_key, index, CauseOf(pass, *job, index),
+                         stalled_for, step_run.m_waiting, step_run.m_placed,
+                         FirstWorkerOf(step_run)});
+    }
+  }
+  return stalled;
+}
+
+}  // namespace daisyarch::fleet
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -91,6 +91,14 @@
     for (const StoreChange& change : changes) ApplyJobChange(*self, change);
     RequestSchedulingPass(self);
   };
+  watch->m_on_failure = [weak](const Error& error) {
+    const LeaderPointer self = weak.lock();
+    if (!self) return;
+    // Only the first of several failures in a row is logged.
+    if (self->m_jobs_watch->m_answered_at < self->m_jobs_watch_lost_at) return;
+    self->m_jobs_watch_lost_at = Now(*self);
+    LogError("jobs_watch_lost", error);
+  };
   leader->m_jobs_watch = std::move(watch);
 }
 
@@ -312,6 +320,7 @@
 
 void RunSchedulingPass(const LeaderPointer& leader) {
   leader->m_is_pass_requested = false;
+  ++leader->m_pass_count;
   Fleet& fleet = leader->m_fleet;
   TickFleet(fleet, Now(*leader), leader->m_runtime.m_clock.m_unix_ms());
   if (fleet.m_needs_placement && leader->m_has_worker_listing &&
@@ -363,6 +372,7 @@
 
 void TickLeader(const LeaderPointer& leader) {
   if (!leader->m_is_loaded) return;
+  LogLeaderStatus(*leader);
   TickWatch(leader->m_jobs_watch, leader->m_runtime.m_store,
             leader->m_runtime.m_clock.m_now);
   if (Now(*leader) >= leader->m_next_listing_at) ListWorkers(leader);
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -68,6 +68,11 @@
   bool m_is_pass_requested = false;
   TimePoint m_log_budget_started_at{};  ///< Start of the log budget's period.
   std::uint64_t m_log_line_count = 0;   ///< Written or dropped since then.
+  TimePoint m_next_status_at{};
+  TimePoint m_ticked_at{};
+  Duration m_longest_tick_gap{};     ///< Since the last status line.
+  std::uint64_t m_pass_count = 0;    ///< Scheduling passes since then.
+  TimePoint m_jobs_watch_lost_at{};  ///< When its failure was last logged.
 };
 
 using LeaderPointer = std::shared_ptr<Leader>;
@@ -99,6 +104,9 @@
 /// Writes the fleet's events to the metrics and, at a limited rate, to the
 /// log.
 void LogFleetEvents(Leader& leader);
+/// Logs the leader's load, the numbers of tasks and workers by state and the
+/// steps that are stalled, at a fixed interval. Called at every tick.
+void LogLeaderStatus(Leader& leader);
 /// Stores workers in the roster before they get work, and removes those that
 /// can run nothing.
 void WriteRoster(const LeaderPointer& leader);
--- a/services/daisyarchd/fleet/leader_log.cc
+++ b/services/daisyarchd/fleet/leader_log.cc
@@ -1,3 +1,6 @@
+#include <algorithm>
+
+#include "decisions/fleet/stalled_steps.h"
 #include "fleet/leader.h"
 #include "log/log.h"
 
@@ -9,6 +12,10 @@
 // low during a burst of events.
 constexpr std::uint64_t kLinesPerSecond = 60;
 constexpr Duration kBudgetPeriod = std::chrono::seconds(1);
+constexpr Duration kStatusInterval = std::chrono::seconds(2);
+// Above the usual delay of a start, below the time at which callers notice.
+constexpr Duration kStallThreshold = std::chrono::seconds(3);
+constexpr std::size_t kMaximumStalledSteps = 4;
 
 // Counts one line against the budget; false if the line has to be dropped.
 bool ConsumeLogBudget(Leader& leader, TimePoint now) {
@@ -38,8 +45,70 @@
             {"term", leader.m_claim.m_term.value()}});
 }
 
+void LogStalledStep(const Leader& leader, const StalledStep& step) {
+  LogEvent(LogLevel::kWarning, "step_stalled",
+           {{"job", step.m_job.value()},
+            {"step_run", std::uint64_t{step.m_step_run_index}},
+            {"cause", NameOf(step.m_cause)},
+            {"stalled_ms", ToMilliseconds(step.m_stalled_for)},
+            {"waiting", std::uint64_t{step.m_waiting}},
+            {"placed", std::uint64_t{step.m_placed}},
+            {"worker", step.m_worker.value()},
+            {"term", leader.m_claim.m_term.value()}});
+}
+
+// Returns -1 if there was no answer yet.
+std::int64_t AgeInMilliseconds(TimePoint answered_at, TimePoint now) {
+  return answered_at == TimePoint() ? -1 : ToMilliseconds(now - answered_at);
+}
+
+void LogStatusLine(const Leader& leader, const FleetSummary& summary,
+                   TimePoint now) {
+  LogEvent(
+      LogLevel::kInfo, "leader_status",
+      {{"term", leader.m_claim.m_term.value()},
+       {"tick_gap_ms", ToMilliseconds(leader.m_longest_tick_gap)},
+       {"passes", leader.m_pass_count},
+       {"listing_age_ms", AgeInMilliseconds(leader.m_fleet.m_listed_at, now)},
+       {"jobs_watch_age_ms",
+        AgeInMilliseconds(leader.m_jobs_watch->m_answered_at, now)},
+       {"jobs", std::uint64_t{leader.m_fleet.m_jobs.size()}},
+       {"waiting", summary.m_waiting},
+       {"starting", summary.m_starting},
+       {"running", summary.m_running},
+       {"unconfirmed", summary.m_unconfirmed},
+       {"stopping", summary.m_stopping},
+       {"workers_ready", summary.m_ready_workers},
+       {"workers_not_ready", summary.m_other_workers}});
+}
+
 }  // namespace
 
+void LogLeaderStatus(Leader& leader) {
+  const TimePoint now = leader.m_runtime.m_clock.m_now();
+  if (leader.m_ticked_at != TimePoint()) {
+    leader.m_longest_tick_gap =
+        std::max(leader.m_longest_tick_gap, now - leader.m_ticked_at);
+  }
+  leader.m_ticked_at = now;
+  if (now < leader.m_next_status_at) return;
+  leader.m_next_status_at = now + kStatusInterval;
+  const FleetSummary summary = Summarize(leader.m_fleet);
+  LogStatusLine(leader, summary, now);
+  for (const StalledStep& step : FindStalledSteps(
+           leader.m_fleet, kStallThreshold, kMaximumStalledSteps, now)) {
+    LogStalledStep(leader, step);
+  }
+  Metrics& metrics = *leader.m_runtime.m_metrics;
+  metrics.SetGauge(
+      "daisyarch_leader_tick_gap_ms",
+      static_cast<double>(ToMilliseconds(leader.m_longest_tick_gap)));
+  metrics.SetGauge("daisyarch_leader_waiting_tasks",
+                   static_cast<double>(summary.m_waiting));
+  leader.m_longest_tick_gap = Duration{};
+  leader.m_pass_count = 0;
+}
+
 void LogFleetEvents(Leader& leader) {
   const TimePoint now = leader.m_runtime.m_clock.m_now();
   for (const FleetEvent& event : leader.m_fleet.m_events) {
--- a/services/daisyarchd/fleet/node_leadership.cc
+++ b/services/daisyarchd/fleet/node_leadership.cc
@@ -235,7 +235,10 @@
 void BeginLoad(FleetNode& node) {
   LogEvent(LogLevel::kInfo, "lead_claimed",
            {{"term", node.m_claim.m_term.value()},
-            {"store_revision", node.m_claim.m_revision.value()}});
+            {"store_revision", node.m_claim.m_revision.value()},
+            {"processor_share_percent",
+             static_cast<std::int64_t>(
+                 node.m_runtime.m_settings.m_processor_share * kPercent)}});
   node.m_leader = std::make_shared<Leader>(Leader{node.m_runtime});
   node.m_leader->m_claim = node.m_claim;
   node.m_leader->m_predecessor = node.m_claim.m_predecessor;
