fleet: Confirm processor limits at the worker

Callers saw batch jobs without progress for as long as 30 s after a takeover, although their tasks counted as running.

Cause: the leader took a limit as applied once it had sent the order, and that of an adopted run as 100%. A best-effort task that an earlier leader had paused to protect serving tasks stayed paused: its limit never changed in the new leader's view, so no order was sent, while its other tasks waited because the job counted as started. An order that was lost or refused (429, 503) had the same effect. Class of fault: an order's effect taken for granted.

Change: an answer of the worker confirms a limit, and each report repeats an unconfirmed one. The processor use of an adopted task stands in for its limit. Without serving tasks on the worker, the limit is lifted at once. An adopted run's start is no longer held to be confirmed because an earlier run's was.

--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -207,6 +207,8 @@
                       TimePoint now);
 void ApplyStartOutcome(Fleet& fleet, const StartOrder& order,
                        StartOutcome outcome, TimePoint now);
+/// Records that the worker applies the limit that the order sets.
+void ConfirmLimit(Fleet& fleet, const ThrottleOrder& order);
 /// Handles a stop or throttle order with an unknown outcome: raises the
 /// worker's fencing token, so that no order sent earlier can take effect.
 void ApplyOrderFailure(Fleet& fleet, const WorkerId& worker);
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -49,8 +49,11 @@
   RunState m_state = RunState::kWaiting;
   StartConfirmation m_start_confirmation = StartConfirmation::kPending;
   std::uint8_t m_processor_limit_percent = 100;  ///< 100: unlimited.
-  std::uint8_t m_progress_percent = 0;           ///< As last reported.
-  std::vector<RunNumber> m_failed_runs;          ///< Without duplicates.
+  /// The worker is known to apply this limit. False while the order for it has
+  /// no answer or has failed, and after an earlier leader may have set another.
+  bool m_is_limit_confirmed = true;
+  std::uint8_t m_progress_percent = 0;   ///< As last reported.
+  std::vector<RunNumber> m_failed_runs;  ///< Without duplicates.
   /// As last reported: the tail latency of a serving task in milliseconds, or
   /// the processor use of any other task in thousandths of a core.
   std::int64_t m_load = 0;
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -12,6 +12,9 @@
 constexpr Duration kQuarantine = std::chrono::seconds(3);
 constexpr Duration kRefusalQuarantine = std::chrono::milliseconds(200);
 constexpr std::uint8_t kInitializedPercent = 100;
+constexpr std::int64_t kPercent = 100;
+// A best-effort task that uses this share of its demand is taken as unlimited.
+constexpr std::int64_t kUnlimitedUsePercent = 90;
 // Poll interval that extends leases while ended runs cannot be stored.
 constexpr Duration kUnstoredPollInterval = std::chrono::milliseconds(300);
 // Covers a worker's clock that runs 2% slow, and a start in transit.
@@ -40,12 +43,27 @@
   }
   task.m_run = run;
   task.m_worker = worker.m_listing.m_worker;
+  task.m_start_confirmation = StartConfirmation::kPending;
   StepTask(fleet, job, reference, RunEvent::kPlaced);
   UpdateWaitingSteps(
       fleet, job, StepRunIndex(job, reference.m_occurrence, reference.m_step));
   return true;
 }
 
+// Only the earlier leader knew the limit of an adopted run. The processor use
+// shows how much the task may work at present; near its full demand, it is not
+// limited.
+void AssumeLimit(Task& task, const StepPlan& step, const ActiveRun& active) {
+  if (step.m_processor_use != ProcessorUse::kBestEffort) return;
+  const std::int64_t demand =
+      std::max<std::int64_t>(1, step.m_demand.m_processors.value());
+  const std::int64_t used_percent =
+      std::clamp<std::int64_t>(active.m_load * kPercent / demand, 0, kPercent);
+  if (used_percent >= kUnlimitedUsePercent) return;
+  task.m_processor_limit_percent = static_cast<std::uint8_t>(used_percent);
+  task.m_is_limit_confirmed = false;
+}
+
 void StopUnknownRun(Fleet& fleet, Worker& worker, const ActiveRun& active) {
   ++worker.m_unknown_runs;
   fleet.m_orders.push_back(
@@ -78,9 +96,11 @@
   Job* job = nullptr;
   Task* task = FindTask(fleet, active.m_task, job);
   if (task == nullptr) return StopUnknownRun(fleet, worker, active);
-  if (!IsRunOnWorker(*task, worker, active.m_run) &&
-      !AdoptRun(fleet, *job, *task, worker, active.m_task, active.m_run)) {
-    return StopUnknownRun(fleet, worker, active);
+  if (!IsRunOnWorker(*task, worker, active.m_run)) {
+    if (!AdoptRun(fleet, *job, *task, worker, active.m_task, active.m_run)) {
+      return StopUnknownRun(fleet, worker, active);
+    }
+    AssumeLimit(*task, job->m_plan.m_steps[active.m_task.m_step], active);
   }
   if (task->m_start_confirmation != StartConfirmation::kConfirmed) {
     RecordStart(fleet, *job, *task, active.m_task, now);
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -85,6 +85,7 @@
   Worker* worker = FindWorker(context.m_fleet, context.m_task.m_worker);
   context.m_task.m_worker = WorkerId();
   context.m_task.m_processor_limit_percent = 100;
+  context.m_task.m_is_limit_confirmed = true;
   context.m_task.m_over_target_since = TimePoint();
   context.m_task.m_load = 0;
   context.m_task.m_progress_percent = 0;
--- a/libraries/decisions/fleet/throttle_best_effort.cc
+++ b/libraries/decisions/fleet/throttle_best_effort.cc
@@ -19,6 +19,7 @@
 // One adjustment keeps at least this share of the limit.
 constexpr double kMinimumCutFactor = 0.6;
 constexpr double kFullPercent = 100;
+constexpr std::uint8_t kUnlimited = 100;
 // A task whose limit would be lower is paused.
 constexpr double kMinimumLimitPercent = 8;
 // A task that saves its progress and whose limit would be lower moves to
@@ -161,15 +162,21 @@
     Task& task = TaskOf(*job, reference);
     if (task.m_state != RunState::kRunning) continue;
     if (now - task.m_limit_changed_at < kThrottleInterval) continue;
-    const std::uint8_t limit =
-        NextLimit(task.m_processor_limit_percent, decisions[step.m_image]);
-    if (limit == task.m_processor_limit_percent) continue;
+    // Without serving tasks there is nothing to protect.
+    const std::uint8_t limit = worker.m_serving.empty()
+                                   ? kUnlimited
+                                   : NextLimit(task.m_processor_limit_percent,
+                                               decisions[step.m_image]);
+    const bool is_applied =
+        limit == task.m_processor_limit_percent && task.m_is_limit_confirmed;
+    if (is_applied) continue;
     if (limit < kMoveBelowLimitPercent && step.m_saves_progress &&
         !step.m_is_gang && !CouldRunAlone(fleet, worker, step)) {
       moving.push_back(reference);
       continue;
     }
     task.m_processor_limit_percent = limit;
+    task.m_is_limit_confirmed = false;
     task.m_limit_changed_at = now;
     fleet.m_orders.push_back(
         ThrottleOrder{worker.m_listing.m_worker, worker.m_listing.m_incarnation,
@@ -180,4 +187,15 @@
   }
 }
 
+void ConfirmLimit(Fleet& fleet, const ThrottleOrder& order) {
+  Job* job = nullptr;
+  Task* task = FindTask(fleet, order.m_task, job);
+  if (task == nullptr || task->m_run != order.m_run ||
+      task->m_worker != order.m_worker) {
+    return;
+  }
+  if (task->m_processor_limit_percent != order.m_percent) return;
+  task->m_is_limit_confirmed = true;
+}
+
 }  // namespace daisyarch::fleet
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -291,9 +291,10 @@
   const std::weak_ptr<Leader> weak = leader;
   leader->m_runtime.m_order_sender.m_throttle(
       AddressOf(*leader, order.m_worker), order,
-      [weak, worker = order.m_worker,
-       token = order.m_token](const Result<void>& result) {
-        HandleOrderResult(weak, worker, token, result);
+      [weak, order](const Result<void>& result) {
+        const LeaderPointer self = weak.lock();
+        if (self && result) ConfirmLimit(self->m_fleet, order);
+        HandleOrderResult(weak, order.m_worker, order.m_token, result);
       });
 }
 
--- a/tests/decisions/fleet/processor_limit_test.cc
+++ b/tests/decisions/fleet/processor_limit_test.cc
@@ -32,8 +32,7 @@
 
 // Guards against accepted work that never ends: the limit of a task that an
 // earlier leader had paused was taken as 100% and never raised.
-TEST_CASE("A task that an earlier leader has paused works again",
-          "[!shouldfail]") {
+TEST_CASE("A task that an earlier leader has paused works again") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, Millicores(10000));
   AddJob(fixture.m_fleet, MakeBestEffortPlan("filler"), {}, fixture.m_now);
@@ -44,10 +43,58 @@
   for (int report = 0; report < kReports && limit < 100; ++report) {
     for (const auto& order : OrdersAfterReport(fixture, paused, 0)) {
       CHECK(order.m_run == kRunOfEarlierLeader);
+      ConfirmLimit(fixture.m_fleet, order);
       limit = order.m_percent;
     }
   }
   CHECK(limit == 100);
 }
 
+// Guards against accepted work that never ends: a limit whose order had failed
+// was taken as applied and not sent again.
+TEST_CASE("A limit whose order has failed is sent again") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(10000));
+  Submit(fixture, MakeBestEffortPlan("filler"));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  ApplyStartOutcome(fixture.m_fleet, starts[0], StartOutcome::kStarted,
+                    fixture.m_now);
+  TaskOf(fixture, starts[0].m_task).m_processor_limit_percent = 0;
+  const ActiveRun run = ActiveRunOf(starts[0]);
+  ThrottleOrder last;
+  int failed = 0;
+  // The worker refuses every order until the leader believes in no limit.
+  for (int report = 0; report < kReports; ++report) {
+    for (const auto& order : OrdersAfterReport(fixture, run, 0)) {
+      last = order;
+      ++failed;
+    }
+  }
+  REQUIRE(failed > 0);
+  CHECK(last.m_percent == 100);
+  const auto repeated = OrdersAfterReport(fixture, run, 0);
+  REQUIRE(repeated.size() == 1);
+  CHECK(repeated[0].m_percent == 100);
+  ConfirmLimit(fixture.m_fleet, repeated[0]);
+  CHECK(OrdersAfterReport(fixture, run, 1900).empty());
+}
+
+TEST_CASE("The answer to an order for another limit confirms nothing") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(10000));
+  Submit(fixture, MakeBestEffortPlan("filler"));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  ApplyStartOutcome(fixture.m_fleet, starts[0], StartOutcome::kStarted,
+                    fixture.m_now);
+  TaskOf(fixture, starts[0].m_task).m_processor_limit_percent = 0;
+  const ActiveRun run = ActiveRunOf(starts[0]);
+  auto sent = OrdersAfterReport(fixture, run, 0);
+  REQUIRE(sent.size() == 1);
+  sent[0].m_percent = 0;
+  ConfirmLimit(fixture.m_fleet, sent[0]);
+  CHECK(OrdersAfterReport(fixture, run, 0).size() == 1);
+}
+
 }  // namespace daisyarch::fleet
