fleet: Start a backlog in small parts

Callers saw accepted tasks that never ran although most of the workers' room was free.

Cause: a placement pass started everything that fitted in one turn of the leader's loop, and a new leader polled all workers in one turn. With a long backlog, as after a burst or a restart of all nodes, one turn took longer than the claim's lease wherever the node was short of processor time. The claim ran out, another node led, waited for the earlier leader's runs, and did the same: no leader recovered. Class of fault: work of unbounded size in one turn of the loop that also has to renew a lease.

Change: a pass starts at most 32 tasks and sends at most 64 polls; the next pass queues behind the events that are due by then.

--- a/libraries/decisions/fleet/choose_worker.h
+++ b/libraries/decisions/fleet/choose_worker.h
@@ -19,6 +19,7 @@
   /// Its next task is then placed regardless of interference, and throttling
   /// alone protects the serving tasks.
   bool m_must_start_job = false;
+  std::size_t m_starts_left = 0;  ///< Tasks that the pass may still start.
   std::vector<std::pair<PoolId, const StepPlan*>> m_unplaceable;
   /// Number of workers that each serving image shares with each best-effort
   /// image; the serving image comes first in the key. Counted on first use.
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -35,6 +35,11 @@
   /// No task is placed from a worker listing that was requested longer ago,
   /// since a worker may have announced since then that it is leaving.
   Duration m_maximum_listing_age = std::chrono::milliseconds(1700);
+  /// Tasks that one placement pass starts at most, except that a gang starts as
+  /// a whole, and polls that one call of TickFleet sends at most. Between
+  /// passes the loop handles other events, such as the renewal of the claim.
+  std::size_t m_starts_per_pass = 32;
+  std::size_t m_polls_per_pass = 64;
 };
 
 /// Starts one run of a task on a worker.
@@ -140,6 +145,9 @@
   bool m_has_urgent_change = false;
   bool m_is_storing = false;  ///< A batch of changes is being stored.
   bool m_needs_placement = false;
+  /// The last call of TickFleet ended because it had sent enough polls.
+  bool m_has_due_polls = false;
+  WorkerId m_last_polled;  ///< The next call begins after this worker.
   TimePoint m_next_ranking_at{};
   std::vector<Order> m_orders;
   std::vector<FleetEvent> m_events;
@@ -215,8 +223,9 @@
 /// Releases due occurrences, refreshes ranks, handles expired leases, and
 /// sends polls that are due and stops that have to be repeated.
 void TickFleet(Fleet& fleet, TimePoint now, std::int64_t unix_ms);
-/// Starts waiting tasks on workers with available capacity.
-void PlaceRuns(Fleet& fleet, TimePoint now);
+/// Starts waiting tasks on workers with available capacity. Returns whether it
+/// ended because it had started enough tasks for one pass.
+bool PlaceRuns(Fleet& fleet, TimePoint now);
 /// Adjusts the processor limits of best-effort tasks to the headroom of the
 /// serving tasks on the same worker.
 void ThrottleBestEffort(Fleet& fleet, Worker& worker, TimePoint now);
--- a/libraries/decisions/fleet/fleet_timers.cc
+++ b/libraries/decisions/fleet/fleet_timers.cc
@@ -55,7 +55,8 @@
   }
 }
 
-void TickWorker(Fleet& fleet, Worker& worker, TimePoint now) {
+// Returns whether a poll was sent.
+bool TickWorker(Fleet& fleet, Worker& worker, TimePoint now) {
   if (worker.m_state != WorkerState::kLapsed && worker.m_has_clock &&
       !worker.m_runs.empty() && worker.m_state != WorkerState::kReady &&
       now >= LeaseEndOf(worker)) {
@@ -66,13 +67,34 @@
     worker.m_unconfirmed_until = TimePoint();
     StepWorker(fleet, worker, WorkerEvent::kLeaseLapsed);
   }
-  if (worker.m_is_polling || now < worker.m_next_poll_at) return;
+  if (worker.m_is_polling || now < worker.m_next_poll_at) return false;
   const bool has_ends = worker.m_acknowledged_end < worker.m_stored_end;
   const bool is_idle = worker.m_state == WorkerState::kReady &&
                        worker.m_runs.empty() && worker.m_unknown_runs == 0;
-  if (is_idle && !has_ends && now - worker.m_poll_sent_at < kIdlePollInterval)
-    return;
+  if (is_idle && !has_ends && now - worker.m_poll_sent_at < kIdlePollInterval) {
+    return false;
+  }
   SendPoll(fleet, worker, now);
+  return true;
+}
+
+// Ticks the workers in turn, from the one after the worker that was polled
+// last, until enough polls are sent.
+void TickWorkers(Fleet& fleet, TimePoint now) {
+  fleet.m_has_due_polls = false;
+  std::size_t polls_left = fleet.m_limits.m_polls_per_pass;
+  auto position = fleet.m_workers.upper_bound(fleet.m_last_polled);
+  for (std::size_t count = fleet.m_workers.size(); count > 0; --count) {
+    if (position == fleet.m_workers.end()) position = fleet.m_workers.begin();
+    if (TickWorker(fleet, position->second, now)) {
+      fleet.m_last_polled = position->first;
+      if (--polls_left == 0) {
+        fleet.m_has_due_polls = count > 1;
+        return;
+      }
+    }
+    ++position;
+  }
 }
 
 }  // namespace
@@ -90,7 +112,7 @@
     fleet.m_next_ranking_at = now + kRankingInterval;
     RefreshRanks(fleet, now);
   }
-  for (auto& entry : fleet.m_workers) TickWorker(fleet, entry.second, now);
+  TickWorkers(fleet, now);
   if (now >= fleet.m_next_stop_repeat_at) {
     fleet.m_next_stop_repeat_at = now + kStopSweepInterval;
     for (auto& [id, worker] : fleet.m_workers) {
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -24,6 +24,7 @@
                                      worker.m_listing.m_worker, run,
                                      pass.m_now - job.m_accepted_at});
   }
+  if (pass.m_starts_left > 0) --pass.m_starts_left;
   const StepPlan& step = job.m_plan.m_steps[reference.m_step];
   RecordTrial(pass, worker, step);
   task.m_run = run;
@@ -58,6 +59,7 @@
   for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
     Task& task = step_run.m_tasks[index];
     if (task.m_state != RunState::kWaiting) continue;
+    if (pass.m_starts_left == 0) return;
     const TaskReference reference = ReferenceOf(job, step_run_index, index);
     pass.m_must_start_job = pass.m_has_ample_capacity && job.m_placed == 0;
     Worker* worker = ChooseWorker(pass, pool, step, reference);
@@ -115,6 +117,7 @@
   const std::vector<WaitingSteps::value_type> waiting(queue.begin(),
                                                       queue.end());
   for (const auto& [rank, key, step_run_index] : waiting) {
+    if (pass.m_starts_left == 0) return;
     Job* job = FindJob(fleet, key);
     if (pass.m_may_have_inherited_runs && job->m_is_inherited) continue;
     const PoolId pool = QueueSettingsOf(fleet, *job).m_pool;
@@ -145,17 +148,22 @@
   return reserved.value() * kPercent < capacity.value() * kAmpleCapacityPercent;
 }
 
-void PlaceRuns(Fleet& fleet, TimePoint now) {
+bool PlaceRuns(Fleet& fleet, TimePoint now) {
   // m_needs_placement stays set, so every tick retries until a listing arrives.
-  if (now - fleet.m_listed_at > fleet.m_limits.m_maximum_listing_age) return;
+  const Duration listing_age = now - fleet.m_listed_at;
+  if (listing_age > fleet.m_limits.m_maximum_listing_age) return false;
   PlacementPass pass{fleet, now, MayHaveInheritedRuns(fleet, now),
                      HasAmpleCapacity(fleet)};
+  pass.m_starts_left = fleet.m_limits.m_starts_per_pass;
   PlaceWaiting(pass, fleet.m_waiting_reserved);
-  if (now >= fleet.m_next_best_effort_pass_at) {
-    fleet.m_next_best_effort_pass_at = now + kBestEffortPassInterval;
+  if (pass.m_starts_left > 0 && now >= fleet.m_next_best_effort_pass_at) {
     PlaceWaiting(pass, fleet.m_waiting_best_effort);
+    if (pass.m_starts_left > 0) {
+      fleet.m_next_best_effort_pass_at = now + kBestEffortPassInterval;
+    }
   }
-  fleet.m_needs_placement = false;
+  fleet.m_needs_placement = pass.m_starts_left == 0;
+  return fleet.m_needs_placement;
 }
 
 }  // namespace daisyarch::fleet
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -324,9 +324,10 @@
   ++leader->m_pass_count;
   Fleet& fleet = leader->m_fleet;
   TickFleet(fleet, Now(*leader), leader->m_runtime.m_clock.m_unix_ms());
+  bool has_unfinished_pass = false;
   if (fleet.m_needs_placement && leader->m_has_worker_listing &&
       leader->m_may_start_runs()) {
-    PlaceRuns(fleet, Now(*leader));
+    has_unfinished_pass = PlaceRuns(fleet, Now(*leader));
   }
   const std::vector<Order> orders = std::move(fleet.m_orders);
   fleet.m_orders.clear();
@@ -338,6 +339,9 @@
   LogFleetEvents(*leader);
   WriteRoster(leader);
   WriteChanges(leader);
+  if (has_unfinished_pass || fleet.m_has_due_polls) {
+    RequestSchedulingPass(leader);
+  }
 }
 
 }  // namespace
--- a/tests/decisions/fleet/backlog_test.cc
+++ b/tests/decisions/fleet/backlog_test.cc
@@ -17,8 +17,9 @@
 }  // namespace
 
 // Guards against accepted work that never runs: a leader that started its whole
-// backlog in one turn of its loop lost its claim meanwhile, and so did the next.
-TEST_CASE("A large backlog is started in small parts", "[!shouldfail]") {
+// backlog in one turn of its loop lost its claim meanwhile, and so did the
+// next.
+TEST_CASE("A large backlog is started in small parts") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, kWorkers, kWorkerProcessors);
   AddJob(fixture.m_fleet, MakePlan("backlog", kTasks, kTaskProcessors), {},
@@ -35,4 +36,23 @@
   CHECK(started == kTasks);
 }
 
+TEST_CASE("The workers of a new leader are polled in small parts") {
+  FleetFixture fixture;
+  fixture.m_fleet.m_limits.m_polls_per_pass = 8;
+  for (int number = 0; number < kWorkers; ++number) {
+    const WorkerId id("w" + std::to_string(number));
+    ApplyRosterLoaded(fixture.m_fleet, {id, id.value()}, fixture.m_now);
+  }
+  std::set<WorkerId> polled;
+  std::size_t passes = 0;
+  while (polled.size() < kWorkers) {
+    TickFleet(fixture.m_fleet, fixture.m_now, 0);
+    const auto polls = TakeOrders<PollOrder>(fixture);
+    CHECK(polls.size() <= fixture.m_fleet.m_limits.m_polls_per_pass);
+    for (const PollOrder& poll : polls) polled.insert(poll.m_worker);
+    REQUIRE(++passes <= kWorkers);
+  }
+  CHECK_FALSE(fixture.m_fleet.m_has_due_polls);
+}
+
 }  // namespace daisyarch::fleet
