fleet: Retry waiting tasks without an event

Callers could see accepted tasks wait for ever in a quiet fleet. Cause: a placement pass followed only events such as the end of a run. Some obstacles end without one: a worker's quarantine, unknown runs, a rank that no longer changes. Class of fault: an action on the edge of an event whose condition is a level.

"A waiting task starts once the workers' quarantine is over" failed before (no pass was requested) and passes now.

--- a/libraries/decisions/fleet/fleet_timers.cc
+++ b/libraries/decisions/fleet/fleet_timers.cc
@@ -111,6 +111,8 @@
   if (now >= fleet.m_next_ranking_at) {
     fleet.m_next_ranking_at = now + kRankingInterval;
     RefreshRanks(fleet, now);
+    // No event marks the end of some obstacles, such as a quarantine.
+    if (!fleet.m_waiting_reserved.empty()) fleet.m_needs_placement = true;
   }
   TickWorkers(fleet, now);
   if (now >= fleet.m_next_stop_repeat_at) {
--- a/tests/decisions/fleet/backlog_test.cc
+++ b/tests/decisions/fleet/backlog_test.cc
@@ -55,4 +55,22 @@
   CHECK_FALSE(fixture.m_fleet.m_has_due_polls);
 }
 
+// Guards against accepted work that never runs: nothing tried it again once the
+// obstacle was gone, as no event marks the end of a quarantine.
+TEST_CASE("A waiting task starts once the workers' quarantine is over") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kWorkerProcessors);
+  FindWorker(fixture.m_fleet, WorkerId("w0"))->m_quarantined_until =
+      fixture.m_now + std::chrono::seconds(60);
+  Submit(fixture, MakePlan("job", 1, kTaskProcessors));
+  // By then the job's rank has changed for the last time.
+  Wait(fixture, std::chrono::seconds(59));
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  REQUIRE(TakeOrders<StartOrder>(fixture).empty());
+  Wait(fixture, std::chrono::seconds(2));
+  REQUIRE(fixture.m_fleet.m_needs_placement);
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).size() == 1);
+}
+
 }  // namespace daisyarch::fleet
