http: Read responses in larger parts

Cause: the read buffer had no reserve, so a response was read in parts of 512 bytes, and each part takes one turn of the loop. The listing of 490 workers, some 200 kB, took hundreds of turns behind everything else that was due.

--- a/libraries/http/http_client.cc
+++ b/libraries/http/http_client.cc
@@ -36,7 +36,10 @@
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   explicit Connection(std::shared_ptr<HttpClient::State> state)
-      : m_stream(state->m_loop), m_state(std::move(state)) {}
+      : m_stream(state->m_loop), m_state(std::move(state)) {
+    // Without a reserve, a response is read in parts of 512 bytes.
+    m_buffer.reserve(m_state->m_limits.m_read_bytes);
+  }
 
   void Run(HttpRequest request, Duration timeout,
            HttpResponseCallback on_answer) {
--- a/libraries/http/http_client.h
+++ b/libraries/http/http_client.h
@@ -21,6 +21,9 @@
   /// Idle connections are closed after this time, so that no request is sent on
   /// a connection that has died meanwhile.
   Duration m_idle_timeout = std::chrono::seconds(5);
+  /// Bytes of a response that are read at a time. Each part takes one turn of
+  /// the loop.
+  std::size_t m_read_bytes = 4096;
   std::size_t m_maximum_response_bytes = 64UL * 1024 * 1024;
 };
 
