fleet: Adapt passes and polls to the leader's loop

Cause: reports came as fast as workers could send them and passes followed each other without a pause, so a busy loop answered late, and the work that this delayed made later passes longer. Class of fault: load that grows with lateness.

Change: the leader measures the time between its ticks. Sending orders moves to a file of its own.

"A late loop starts and polls less at a time, and recovers" and "A busy leader spaces its polls" are new.

--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -38,6 +38,7 @@
   /// Tasks that one placement pass starts at most, except that a gang starts as
   /// a whole, and polls that one call of TickFleet sends at most. Between
   /// passes the loop handles other events, such as the renewal of the claim.
+  /// The former is adapted to the load; see load_control.h.
   std::size_t m_starts_per_pass = 32;
   std::size_t m_polls_per_pass = 64;
 };
@@ -145,6 +146,9 @@
   bool m_has_urgent_change = false;
   bool m_is_storing = false;  ///< A batch of changes is being stored.
   bool m_needs_placement = false;
+  /// Minimum time from a worker's report to its next poll. On a busy leader,
+  /// one report then tells of several ended runs.
+  Duration m_poll_spacing{};
   /// The last call of TickFleet ended because it had sent enough polls.
   bool m_has_due_polls = false;
   WorkerId m_last_polled;  ///< The next call begins after this worker.
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -312,9 +312,10 @@
   }
   // A worker answers at once while it has unacknowledged ended runs, so the
   // next poll waits until these can be acknowledged.
-  if (worker->m_stored_end < worker->m_applied_end) {
-    worker->m_next_poll_at = now + kUnstoredPollInterval;
-  }
+  const bool has_unstored_ends = worker->m_stored_end < worker->m_applied_end;
+  worker->m_next_poll_at =
+      now + std::max(fleet.m_poll_spacing,
+                     has_unstored_ends ? kUnstoredPollInterval : Duration{});
   AggregateLoads(fleet, *worker);
   worker->m_headrooms.clear();
   if (HasSteadyBestEffort(fleet, *worker, now)) {
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "decisions/fleet/load_control.h"
 #include "fleet/store_keys.h"
 #include "log/log.h"
 #include "wire/fleet_fields.h"
@@ -19,6 +20,8 @@
 // Short, because a failed attempt has used up most of the maximum age of a
 // listing.
 constexpr Duration kListingRetryDelay = std::chrono::milliseconds(100);
+// The gap between ticks is averaged over about this many.
+constexpr int kGapSamples = 4;
 const std::string kCancelSuffix = "/cancel";
 
 TimePoint Now(const Leader& leader) { return leader.m_runtime.m_clock.m_now(); }
@@ -224,118 +227,21 @@
       });
 }
 
-std::string AddressOf(const Leader& leader, const WorkerId& worker) {
-  const auto found = leader.m_fleet.m_workers.find(worker);
-  if (found == leader.m_fleet.m_workers.end()) return "";
-  return found->second.m_listing.m_address;
-}
-
-void SendOrder(const LeaderPointer& leader, const StartOrder& order) {
-  const std::weak_ptr<Leader> weak = leader;
-  leader->m_runtime.m_metrics->IncrementCounter("daisyarch_starts_total", "");
-  leader->m_runtime.m_order_sender.m_start(
-      AddressOf(*leader, order.m_worker), order,
-      [weak, order](StartOutcome outcome) {
-        const LeaderPointer self = weak.lock();
-        if (!self) return;
-        if (outcome != StartOutcome::kStarted) {
-          LogEvent(
-              LogLevel::kWarning, "start_failed",
-              {{"job", order.m_task.m_job.value()},
-               {"step", std::uint64_t{order.m_task.m_step}},
-               {"task", std::uint64_t{order.m_task.m_index}},
-               {"run", order.m_run.value()},
-               {"worker", order.m_worker.value()},
-               {"outcome",
-                outcome == StartOutcome::kRefused ? "refused" : "unanswered"}});
-        }
-        ApplyStartOutcome(self->m_fleet, order, outcome, Now(*self));
-        RequestSchedulingPass(self);
-      });
-}
-
-// If this leader has raised the worker's fencing token since it sent the order,
-// the rejection does not show that another leader exists.
-void HandleFencedOrder(Leader& leader, const WorkerId& worker,
-                       FencingToken token) {
-  const Worker* known = FindWorker(leader.m_fleet, worker);
-  if (known != nullptr && token < known->m_token) return;
-  leader.m_on_claim_lost("fenced by worker " + worker.value());
-}
-
-// Handles the result of a stop or throttle order.
-void HandleOrderResult(const std::weak_ptr<Leader>& weak,
-                       const WorkerId& worker, FencingToken token,
-                       const Result<void>& result) {
-  const LeaderPointer self = weak.lock();
-  if (!self || result) return;
-  if (result.assume_error().m_code == ErrorCode::kConflict) {
-    return HandleFencedOrder(*self, worker, token);
-  }
-  if (result.assume_error().m_code == ErrorCode::kUnavailable) return;
-  ApplyOrderFailure(self->m_fleet, worker);
-  RequestSchedulingPass(self);
-}
-
-void SendOrder(const LeaderPointer& leader, const StopOrder& order) {
-  const std::weak_ptr<Leader> weak = leader;
-  leader->m_runtime.m_order_sender.m_stop(
-      AddressOf(*leader, order.m_worker), order,
-      [weak, worker = order.m_worker,
-       token = order.m_token](const Result<void>& result) {
-        HandleOrderResult(weak, worker, token, result);
-      });
-}
-
-void SendOrder(const LeaderPointer& leader, const ThrottleOrder& order) {
-  const std::weak_ptr<Leader> weak = leader;
-  leader->m_runtime.m_order_sender.m_throttle(
-      AddressOf(*leader, order.m_worker), order,
-      [weak, order](const Result<void>& result) {
-        const LeaderPointer self = weak.lock();
-        if (self && result) ConfirmLimit(self->m_fleet, order);
-        HandleOrderResult(weak, order.m_worker, order.m_token, result);
-      });
-}
-
-void SendOrder(const LeaderPointer& leader, const PollOrder& order) {
-  const std::weak_ptr<Leader> weak = leader;
-  leader->m_runtime.m_order_sender.m_poll(
-      AddressOf(*leader, order.m_worker), order,
-      [weak, order](Result<WorkerReport> result) {
-        const LeaderPointer self = weak.lock();
-        if (!self) return;
-        if (!result) {
-          if (result.assume_error().m_code == ErrorCode::kConflict) {
-            HandleFencedOrder(*self, order.m_worker, order.m_token);
-          }
-          ApplyPollFailure(self->m_fleet, order.m_worker, order.m_poll_number,
-                           Now(*self));
-        } else {
-          ApplyReport(self->m_fleet, order.m_worker, order.m_poll_number,
-                      order.m_token, result.assume_value(), Now(*self));
-        }
-        RequestSchedulingPass(self);
-      });
-}
-
 void RunSchedulingPass(const LeaderPointer& leader) {
   leader->m_is_pass_requested = false;
   ++leader->m_pass_count;
   Fleet& fleet = leader->m_fleet;
   TickFleet(fleet, Now(*leader), leader->m_runtime.m_clock.m_unix_ms());
   bool has_unfinished_pass = false;
+  const TimePoint began_at = Now(*leader);
   if (fleet.m_needs_placement && leader->m_has_worker_listing &&
-      leader->m_may_start_runs()) {
-    has_unfinished_pass = PlaceRuns(fleet, Now(*leader));
-  }
-  const std::vector<Order> orders = std::move(fleet.m_orders);
-  fleet.m_orders.clear();
-  for (const Order& order : orders) {
-    std::visit(
-        [&](const auto& concrete_order) { SendOrder(leader, concrete_order); },
-        order);
+      began_at >= leader->m_next_placement_at && leader->m_may_start_runs()) {
+    has_unfinished_pass = PlaceRuns(fleet, began_at);
+    // Leaves at least half of the loop's time to everything else.
+    const TimePoint ended_at = Now(*leader);
+    leader->m_next_placement_at = ended_at + (ended_at - began_at);
   }
+  SendOrders(leader);
   LogFleetEvents(*leader);
   WriteRoster(leader);
   WriteChanges(leader);
@@ -344,6 +250,17 @@
   }
 }
 
+void MeasureTickGap(Leader& leader) {
+  const TimePoint now = Now(leader);
+  if (leader.m_ticked_at != TimePoint()) {
+    const Duration gap = now - leader.m_ticked_at;
+    leader.m_longest_tick_gap = std::max(leader.m_longest_tick_gap, gap);
+    leader.m_tick_gap =
+        (leader.m_tick_gap * (kGapSamples - 1) + gap) / kGapSamples;
+  }
+  leader.m_ticked_at = now;
+}
+
 }  // namespace
 
 void LoadLeader(const LeaderPointer& leader, const JobRoutes& routes,
@@ -377,6 +294,8 @@
 
 void TickLeader(const LeaderPointer& leader) {
   if (!leader->m_is_loaded) return;
+  MeasureTickGap(*leader);
+  AdaptToLoop(leader->m_fleet, leader->m_tick_gap);
   LogLeaderStatus(*leader);
   TickWatch(leader->m_jobs_watch, leader->m_runtime.m_store,
             leader->m_runtime.m_clock.m_now);
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -66,10 +66,12 @@
   bool m_is_removing = false;
   TimePoint m_next_removal_at{};
   bool m_is_pass_requested = false;
+  TimePoint m_next_placement_at{};
   TimePoint m_log_budget_started_at{};  ///< Start of the log budget's period.
   std::uint64_t m_log_line_count = 0;   ///< Written or dropped since then.
   TimePoint m_next_status_at{};
   TimePoint m_ticked_at{};
+  Duration m_tick_gap{};             ///< Smoothed.
   Duration m_longest_tick_gap{};     ///< Since the last status line.
   std::uint64_t m_pass_count = 0;    ///< Scheduling passes since then.
   TimePoint m_jobs_watch_lost_at{};  ///< When its failure was last logged.
@@ -90,6 +92,9 @@
 /// pass places waiting tasks, sends orders and writes changes.
 void RequestSchedulingPass(const LeaderPointer& leader);
 
+/// Sends the fleet's waiting orders to the workers and applies their answers.
+void SendOrders(const LeaderPointer& leader);
+
 /// True when every change is stored.
 bool AreChangesStored(const Leader& leader);
 
--- a/services/daisyarchd/fleet/leader_log.cc
+++ b/services/daisyarchd/fleet/leader_log.cc
@@ -1,5 +1,3 @@
-#include <algorithm>
-
 #include "decisions/fleet/stalled_steps.h"
 #include "fleet/leader.h"
 #include "log/log.h"
@@ -86,11 +84,6 @@
 
 void LogLeaderStatus(Leader& leader) {
   const TimePoint now = leader.m_runtime.m_clock.m_now();
-  if (leader.m_ticked_at != TimePoint()) {
-    leader.m_longest_tick_gap =
-        std::max(leader.m_longest_tick_gap, now - leader.m_ticked_at);
-  }
-  leader.m_ticked_at = now;
   if (now < leader.m_next_status_at) return;
   leader.m_next_status_at = now + kStatusInterval;
   const FleetSummary summary = Summarize(leader.m_fleet);
--- a/tests/decisions/fleet/backlog_test.cc
+++ b/tests/decisions/fleet/backlog_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "decisions/fleet/fleet_fixture.h"
+#include "decisions/fleet/load_control.h"
 
 namespace daisyarch::fleet {
 
@@ -55,6 +56,47 @@
   CHECK_FALSE(fixture.m_fleet.m_has_due_polls);
 }
 
+TEST_CASE("A late loop starts and polls less at a time, and recovers") {
+  FleetFixture fixture;
+  FleetLimits& limits = fixture.m_fleet.m_limits;
+  constexpr int kTicks = 10;
+  for (int tick = 0; tick < kTicks; ++tick) {
+    AdaptToLoop(fixture.m_fleet, std::chrono::milliseconds(40));
+  }
+  CHECK(limits.m_starts_per_pass == kMaximumStartsPerTurn);
+  CHECK(fixture.m_fleet.m_poll_spacing == Duration{});
+  for (int tick = 0; tick < kTicks; ++tick) {
+    AdaptToLoop(fixture.m_fleet, std::chrono::seconds(3));
+  }
+  CHECK(limits.m_starts_per_pass > 0);
+  CHECK(limits.m_starts_per_pass < kMaximumStartsPerTurn / 4);
+  // A lease of 4 s still covers two polls, each of which waits up to 1 s.
+  CHECK(fixture.m_fleet.m_poll_spacing <= std::chrono::seconds(1));
+  CHECK(fixture.m_fleet.m_poll_spacing > Duration{});
+  for (int tick = 0; tick < kTicks; ++tick) {
+    AdaptToLoop(fixture.m_fleet, std::chrono::milliseconds(40));
+  }
+  CHECK(limits.m_starts_per_pass == kMaximumStartsPerTurn);
+  CHECK(fixture.m_fleet.m_poll_spacing == Duration{});
+}
+
+// Guards against a leader whose polls alone occupy its loop.
+TEST_CASE("A busy leader spaces its polls") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kWorkerProcessors);
+  Submit(fixture, MakePlan("job", 2, kTaskProcessors));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 2);
+  fixture.m_fleet.m_poll_spacing = std::chrono::milliseconds(500);
+  Wait(fixture, std::chrono::milliseconds(10));
+  Report(fixture, "w0", {ActiveRunOf(starts[0]), ActiveRunOf(starts[1])}, {});
+  fixture.m_fleet.m_orders.clear();
+  Wait(fixture, std::chrono::milliseconds(400));
+  CHECK(TakeOrders<PollOrder>(fixture).empty());
+  Wait(fixture, std::chrono::milliseconds(200));
+  CHECK(TakeOrders<PollOrder>(fixture).size() == 1);
+}
+
 // Guards against accepted work that never runs: nothing tried it again once the
 // obstacle was gone, as no event marks the end of a quarantine.
 TEST_CASE("A waiting task starts once the workers' quarantine is over") {
