--- a/standins/models/fleet_worker_model.cc
+++ b/standins/models/fleet_worker_model.cc
@@ -6,6 +6,9 @@
 
 namespace {
 
+constexpr int kPercent = 100;
+constexpr std::uint8_t kInitializedPercent = 100;
+
 void EndRun(FleetWorkerModel& model, const TaskReference& task, RunNumber run,
             RunOutcome outcome) {
   model.m_running.erase(task);
@@ -33,6 +36,40 @@
                "a higher token was seen"};
 }
 
+Duration WorkLeft(const ModelRun& run, TimePoint now) {
+  if (run.m_limit_percent == 0) return run.m_work_left;
+  return (run.m_ends_at - now) * run.m_limit_percent / kPercent;
+}
+
+void SetLimit(ModelRun& run, std::uint8_t percent, TimePoint now) {
+  run.m_work_left = WorkLeft(run, now);
+  run.m_limit_percent = percent;
+  run.m_ends_at = percent == 0 ? TimePoint::max()
+                               : now + run.m_work_left * kPercent / percent;
+}
+
+// Continues from a checkpoint, which holds the work done in milliseconds.
+void RestoreProgress(ModelRun& run, const std::string& checkpoint,
+                     TimePoint now) {
+  run.m_work = run.m_ends_at - now;
+  if (!run.m_saves_progress || checkpoint.empty()) return;
+  // A run takes a millisecond at least, so that it does not end as it starts.
+  run.m_ends_at =
+      std::max(now + FromMilliseconds(1),
+               run.m_ends_at - FromMilliseconds(std::stoll(checkpoint)));
+}
+
+std::string CheckpointOf(const ModelRun& run, TimePoint now) {
+  if (!run.m_saves_progress) return "";
+  return std::to_string(ToMilliseconds(run.m_work - WorkLeft(run, now)));
+}
+
+ActiveRun ReportOf(const FleetWorkerModel& model, const TaskReference& task,
+                   const ModelRun& run, TimePoint now) {
+  return {task, run.m_run, CheckpointOf(run, now), kInitializedPercent,
+          model.m_load_of ? model.m_load_of(task, run) : 0};
+}
+
 }  // namespace
 
 WorkerMilliseconds ClockOf(const FleetWorkerModel& model, TimePoint now) {
@@ -81,7 +118,8 @@
       running->second.m_run == order.m_run) {
     return StartOutcome::kStarted;
   }
-  if (order.m_lease_until < ClockOf(model, now)) {
+  if (order.m_lease_until < ClockOf(model, now) ||
+      now < model.m_unhealthy_until) {
     return StartOutcome::kRefused;
   }
   model.m_lease_until = std::max(model.m_lease_until, order.m_lease_until);
@@ -94,6 +132,7 @@
   ModelRun run = model.m_plan_run(order.m_task, order.m_run);
   run.m_run = order.m_run;
   run.m_started_at = now;
+  RestoreProgress(run, order.m_checkpoint, now);
   model.m_running[order.m_task] = run;
   if (model.m_on_start) model.m_on_start(order.m_task, order.m_run);
   return StartOutcome::kStarted;
@@ -114,6 +153,22 @@
   return Success();
 }
 
+Result<void> Receive(FleetWorkerModel& model, const ThrottleOrder& order,
+                     TimePoint now) {
+  Advance(model, now);
+  if (IsFenced(model, order.m_token)) return FencedError(model);
+  if (now < model.m_unhealthy_until) {
+    return Error{ErrorCode::kUnavailable, "throttle task",
+                 model.m_listing.m_worker.value(), "the worker is unhealthy"};
+  }
+  const auto running = model.m_running.find(order.m_task);
+  if (running != model.m_running.end() &&
+      running->second.m_run == order.m_run) {
+    SetLimit(running->second, order.m_percent, now);
+  }
+  return Success();
+}
+
 Result<WorkerReport> Receive(FleetWorkerModel& model, const PollOrder& order,
                              TimePoint now) {
   Advance(model, now);
@@ -132,7 +187,7 @@
   report.m_incarnation = model.m_listing.m_incarnation;
   report.m_clock = ClockOf(model, now);
   for (const auto& [task, run] : model.m_running) {
-    report.m_running.push_back({task, run.m_run, "", 0, 0});
+    report.m_running.push_back(ReportOf(model, task, run, now));
   }
   report.m_ended = ended;
   return report;
--- a/standins/models/fleet_worker_model.h
+++ b/standins/models/fleet_worker_model.h
@@ -13,8 +13,13 @@
 struct ModelRun {
   RunNumber m_run;
   TimePoint m_started_at{};
-  TimePoint m_ends_at{};
+  TimePoint m_ends_at{};  ///< At the present limit; never while it is paused.
   RunOutcome m_outcome = RunOutcome::kDone;
+  std::uint8_t m_limit_percent = 100;  ///< 0: paused.
+  Duration m_work_left{};              ///< While paused: time left unlimited.
+  /// It continues from its checkpoint: the work done, in milliseconds.
+  bool m_saves_progress = false;
+  Duration m_work{};  ///< From the task's beginning, unlimited.
 };
 
 /// A model of a worker that follows the platform's rules: it rejects orders
@@ -33,9 +38,13 @@
   std::uint64_t m_last_outcome_number = 0;
   WorkerMilliseconds m_lease_until;
   double m_clock_rate = 1.0;  ///< Clock time per virtual time, 0.98 to 1.
+  /// Until then it refuses starts and throttle orders, but answers polls.
+  TimePoint m_unhealthy_until{};
 
   /// Returns when a run ends, and with which outcome.
   std::function<ModelRun(const TaskReference&, RunNumber)> m_plan_run;
+  /// Returns the load that the worker reports for a run; see Task::m_load.
+  std::function<std::int64_t(const TaskReference&, const ModelRun&)> m_load_of;
   /// Called for each run that starts, and for each that ends.
   std::function<void(const TaskReference&, RunNumber)> m_on_start;
   std::function<void(const EndedRun&)> m_on_end;
@@ -54,9 +63,12 @@
 
 StartOutcome Receive(FleetWorkerModel& model, const StartOrder& order,
                      TimePoint now);
-/// Both return kConflict for a fencing token below the highest seen.
+/// These return kConflict for a fencing token below the highest seen.
 Result<void> Receive(FleetWorkerModel& model, const StopOrder& order,
                      TimePoint now);
+/// Returns kUnavailable while the worker is unhealthy.
+Result<void> Receive(FleetWorkerModel& model, const ThrottleOrder& order,
+                     TimePoint now);
 Result<WorkerReport> Receive(FleetWorkerModel& model, const PollOrder& order,
                              TimePoint now);
 
--- a/tests/fakes/fake_site.cc
+++ b/tests/fakes/fake_site.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "decisions/fleet/choose_worker.h"
+#include "fakes/fake_site_links.h"
 #include "fleet/job_service.h"
 #include "fleet/store_keys.h"
 #include "wire/fleet_fields.h"
@@ -13,269 +15,8 @@
 const std::string kConfigurationKey = "test/configuration";
 const std::string kWorkerPrefix = "test/workers/";
 constexpr Duration kTickInterval = std::chrono::milliseconds(40);
-constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
-constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
-constexpr Duration kWatchTimeoutMargin = std::chrono::milliseconds(500);
 constexpr Duration kLeaseCheckInterval = std::chrono::milliseconds(50);
-
-Error StoreDownError() {
-  return Error{ErrorCode::kUnavailable, "call store", "store", "down"};
-}
-
-Error NoAnswerError(const std::string& peer) {
-  return Error{ErrorCode::kOutcomeUnknown, "call", peer, "no answer"};
-}
-
-bool IsStoreUnreachable(const FakeSite& site, const FakeSiteNode& node) {
-  const TimePoint now = site.m_loop.m_now;
-  return now < site.m_faults.m_store_down_until ||
-         now < node.m_store_unreachable_until;
-}
-
-/// Runs a callback at the node after a delay, unless the node is killed before.
-void RunAtNode(FakeSite& site, FakeSiteNode& node, Duration delay,
-               std::function<void()> run) {
-  RunAfter(site.m_loop, delay, [&node, run = std::move(run)] {
-    if (node.m_is_alive) run();
-  });
-}
-
-Duration DrawStoreDelay(FakeSite& site) {
-  return DelayBetween(site.m_loop, std::chrono::milliseconds(1),
-                      std::chrono::milliseconds(5));
-}
-
-/// Applies a call to the store model and returns the answer to the node, with
-/// the faults of the site.
-template <typename Value>
-void CallStore(FakeSite& site, FakeSiteNode& node,
-               StoreCallback<Value> on_answer,
-               std::function<Result<Value>()> effect) {
-  if (IsStoreUnreachable(site, node) && site.m_faults.m_is_store_unresponsive) {
-    return RunAtNode(site, node, kStoreTimeout,
-                     [on_answer] { on_answer(NoAnswerError("store")); });
-  }
-  if (IsStoreUnreachable(site, node)) {
-    return RunAtNode(site, node, DrawStoreDelay(site),
-                     [on_answer] { on_answer(StoreDownError()); });
-  }
-  if (Chance(site.m_loop, site.m_faults.m_late_effect_probability)) {
-    RunAfter(site.m_loop,
-             DelayBetween(site.m_loop, std::chrono::seconds(1),
-                          std::chrono::seconds(6)),
-             [effect] { static_cast<void>(effect()); });
-    return RunAtNode(site, node, kStoreTimeout,
-                     [on_answer] { on_answer(NoAnswerError("store")); });
-  }
-  const bool is_lost =
-      Chance(site.m_loop, site.m_faults.m_answer_loss_probability);
-  RunAfter(site.m_loop, DrawStoreDelay(site),
-           [&site, &node, on_answer, effect, is_lost] {
-             Result<Value> result = effect();
-             if (is_lost) {
-               return RunAtNode(site, node, kStoreTimeout, [on_answer] {
-                 on_answer(NoAnswerError("store"));
-               });
-             }
-             RunAtNode(site, node, DrawStoreDelay(site),
-                       [on_answer, result] { on_answer(result); });
-           });
-}
-
-/// Answers a watch once there are changes, or at `until`.
-void WaitForChanges(FakeSite& site, FakeSiteNode& node,
-                    const std::string& prefix, StoreRevision after,
-                    TimePoint until,
-                    const StoreCallback<StoreChanges>& answer) {
-  if (IsStoreUnreachable(site, node)) {
-    return RunAtNode(site, node, kTickInterval,
-                     [answer] { answer(StoreDownError()); });
-  }
-  if (site.m_loop.m_now < site.m_faults.m_watches_unanswered_until) {
-    return RunAtNode(site, node,
-                     until - site.m_loop.m_now + kWatchTimeoutMargin,
-                     [answer] { answer(NoAnswerError("store")); });
-  }
-  auto changes = ChangesAfter(site.m_store, prefix, after);
-  const bool is_over = !changes || !changes.assume_value().m_changes.empty() ||
-                       site.m_loop.m_now >= until;
-  if (is_over) {
-    return RunAtNode(site, node, DrawStoreDelay(site),
-                     [answer, changes] { answer(changes); });
-  }
-  constexpr Duration kPollInterval = std::chrono::milliseconds(3);
-  RunAtNode(site, node, kPollInterval,
-            [&site, &node, prefix, after, until, answer] {
-              WaitForChanges(site, node, prefix, after, until, answer);
-            });
-}
-
-Store MakeStore(FakeSite& site, FakeSiteNode& node) {
-  Store store;
-  store.m_read = [&site, &node](const std::string& key, ReadFreshness,
-                                auto on_answer) {
-    CallStore<std::optional<StoredItem>>(
-        site, node, on_answer,
-        [&site, key]() -> Result<std::optional<StoredItem>> {
-          const auto found = site.m_store.m_entries.find(key);
-          if (found == site.m_store.m_entries.end()) {
-            return std::optional<StoredItem>();
-          }
-          return std::optional<StoredItem>(
-              {key, found->second.m_value, found->second.m_revision});
-        });
-  };
-  store.m_list = [&site, &node](const std::string& prefix, Duration timeout,
-                                auto on_answer) {
-    const Duration transfer = site.m_faults.m_list_duration;
-    if (transfer > timeout) {
-      return RunAtNode(site, node, timeout,
-                       [on_answer] { on_answer(NoAnswerError("store")); });
-    }
-    if (transfer > Duration{}) {
-      return RunAtNode(site, node, transfer, [&site, prefix, on_answer] {
-        on_answer(List(site.m_store, prefix));
-      });
-    }
-    CallStore<StoreListing>(site, node, on_answer,
-                            [&site, prefix]() -> Result<StoreListing> {
-                              return List(site.m_store, prefix);
-                            });
-  };
-  store.m_watch = [&site, &node](const std::string& prefix, StoreRevision after,
-                                 Duration wait, auto on_answer) {
-    WaitForChanges(site, node, prefix, after, site.m_loop.m_now + wait,
-                   on_answer);
-  };
-  store.m_commit = [&site, &node](const StoreTransaction& transaction,
-                                  auto on_answer) {
-    CallStore<TransactionResult>(
-        site, node, on_answer,
-        [&site, transaction]() -> Result<TransactionResult> {
-          return Apply(site.m_store, transaction);
-        });
-  };
-  store.m_grant_lease = [&site, &node](Duration term, auto on_answer) {
-    CallStore<StoreLeaseId>(
-        site, node, on_answer, [&site, term]() -> Result<StoreLeaseId> {
-          return GrantLease(site.m_store, term, site.m_loop.m_now);
-        });
-  };
-  store.m_renew_lease = [&site, &node](StoreLeaseId lease, auto on_answer) {
-    CallStore<StoreLeaseId>(site, node, on_answer, [&site, lease] {
-      return RenewLease(site.m_store, lease, site.m_loop.m_now);
-    });
-  };
-  store.m_revoke_lease = [&site, &node](StoreLeaseId lease, auto on_answer) {
-    CallStore<StoreLeaseId>(site, node, on_answer,
-                            [&site, lease]() -> Result<StoreLeaseId> {
-                              RevokeLease(site.m_store, lease);
-                              return lease;
-                            });
-  };
-  return store;
-}
-
-/// What happens to an order and to its answer on the network.
-enum class OrderDelivery { kUnreachable, kLate, kAnswerLost, kNormal };
-
-OrderDelivery DrawOrderDelivery(FakeSite& site, const FakeSiteNode& node,
-                                const FleetWorkerModel& worker) {
-  if (!worker.m_is_up ||
-      node.m_unreachable_workers.count(worker.m_listing.m_worker) > 0) {
-    return OrderDelivery::kUnreachable;
-  }
-  if (Chance(site.m_loop, site.m_faults.m_late_order_probability))
-    return OrderDelivery::kLate;
-  if (Chance(site.m_loop, site.m_faults.m_order_answer_loss_probability))
-    return OrderDelivery::kAnswerLost;
-  return OrderDelivery::kNormal;
-}
-
-Duration DrawOrderDelay(FakeSite& site) {
-  return DelayBetween(site.m_loop, std::chrono::microseconds(300),
-                      std::chrono::microseconds(4000));
-}
-
-template <typename Order, typename Answer>
-void SendToWorker(FakeSite& site, FakeSiteNode& node, const Order& order,
-                  std::function<void(Answer)> on_answer, Answer no_answer) {
-  const auto found = site.m_workers.find(order.m_worker);
-  if (found == site.m_workers.end()) {
-    return RunAtNode(site, node, kOrderTimeout,
-                     [on_answer, no_answer] { on_answer(no_answer); });
-  }
-  FleetWorkerModel& worker = *found->second;
-  const OrderDelivery delivery = DrawOrderDelivery(site, node, worker);
-  // Each order has a delay of its own, as on separate connections, so orders
-  // may overtake each other.
-  Duration delay = DrawOrderDelay(site);
-  if (delivery == OrderDelivery::kLate) {
-    delay = DelayBetween(site.m_loop, std::chrono::seconds(2),
-                         std::chrono::seconds(12));
-  }
-  if (delivery != OrderDelivery::kNormal) {
-    RunAtNode(site, node, kOrderTimeout,
-              [on_answer, no_answer] { on_answer(no_answer); });
-  }
-  if (delivery == OrderDelivery::kUnreachable) return;
-  RunAfter(site.m_loop, delay,
-           [&site, &node, &worker, order, on_answer, no_answer, delivery] {
-             if (!worker.m_is_up) {
-               if (delivery != OrderDelivery::kNormal) return;
-               return RunAtNode(
-                   site, node, kOrderTimeout,
-                   [on_answer, no_answer] { on_answer(no_answer); });
-             }
-             Answer answer = Receive(worker, order, site.m_loop.m_now);
-             if (delivery != OrderDelivery::kNormal) return;
-             RunAtNode(site, node, DrawOrderDelay(site),
-                       [on_answer, answer] { on_answer(answer); });
-           });
-}
-
-/// Sends a poll to the worker as soon as the worker has an ended run that the
-/// node has not acknowledged, or at `until`.
-void PollWhenDue(FakeSite& site, FakeSiteNode& node, const PollOrder& order,
-                 const std::function<void(Result<WorkerReport>)>& on_answer,
-                 TimePoint until) {
-  const auto found = site.m_workers.find(order.m_worker);
-  const bool has_outcome =
-      found != site.m_workers.end() &&
-      std::any_of(found->second->m_ended.begin(), found->second->m_ended.end(),
-                  [&order](const EndedRun& ended_run) {
-                    return ended_run.m_number > order.m_acknowledged;
-                  });
-  if (has_outcome || site.m_loop.m_now >= until) {
-    return SendToWorker<PollOrder, Result<WorkerReport>>(
-        site, node, order, on_answer, NoAnswerError(order.m_worker.value()));
-  }
-  constexpr Duration kStep = std::chrono::milliseconds(10);
-  RunAtNode(site, node, kStep, [&site, &node, order, on_answer, until] {
-    PollWhenDue(site, node, order, on_answer, until);
-  });
-}
-
-OrderSender MakeOrderSender(FakeSite& site, FakeSiteNode& node) {
-  OrderSender sender;
-  sender.m_start = [&site, &node](const std::string&, const StartOrder& order,
-                                  auto on_answer) {
-    SendToWorker<StartOrder, StartOutcome>(site, node, order, on_answer,
-                                           StartOutcome::kUnanswered);
-  };
-  sender.m_stop = [&site, &node](const std::string&, const StopOrder& order,
-                                 auto on_answer) {
-    SendToWorker<StopOrder, Result<void>>(
-        site, node, order, on_answer, NoAnswerError(order.m_worker.value()));
-  };
-  sender.m_throttle = [](const std::string&, const ThrottleOrder&,
-                         auto on_answer) { on_answer(Success()); };
-  sender.m_poll = [&site, &node](const std::string&, const PollOrder& order,
-                                 auto on_answer) {
-    PollWhenDue(site, node, order, on_answer, site.m_loop.m_now + order.m_wait);
-  };
-  return sender;
-}
+constexpr Duration kMaximumStartAfterCancel = std::chrono::seconds(4);
 
 FleetClock MakeClock(FakeSite& site, FakeSiteNode& node) {
   FleetClock clock;
@@ -312,10 +53,12 @@
 }
 
 void ScheduleTicks(FakeSite& site, FakeSiteNode& node) {
-  RunAtNode(site, node, kTickInterval, [&site, &node] {
-    TickFleetNode(*node.m_node);
-    ScheduleTicks(site, node);
-  });
+  const TimePoint due = site.m_loop.m_now + kTickInterval;
+  RunAtNode(site, node, HandledAt(node, due) - site.m_loop.m_now,
+            [&site, &node] {
+              TickFleetNode(*node.m_node);
+              ScheduleTicks(site, node);
+            });
 }
 
 const StepPlan* FindStep(const FakeSite& site, const TaskReference& task) {
@@ -337,9 +80,32 @@
       std::to_string(ToMilliseconds(site.m_loop.m_now.time_since_epoch()));
 }
 
+// Returns the load that a worker reports for a run.
+std::int64_t LoadOf(const FakeSite& site, const FleetWorkerModel& worker,
+                    const TaskReference& task, const ModelRun& run) {
+  constexpr int kPercent = 100;
+  const StepPlan* step = FindStep(site, task);
+  if (step == nullptr) return 0;
+  if (step->m_latency_target <= Duration{}) {
+    return step->m_demand.m_processors.value() * run.m_limit_percent / kPercent;
+  }
+  const bool has_best_effort =
+      std::any_of(worker.m_running.begin(), worker.m_running.end(),
+                  [&site](const auto& other) {
+                    const StepPlan* plan = FindStep(site, other.first);
+                    return plan != nullptr &&
+                           plan->m_processor_use == ProcessorUse::kBestEffort &&
+                           other.second.m_limit_percent > 0;
+                  });
+  const bool is_over =
+      has_best_effort && site.m_loop.m_now < site.m_faults.m_interference_until;
+  return ToMilliseconds(is_over ? step->m_latency_target * 2
+                                : step->m_latency_target / 2);
+}
+
 // Checks the invariants of the site from the workers' state alone: a task runs
-// on one worker at a time, a worker's runs fit into its capacity, and a task
-// has at most three attempts.
+// on one worker at a time, a worker's runs fit into its capacity, a task has at
+// most three attempts, and no run of a cancelled job starts.
 void CheckStart(FakeSite& site, FleetWorkerModel& started,
                 const TaskReference& task) {
   ++site.m_starts;
@@ -352,7 +118,7 @@
   Resources used;
   for (const auto& [running, run] : started.m_running) {
     const StepPlan* step = FindStep(site, running);
-    if (step != nullptr) used = used + step->m_demand;
+    if (step != nullptr) used = used + ReservedDemand(*step);
   }
   if (!Fits(used, started.m_listing.m_capacity))
     RecordViolation(site, "capacity of the worker exceeded by", task);
@@ -360,6 +126,20 @@
   if (site.m_failures[task].size() >= kMaximumAttempts) {
     RecordViolation(site, "attempt limit exceeded by", task);
   }
+  const auto cancelled = site.m_cancelled_at.find(task.m_job);
+  if (cancelled != site.m_cancelled_at.end() &&
+      site.m_loop.m_now > cancelled->second + kMaximumStartAfterCancel) {
+    RecordViolation(site, "started after its job's cancellation", task);
+  }
+}
+
+// Records the cancellations that have reached the store since the last call.
+void RecordStoredCancellations(FakeSite& site) {
+  for (const JobKey& key : site.m_cancelled) {
+    if (site.m_store.m_entries.count(CancelItemKey(key)) > 0) {
+      site.m_cancelled_at.emplace(key, site.m_loop.m_now);
+    }
+  }
 }
 
 void ScheduleLeaseChecks(FakeSite& site) {
@@ -370,6 +150,7 @@
     for (auto& entry : site.m_workers) {
       Advance(*entry.second, site.m_loop.m_now);
     }
+    RecordStoredCancellations(site);
     ScheduleLeaseChecks(site);
   });
 }
@@ -411,8 +192,14 @@
   model->m_on_start = [&site, worker](const TaskReference& task, RunNumber) {
     CheckStart(site, *worker, task);
   };
+  model->m_load_of = [&site, worker](const TaskReference& task,
+                                     const ModelRun& run) {
+    return LoadOf(site, *worker, task, run);
+  };
   model->m_on_end = [&site, id](const EndedRun& ended_run) {
-    if (ended_run.m_outcome == RunOutcome::kFailed) {
+    const StepPlan* step = FindStep(site, ended_run.m_task);
+    const bool is_finite = step != nullptr && step->m_kind == StepKind::kFinite;
+    if (is_finite && ended_run.m_outcome == RunOutcome::kFailed) {
       site.m_failures[ended_run.m_task].insert({id, ended_run.m_run});
     }
   };
@@ -462,6 +249,15 @@
   RunAfter(site.m_loop, Duration{}, [&node] { node.m_node.reset(); });
 }
 
+void SlowSiteNode(FakeSite& site, FakeSiteNode& node, Duration delay,
+                  Duration duration) {
+  node.m_loop_delay = delay;
+  RunAfter(site.m_loop, duration, [&site, &node, delay] {
+    node.m_loop_delay = Duration{};
+    node.m_backlog_until = site.m_loop.m_now + delay;
+  });
+}
+
 FakeSiteNode* FindLeader(FakeSite& site) {
   for (const auto& node : site.m_nodes) {
     if (node->m_is_alive && node->m_node->m_leader &&
@@ -493,6 +289,17 @@
   });
 }
 
+void CancelAtSite(FakeSite& site, const JobKey& key) {
+  constexpr Duration kCancelTimeout = std::chrono::seconds(3);
+  site.m_cancelled.insert(key);
+  for (const auto& node : site.m_nodes) {
+    if (!node->m_is_alive) continue;
+    return CancelStoredJob(node->m_node->m_runtime, key,
+                           site.m_loop.m_now + kCancelTimeout,
+                           [](Acceptance) {});
+  }
+}
+
 JobPlan MakeTestJob(int number, std::uint32_t tasks) {
   JobPlan plan;
   plan.m_key = JobKey("job-" + std::to_string(number));
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -32,6 +32,9 @@
   /// Until then, watches time out, as on dead connections; other calls are
   /// answered.
   TimePoint m_watches_unanswered_until{};
+  /// Until then, serving tasks beside unpaused best-effort tasks are over
+  /// their latency targets.
+  TimePoint m_interference_until{};
 };
 
 /// A node of the site. A killed one receives no answers.
@@ -41,6 +44,11 @@
   std::unique_ptr<FleetNode> m_node;
   TimePoint m_store_unreachable_until{};
   std::set<WorkerId> m_unreachable_workers;
+  /// How much later than due its loop handles answers and ticks. An answer that
+  /// it would handle after the call's timeout counts as timed out.
+  Duration m_loop_delay{};
+  /// After a slow period: when the loop has handled what had arrived in it.
+  TimePoint m_backlog_until{};
 };
 
 /// Nodes, store and workers of a site in virtual time. Each start at a worker
@@ -58,6 +66,9 @@
   std::map<JobKey, JobPlan> m_submitted;
   /// Jobs that an answer to the client has confirmed as stored.
   std::set<JobKey> m_accepted;
+  /// Jobs whose cancellation was requested, and when it was seen to be stored.
+  std::set<JobKey> m_cancelled;
+  std::map<JobKey, TimePoint> m_cancelled_at;
   std::string m_violation;  ///< The first broken invariant, or "".
   /// The failed runs of each task, as its workers recorded them.
   std::map<TaskReference, std::set<std::pair<WorkerId, RunNumber>>> m_failures;
@@ -72,6 +83,9 @@
 FakeSiteNode& AddSiteNode(FakeSite& site, const std::string& name);
 /// Kills the node's process.
 void KillSiteNode(FakeSite& site, FakeSiteNode& node);
+/// Delays everything that the node's loop handles, for `duration`.
+void SlowSiteNode(FakeSite& site, FakeSiteNode& node, Duration delay,
+                  Duration duration);
 /// Stores another configuration, as an operator does.
 void Configure(FakeSite& site, const JobRoutes& routes);
 /// Returns the node that is the leader, or nullptr.
@@ -81,6 +95,9 @@
 /// the job is accepted.
 void SubmitToSite(FakeSite& site, FakeSiteNode& node, const JobPlan& plan);
 
+/// Requests a job's cancellation once, from the first live node.
+void CancelAtSite(FakeSite& site, const JobKey& key);
+
 /// Returns a job of two steps: `tasks` tasks, and two tasks after them. Each
 /// task takes one core.
 JobPlan MakeTestJob(int number, std::uint32_t tasks);
--- /dev/null
+++ b/tests/fakes/fake_site_links.cc
@@ -0,0 +1,313 @@
+#include "fakes/fake_site_links.h"
+
+#include <algorithm>
+
+namespace daisyarch::fleet {
+
+namespace {
+
+constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
+constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
+constexpr Duration kWatchTimeoutMargin = std::chrono::milliseconds(500);
+constexpr Duration kStoreDownAnswerTime = std::chrono::milliseconds(40);
+
+Error StoreDownError() {
+  return Error{ErrorCode::kUnavailable, "call store", "store", "down"};
+}
+
+Error NoAnswerError(const std::string& peer) {
+  return Error{ErrorCode::kOutcomeUnknown, "call", peer, "no answer"};
+}
+
+bool IsStoreUnreachable(const FakeSite& site, const FakeSiteNode& node) {
+  const TimePoint now = site.m_loop.m_now;
+  return now < site.m_faults.m_store_down_until ||
+         now < node.m_store_unreachable_until;
+}
+
+// Delivers an answer that arrives after `delay` to the node's loop. An answer
+// that the loop would handle later than the call's deadline counts as none.
+template <typename Value>
+void Deliver(FakeSite& site, FakeSiteNode& node, Duration delay,
+             TimePoint deadline, const std::function<void(Value)>& on_answer,
+             const Value& answer, const Value& no_answer) {
+  const TimePoint at = HandledAt(node, site.m_loop.m_now + delay);
+  if (at <= deadline) {
+    return RunAtNode(site, node, at - site.m_loop.m_now,
+                     [on_answer, answer] { on_answer(answer); });
+  }
+  const TimePoint given_up_at = HandledAt(node, deadline);
+  RunAtNode(site, node, given_up_at - site.m_loop.m_now,
+            [on_answer, no_answer] { on_answer(no_answer); });
+}
+
+// Tells the node after `delay` that its call has failed.
+template <typename Value>
+void DeliverError(FakeSite& site, FakeSiteNode& node, Duration delay,
+                  const std::function<void(Value)>& on_answer,
+                  const Value& error) {
+  Deliver<Value>(site, node, delay, TimePoint::max(), on_answer, error, error);
+}
+
+Duration DrawStoreDelay(FakeSite& site) {
+  return DelayBetween(site.m_loop, std::chrono::milliseconds(1),
+                      std::chrono::milliseconds(5));
+}
+
+/// Applies a call to the store model and returns the answer to the node, with
+/// the faults of the site.
+template <typename Value>
+void CallStore(FakeSite& site, FakeSiteNode& node,
+               StoreCallback<Value> on_answer,
+               std::function<Result<Value>()> effect,
+               Duration timeout = kStoreTimeout) {
+  using Answer = Result<Value>;
+  const Answer no_answer = NoAnswerError("store");
+  if (IsStoreUnreachable(site, node) && site.m_faults.m_is_store_unresponsive) {
+    return DeliverError(site, node, timeout, on_answer, no_answer);
+  }
+  if (IsStoreUnreachable(site, node)) {
+    return DeliverError<Answer>(site, node, DrawStoreDelay(site), on_answer,
+                                StoreDownError());
+  }
+  if (Chance(site.m_loop, site.m_faults.m_late_effect_probability)) {
+    RunAfter(site.m_loop,
+             DelayBetween(site.m_loop, std::chrono::seconds(1),
+                          std::chrono::seconds(6)),
+             [effect] { static_cast<void>(effect()); });
+    return DeliverError(site, node, timeout, on_answer, no_answer);
+  }
+  const bool is_lost =
+      Chance(site.m_loop, site.m_faults.m_answer_loss_probability);
+  const TimePoint deadline = site.m_loop.m_now + timeout;
+  RunAfter(site.m_loop, DrawStoreDelay(site),
+           [&site, &node, on_answer, effect, is_lost, deadline, no_answer] {
+             const Answer result = effect();
+             if (is_lost) {
+               return DeliverError(site, node, deadline - site.m_loop.m_now,
+                                   on_answer, no_answer);
+             }
+             Deliver<Answer>(site, node, DrawStoreDelay(site), deadline,
+                             on_answer, result, no_answer);
+           });
+}
+
+/// Answers a watch once there are changes, or at `until`.
+void WaitForChanges(FakeSite& site, FakeSiteNode& node,
+                    const std::string& prefix, StoreRevision after,
+                    TimePoint until,
+                    const StoreCallback<StoreChanges>& answer) {
+  using Answer = Result<StoreChanges>;
+  const Answer no_answer = NoAnswerError("store");
+  const TimePoint deadline = until + kWatchTimeoutMargin;
+  if (IsStoreUnreachable(site, node)) {
+    return DeliverError<Answer>(site, node, kStoreDownAnswerTime, answer,
+                                StoreDownError());
+  }
+  if (site.m_loop.m_now < site.m_faults.m_watches_unanswered_until) {
+    return DeliverError(site, node, deadline - site.m_loop.m_now, answer,
+                        no_answer);
+  }
+  const Answer changes = ChangesAfter(site.m_store, prefix, after);
+  const bool is_over = !changes || !changes.assume_value().m_changes.empty() ||
+                       site.m_loop.m_now >= until;
+  if (is_over) {
+    return Deliver(site, node, DrawStoreDelay(site), deadline, answer, changes,
+                   no_answer);
+  }
+  constexpr Duration kPollInterval = std::chrono::milliseconds(3);
+  RunAtNode(site, node, kPollInterval,
+            [&site, &node, prefix, after, until, answer] {
+              WaitForChanges(site, node, prefix, after, until, answer);
+            });
+}
+
+/// What happens to an order and to its answer on the network.
+enum class OrderDelivery { kUnreachable, kLate, kAnswerLost, kNormal };
+
+OrderDelivery DrawOrderDelivery(FakeSite& site, const FakeSiteNode& node,
+                                const FleetWorkerModel& worker) {
+  if (!worker.m_is_up ||
+      node.m_unreachable_workers.count(worker.m_listing.m_worker) > 0) {
+    return OrderDelivery::kUnreachable;
+  }
+  if (Chance(site.m_loop, site.m_faults.m_late_order_probability))
+    return OrderDelivery::kLate;
+  if (Chance(site.m_loop, site.m_faults.m_order_answer_loss_probability))
+    return OrderDelivery::kAnswerLost;
+  return OrderDelivery::kNormal;
+}
+
+Duration DrawOrderDelay(FakeSite& site) {
+  return DelayBetween(site.m_loop, std::chrono::microseconds(300),
+                      std::chrono::microseconds(4000));
+}
+
+template <typename Order, typename Answer>
+void SendToWorker(FakeSite& site, FakeSiteNode& node, const Order& order,
+                  std::function<void(Answer)> on_answer, Answer no_answer,
+                  Duration timeout = kOrderTimeout) {
+  const auto found = site.m_workers.find(order.m_worker);
+  if (found == site.m_workers.end()) {
+    return DeliverError(site, node, timeout, on_answer, no_answer);
+  }
+  FleetWorkerModel& worker = *found->second;
+  const OrderDelivery delivery = DrawOrderDelivery(site, node, worker);
+  // Each order has a delay of its own, as on separate connections, so orders
+  // may overtake each other.
+  Duration delay = DrawOrderDelay(site);
+  if (delivery == OrderDelivery::kLate) {
+    delay = DelayBetween(site.m_loop, std::chrono::seconds(2),
+                         std::chrono::seconds(12));
+  }
+  if (delivery != OrderDelivery::kNormal) {
+    DeliverError(site, node, timeout, on_answer, no_answer);
+  }
+  if (delivery == OrderDelivery::kUnreachable) return;
+  const TimePoint deadline = site.m_loop.m_now + timeout;
+  RunAfter(
+      site.m_loop, delay,
+      [&site, &node, &worker, order, on_answer, no_answer, delivery, deadline] {
+        const TimePoint now = site.m_loop.m_now;
+        const bool is_normal = delivery == OrderDelivery::kNormal;
+        if (!worker.m_is_up) {
+          if (!is_normal) return;
+          return DeliverError(site, node, deadline - now, on_answer, no_answer);
+        }
+        const Answer answer = Receive(worker, order, now);
+        if (!is_normal) return;
+        Deliver(site, node, DrawOrderDelay(site), deadline, on_answer, answer,
+                no_answer);
+      });
+}
+
+/// Sends a poll to the worker as soon as the worker has an ended run that the
+/// node has not acknowledged, or at `until`.
+void PollWhenDue(FakeSite& site, FakeSiteNode& node, const PollOrder& order,
+                 const std::function<void(Result<WorkerReport>)>& on_answer,
+                 TimePoint until) {
+  const auto found = site.m_workers.find(order.m_worker);
+  const bool has_outcome =
+      found != site.m_workers.end() &&
+      std::any_of(found->second->m_ended.begin(), found->second->m_ended.end(),
+                  [&order](const EndedRun& ended_run) {
+                    return ended_run.m_number > order.m_acknowledged;
+                  });
+  if (has_outcome || site.m_loop.m_now >= until) {
+    return SendToWorker<PollOrder, Result<WorkerReport>>(
+        site, node, order, on_answer, NoAnswerError(order.m_worker.value()),
+        std::max(until, site.m_loop.m_now) + kOrderTimeout - site.m_loop.m_now);
+  }
+  constexpr Duration kStep = std::chrono::milliseconds(10);
+  RunAtNode(site, node, kStep, [&site, &node, order, on_answer, until] {
+    PollWhenDue(site, node, order, on_answer, until);
+  });
+}
+
+}  // namespace
+
+TimePoint HandledAt(const FakeSiteNode& node, TimePoint at) {
+  return std::max(at + node.m_loop_delay, node.m_backlog_until);
+}
+
+void RunAtNode(FakeSite& site, FakeSiteNode& node, Duration delay,
+               std::function<void()> run) {
+  RunAfter(site.m_loop, delay, [&node, run = std::move(run)] {
+    if (node.m_is_alive) run();
+  });
+}
+
+Store MakeStore(FakeSite& site, FakeSiteNode& node) {
+  Store store;
+  store.m_read = [&site, &node](const std::string& key, ReadFreshness,
+                                auto on_answer) {
+    CallStore<std::optional<StoredItem>>(
+        site, node, on_answer,
+        [&site, key]() -> Result<std::optional<StoredItem>> {
+          const auto found = site.m_store.m_entries.find(key);
+          if (found == site.m_store.m_entries.end()) {
+            return std::optional<StoredItem>();
+          }
+          return std::optional<StoredItem>(
+              {key, found->second.m_value, found->second.m_revision});
+        });
+  };
+  store.m_list = [&site, &node](const std::string& prefix, Duration timeout,
+                                auto on_answer) {
+    const Duration transfer = site.m_faults.m_list_duration;
+    if (transfer > timeout) {
+      return DeliverError<Result<StoreListing>>(site, node, timeout, on_answer,
+                                                NoAnswerError("store"));
+    }
+    if (transfer > Duration{}) {
+      return RunAtNode(site, node, transfer, [&site, prefix, on_answer] {
+        on_answer(List(site.m_store, prefix));
+      });
+    }
+    CallStore<StoreListing>(
+        site, node, on_answer,
+        [&site, prefix]() -> Result<StoreListing> {
+          return List(site.m_store, prefix);
+        },
+        timeout);
+  };
+  store.m_watch = [&site, &node](const std::string& prefix, StoreRevision after,
+                                 Duration wait, auto on_answer) {
+    WaitForChanges(site, node, prefix, after, site.m_loop.m_now + wait,
+                   on_answer);
+  };
+  store.m_commit = [&site, &node](const StoreTransaction& transaction,
+                                  auto on_answer) {
+    CallStore<TransactionResult>(
+        site, node, on_answer,
+        [&site, transaction]() -> Result<TransactionResult> {
+          return Apply(site.m_store, transaction);
+        });
+  };
+  store.m_grant_lease = [&site, &node](Duration term, auto on_answer) {
+    CallStore<StoreLeaseId>(
+        site, node, on_answer, [&site, term]() -> Result<StoreLeaseId> {
+          return GrantLease(site.m_store, term, site.m_loop.m_now);
+        });
+  };
+  store.m_renew_lease = [&site, &node](StoreLeaseId lease, auto on_answer) {
+    CallStore<StoreLeaseId>(site, node, on_answer, [&site, lease] {
+      return RenewLease(site.m_store, lease, site.m_loop.m_now);
+    });
+  };
+  store.m_revoke_lease = [&site, &node](StoreLeaseId lease, auto on_answer) {
+    CallStore<StoreLeaseId>(site, node, on_answer,
+                            [&site, lease]() -> Result<StoreLeaseId> {
+                              RevokeLease(site.m_store, lease);
+                              return lease;
+                            });
+  };
+  return store;
+}
+
+OrderSender MakeOrderSender(FakeSite& site, FakeSiteNode& node) {
+  OrderSender sender;
+  sender.m_start = [&site, &node](const std::string&, const StartOrder& order,
+                                  auto on_answer) {
+    SendToWorker<StartOrder, StartOutcome>(site, node, order, on_answer,
+                                           StartOutcome::kUnanswered);
+  };
+  sender.m_stop = [&site, &node](const std::string&, const StopOrder& order,
+                                 auto on_answer) {
+    SendToWorker<StopOrder, Result<void>>(
+        site, node, order, on_answer, NoAnswerError(order.m_worker.value()));
+  };
+  sender.m_throttle = [&site, &node](const std::string&,
+                                     const ThrottleOrder& order,
+                                     auto on_answer) {
+    SendToWorker<ThrottleOrder, Result<void>>(
+        site, node, order, on_answer, NoAnswerError(order.m_worker.value()));
+  };
+  sender.m_poll = [&site, &node](const std::string&, const PollOrder& order,
+                                 auto on_answer) {
+    PollWhenDue(site, node, order, on_answer, site.m_loop.m_now + order.m_wait);
+  };
+  return sender;
+}
+
+}  // namespace daisyarch::fleet
