fleet: Score a step's workers once in a placement pass

A profile of the leader of a site with 490 workers showed a third of its time in PlaceRuns.

Each task of a step scored all workers again, each comparison with a serving task looked up a pair of image names, every pass copied the waiting steps, and steps that find no room were tried on every worker.

A step now scores its workers once and keeps the candidates in a heap. After a start only the chosen worker is scored again, and the best candidate is checked again, since trials elsewhere can rule it out. Serving images have numbers, so that effects and trials are looked up once per pass and image. Room that no worker of the pool has is recorded; later steps that need as much are skipped.

--- a/benchmarks/main.cc
+++ b/benchmarks/main.cc
@@ -2,6 +2,7 @@
 #include <string>
 
 #include "bench_table.h"
+#include "fleet_bench.h"
 #include "flood_bench.h"
 #include "log/log.h"
 #include "membership_bench.h"
@@ -20,6 +21,7 @@
   daisyarch::BenchMembership(table);
   daisyarch::BenchHeartbeats(table);
   daisyarch::BenchPlacement(table);
+  daisyarch::BenchFleet(table);
   daisyarch::BenchStoreCalls(table);
   daisyarch::BenchMessages(table);
   daisyarch::BenchChart(table);
--- a/libraries/decisions/fleet/choose_worker.cc
+++ b/libraries/decisions/fleet/choose_worker.cc
@@ -1,6 +1,10 @@
 #include "decisions/fleet/choose_worker.h"
 
 #include <algorithm>
+#include <limits>
+#include <tuple>
+
+#include "decisions/fleet/share_worker.h"
 
 namespace daisyarch::fleet {
 
@@ -18,8 +22,6 @@
 // A best-effort task waits for a worker whose idle processors cover at least
 // this share of its demand.
 constexpr std::int64_t kMinimumIdlePercentOfDemand = 60;
-// Maximum number of workers that try an unknown pair of images at a time.
-constexpr int kMaximumTrialsPerPair = 2;
 
 bool HasLabel(const Worker& worker, const std::string& label) {
   const auto& labels = worker.m_listing.m_labels;
@@ -58,6 +60,21 @@
          busy;
 }
 
+Room RoomOf(const Worker& worker) {
+  const Resources& capacity = worker.m_listing.m_capacity;
+  return {{capacity.m_processors - worker.m_used.m_processors,
+           capacity.m_memory - worker.m_used.m_memory,
+           capacity.m_accelerators - worker.m_used.m_accelerators},
+          Millicores(IdleProcessors(worker))};
+}
+
+bool Covers(const Room& room, const Room& needed) {
+  return needed.m_free.m_processors <= room.m_free.m_processors &&
+         needed.m_free.m_memory <= room.m_free.m_memory &&
+         needed.m_free.m_accelerators <= room.m_free.m_accelerators &&
+         needed.m_idle <= room.m_idle;
+}
+
 std::int64_t FitScore(const Worker& worker, const StepPlan& step) {
   const std::int64_t whole = std::max<std::int64_t>(
       1, worker.m_listing.m_capacity.m_processors.value());
@@ -96,20 +113,26 @@
 
 // Prefers workers that few best-effort images can share, so that the other
 // workers stay free for images that fit nowhere else.
-std::int64_t BestEffortScore(const Fleet& fleet, const Worker& worker) {
-  const double open =
-      1.0 - IncompatibleShare(fleet.m_interference, worker.m_serving);
+std::int64_t BestEffortScore(const Fleet& fleet, UsableWorker& usable) {
+  const ServingImages& serving = usable.m_worker->m_serving;
+  if (usable.m_serving_images != serving.size()) {
+    usable.m_serving_images = serving.size();
+    usable.m_incompatible_share =
+        IncompatibleShare(fleet.m_interference, serving);
+  }
+  const double open = 1.0 - usable.m_incompatible_share;
   return static_cast<std::int64_t>(open * kInterferencePenalty);
 }
 
-std::int64_t Score(const Fleet& fleet, const Worker& worker,
+std::int64_t Score(const Fleet& fleet, UsableWorker& usable,
                    const StepPlan& step) {
+  const Worker& worker = *usable.m_worker;
   std::int64_t score = FitScore(worker, step);
   if (!step.m_data_rack.empty() && !HasLabel(worker, step.m_data_rack)) {
     score += kRemoteDataPenalty;
   }
   if (step.m_processor_use == ProcessorUse::kBestEffort) {
-    return score + BestEffortScore(fleet, worker);
+    return score + BestEffortScore(fleet, usable);
   }
   if (step.m_latency_target > Duration{}) {
     return score + ServingScore(fleet, worker, step);
@@ -117,89 +140,97 @@
   return score;
 }
 
-void CountTrials(PlacementPass& pass) {
-  pass.m_has_trials = true;
-  for (const auto& entry : pass.m_fleet.m_workers) {
-    const Worker& worker = entry.second;
-    for (const auto& best_effort_image : worker.m_best_effort_images) {
-      for (const auto& serving : worker.m_serving) {
-        ++pass.m_trials[{serving.first, best_effort_image.first}];
-      }
-    }
-  }
-}
-
-bool MayTryPair(PlacementPass& pass, const Worker& worker,
-                const StepPlan& step) {
-  if (worker.m_best_effort_images.count(step.m_image) > 0) return false;
-  if (!pass.m_has_trials) CountTrials(pass);
-  return std::none_of(
-      worker.m_serving.begin(), worker.m_serving.end(),
-      [&](const auto& serving) {
-        const auto found = pass.m_trials.find({serving.first, step.m_image});
-        return found != pass.m_trials.end() &&
-               found->second >= kMaximumTrialsPerPair;
-      });
-}
-
-const std::vector<ServingHeadroom>& HeadroomsOf(const Fleet& fleet,
-                                                Worker& worker) {
-  if (worker.m_headrooms.empty()) {
-    worker.m_headrooms = ExpectedHeadrooms(
-        fleet.m_interference, worker.m_serving, worker.m_best_effort_images,
-        worker.m_listing.m_capacity.m_processors);
-  }
-  return worker.m_headrooms;
-}
-
-bool MayShareWorker(PlacementPass& pass, Worker& worker, const StepPlan& step) {
-  if (worker.m_serving.empty()) return true;
-  bool is_certain = true;
-  for (const ServingHeadroom& serving : HeadroomsOf(pass.m_fleet, worker)) {
-    const Compatibility compatibility = CompatibilityOf(
-        pass.m_fleet.m_interference, serving, step.m_image,
-        step.m_demand.m_processors, worker.m_listing.m_capacity.m_processors);
-    if (compatibility == Compatibility::kIncompatible) return false;
-    is_certain = is_certain && compatibility == Compatibility::kCompatible;
-  }
-  return is_certain || MayTryPair(pass, worker, step);
-}
-
-bool CanPlace(PlacementPass& pass, Worker& worker, const StepPlan& step,
+bool CanPlace(PlacementPass& pass, const StepChoice& choice, Worker& worker,
               const TaskReference& task) {
-  if (!Fits(ReservedDemand(step),
-            worker.m_listing.m_capacity - worker.m_used)) {
-    return false;
-  }
+  const StepPlan& step = choice.m_step;
+  if (!Covers(RoomOf(worker), choice.m_need)) return false;
   if (!step.m_required_label.empty() &&
       !HasLabel(worker, step.m_required_label)) {
     return false;
   }
   const bool may_wait = step.m_processor_use == ProcessorUse::kBestEffort &&
                         !pass.m_must_start_job;
-  if (may_wait &&
-      IdleProcessors(worker) * kPercent <
-          step.m_demand.m_processors.value() * kMinimumIdlePercentOfDemand) {
-    return false;
-  }
-  if (may_wait && !MayShareWorker(pass, worker, step)) {
+  if (may_wait && !MayShareWorker(pass, choice, worker)) {
     return false;
   }
   return step.m_maximum_per_worker == 0 ||
          RunsOfStep(worker, task) < step.m_maximum_per_worker;
 }
 
-// Returns whether a worker that cannot take `failed` cannot take `step` either.
+// Best-effort images differ in the serving images that they harm.
+const ImageId& BestEffortImageOf(const StepPlan& step) {
+  static const ImageId none;
+  return step.m_processor_use == ProcessorUse::kBestEffort ? step.m_image
+                                                           : none;
+}
+
+// Returns whether a worker that cannot take `failed` cannot take `step` either;
+// both have the same best-effort image or none.
 bool IsHarderToPlace(const StepPlan& step, const StepPlan& failed) {
-  if (step.m_processor_use != failed.m_processor_use) return false;
-  // Best-effort images differ in the serving images that they harm.
-  const bool is_best_effort = step.m_processor_use == ProcessorUse::kBestEffort;
-  if (is_best_effort && step.m_image != failed.m_image) return false;
-  return Fits(failed.m_demand, step.m_demand);
+  return step.m_processor_use == failed.m_processor_use &&
+         Fits(failed.m_demand, step.m_demand);
+}
+
+// The order of the heap: its top is the best candidate.
+bool IsWorse(const Candidate& left, const Candidate& right) {
+  return std::tie(left.m_score, left.m_index) >
+         std::tie(right.m_score, right.m_index);
+}
+
+void AddCandidate(PlacementPass& pass, StepChoice& choice, std::size_t index,
+                  const TaskReference& task) {
+  UsableWorker& usable = choice.m_pool.m_workers[index];
+  if (!CanPlace(pass, choice, *usable.m_worker, task)) return;
+  const std::int64_t score = Score(pass.m_fleet, usable, choice.m_step);
+  choice.m_candidates.push_back({score, index});
+}
+
+void FindCandidates(PlacementPass& pass, StepChoice& choice,
+                    const TaskReference& task) {
+  choice.m_candidates.clear();
+  choice.m_has_room = false;
+  const auto& workers = choice.m_pool.m_workers;
+  for (std::size_t index = 0; index < workers.size(); ++index) {
+    if (!Covers(workers[index].m_room, choice.m_need)) continue;
+    if (!Covers(RoomOf(*workers[index].m_worker), choice.m_need)) continue;
+    choice.m_has_room = true;
+    AddCandidate(pass, choice, index, task);
+  }
+  std::make_heap(choice.m_candidates.begin(), choice.m_candidates.end(),
+                 IsWorse);
+}
+
+std::size_t TakeBestCandidate(StepChoice& choice) {
+  auto& candidates = choice.m_candidates;
+  std::pop_heap(candidates.begin(), candidates.end(), IsWorse);
+  const std::size_t index = candidates.back().m_index;
+  candidates.pop_back();
+  return index;
+}
+
+// The worker that took the previous task is the best candidate still.
+void UpdateBestCandidate(PlacementPass& pass, StepChoice& choice,
+                         const TaskReference& task) {
+  const std::size_t count = choice.m_candidates.size();
+  AddCandidate(pass, choice, TakeBestCandidate(choice), task);
+  if (choice.m_candidates.size() < count) return;
+  std::push_heap(choice.m_candidates.begin(), choice.m_candidates.end(),
+                 IsWorse);
 }
 
 }  // namespace
 
+PoolInPass& FindPool(PlacementPass& pass, const PoolId& pool) {
+  const auto [entry, is_new] = pass.m_pools.try_emplace(pool);
+  if (is_new) {
+    for (auto& [id, worker] : pass.m_fleet.m_workers) {
+      if (!IsUsable(worker, pool, pass.m_now)) continue;
+      entry->second.m_workers.push_back({&worker, RoomOf(worker)});
+    }
+  }
+  return entry->second;
+}
+
 Resources ReservedDemand(const StepPlan& step) {
   Resources demand = step.m_demand;
   if (step.m_processor_use == ProcessorUse::kBestEffort) {
@@ -208,51 +239,86 @@
   return demand;
 }
 
-Worker* ChooseWorker(PlacementPass& pass, const PoolId& pool,
-                     const StepPlan& step, const TaskReference& task) {
-  Worker* best = nullptr;
-  std::int64_t best_score = 0;
-  for (auto& entry : pass.m_fleet.m_workers) {
-    Worker& worker = entry.second;
-    if (!IsUsable(worker, pool, pass.m_now)) continue;
-    if (!CanPlace(pass, worker, step, task)) continue;
-    const std::int64_t score = Score(pass.m_fleet, worker, step);
-    if (best != nullptr && score >= best_score) continue;
-    best = &worker;
-    best_score = score;
+Room NeededRoom(const StepPlan& step, bool must_start_job) {
+  const bool may_wait =
+      step.m_processor_use == ProcessorUse::kBestEffort && !must_start_job;
+  if (!may_wait) {
+    return {ReservedDemand(step),
+            Millicores(std::numeric_limits<std::int64_t>::min())};
   }
-  return best;
+  const std::int64_t idle_percent =
+      step.m_demand.m_processors.value() * kMinimumIdlePercentOfDemand;
+  // Rounded up.
+  return {ReservedDemand(step),
+          Millicores((idle_percent + kPercent - 1) / kPercent)};
+}
+
+bool IsUnavailable(const PoolInPass& pool, const Room& needed) {
+  return std::any_of(
+      pool.m_unavailable.begin(), pool.m_unavailable.end(),
+      [&needed](const Room& failed) { return Covers(needed, failed); });
+}
+
+void RecordUnavailable(PoolInPass& pool, const Room& needed) {
+  auto& failed = pool.m_unavailable;
+  failed.erase(std::remove_if(failed.begin(), failed.end(),
+                              [&needed](const Room& other) {
+                                return Covers(other, needed);
+                              }),
+               failed.end());
+  failed.push_back(needed);
+}
+
+StepChoice BeginStepChoice(PlacementPass& pass, PoolInPass& pool,
+                           const StepPlan& step) {
+  const bool is_best_effort = step.m_processor_use == ProcessorUse::kBestEffort;
+  return {step, pool, is_best_effort ? &pass.m_images[step.m_image] : nullptr};
 }
 
-void RecordTrial(PlacementPass& pass, const Worker& worker,
-                 const StepPlan& step) {
-  if (!pass.m_has_trials || step.m_processor_use != ProcessorUse::kBestEffort) {
-    return;
+Worker* ChooseNextWorker(PlacementPass& pass, StepChoice& choice,
+                         const TaskReference& task) {
+  auto& candidates = choice.m_candidates;
+  choice.m_need = NeededRoom(choice.m_step, pass.m_must_start_job);
+  if (!choice.m_has_candidates) {
+    FindCandidates(pass, choice, task);
+  } else if (!candidates.empty()) {
+    UpdateBestCandidate(pass, choice, task);
   }
-  for (const auto& serving : worker.m_serving) {
-    ++pass.m_trials[{serving.first, step.m_image}];
+  // The task that starts a job has candidates that the others do not have.
+  choice.m_has_candidates = !pass.m_must_start_job;
+  // Trials on one worker can rule out others.
+  while (!candidates.empty()) {
+    Worker& best =
+        *choice.m_pool.m_workers[candidates.front().m_index].m_worker;
+    if (CanPlace(pass, choice, best, task)) return &best;
+    TakeBestCandidate(choice);
   }
+  return nullptr;
 }
 
-bool IsUnplaceable(const PlacementPass& pass, const PoolId& pool,
-                   const StepPlan& step) {
-  return std::any_of(pass.m_unplaceable.begin(), pass.m_unplaceable.end(),
-                     [&](const auto& failed) {
-                       return failed.first == pool &&
-                              IsHarderToPlace(step, *failed.second);
+Worker* ChooseWorker(PlacementPass& pass, const PoolId& pool,
+                     const StepPlan& step, const TaskReference& task) {
+  StepChoice choice = BeginStepChoice(pass, FindPool(pass, pool), step);
+  return ChooseNextWorker(pass, choice, task);
+}
+
+bool IsUnplaceable(const PoolInPass& pool, const StepPlan& step) {
+  const auto failed = pool.m_unplaceable.find(BestEffortImageOf(step));
+  return failed != pool.m_unplaceable.end() &&
+         std::any_of(failed->second.begin(), failed->second.end(),
+                     [&step](const StepPlan* other) {
+                       return IsHarderToPlace(step, *other);
                      });
 }
 
-void RecordUnplaceable(PlacementPass& pass, const PoolId& pool,
-                       const StepPlan& step) {
-  auto& failed = pass.m_unplaceable;
+void RecordUnplaceable(PoolInPass& pool, const StepPlan& step) {
+  auto& failed = pool.m_unplaceable[BestEffortImageOf(step)];
   failed.erase(std::remove_if(failed.begin(), failed.end(),
-                              [&](const auto& other) {
-                                return other.first == pool &&
-                                       IsHarderToPlace(*other.second, step);
+                              [&step](const StepPlan* other) {
+                                return IsHarderToPlace(*other, step);
                               }),
                failed.end());
-  failed.emplace_back(pool, &step);
+  failed.push_back(&step);
 }
 
 }  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/interference.cc
+++ b/libraries/decisions/fleet/interference.cc
@@ -48,7 +48,8 @@
 
 Estimate EffectOf(const Interference& interference, const ImageId& serving,
                   const ImageId& best_effort_image) {
-  const auto found = interference.m_pairs.find({serving, best_effort_image});
+  const auto found = interference.m_pairs.find(
+      std::pair<const ImageId&, const ImageId&>(serving, best_effort_image));
   return found == interference.m_pairs.end() ? kUnknownEffect : found->second;
 }
 
@@ -175,19 +176,38 @@
   return headrooms;
 }
 
+Compatibility CompatibilityOf(double headroom, const PlannedEffect& effect,
+                              Millicores demand, Millicores capacity) {
+  if (headroom < kPlannedHeadroom) return Compatibility::kIncompatible;
+  if (!effect.m_is_known) return Compatibility::kUncertain;
+  const double left =
+      headroom - effect.m_headroom_loss * ShareOf(demand, capacity);
+  return left < kPlannedHeadroom ? Compatibility::kIncompatible
+                                 : Compatibility::kCompatible;
+}
+
 Compatibility CompatibilityOf(const Interference& interference,
                               const ServingHeadroom& serving,
                               const ImageId& best_effort_image,
                               Millicores demand, Millicores capacity) {
-  if (serving.m_headroom < kPlannedHeadroom)
-    return Compatibility::kIncompatible;
-  const Estimate effect =
-      EffectOf(interference, serving.m_image, best_effort_image);
-  if (effect.m_variance > kKnownPairVariance) return Compatibility::kUncertain;
-  const double left = serving.m_headroom -
-                      ConservativeEffect(effect) * ShareOf(demand, capacity);
-  return left < kPlannedHeadroom ? Compatibility::kIncompatible
-                                 : Compatibility::kCompatible;
+  return CompatibilityOf(
+      serving.m_headroom,
+      PlannedEffectOf(interference, serving.m_image, best_effort_image), demand,
+      capacity);
+}
+
+PlannedEffect PlannedEffectOf(const Interference& interference,
+                              const ImageId& serving,
+                              const ImageId& best_effort_image) {
+  const Estimate effect = EffectOf(interference, serving, best_effort_image);
+  return {ConservativeEffect(effect), effect.m_variance <= kKnownPairVariance};
+}
+
+ServingNumber ServingNumberOf(Interference& interference,
+                              const ImageId& serving) {
+  auto& numbers = interference.m_serving_numbers;
+  return numbers.try_emplace(serving, ServingNumber(numbers.size()))
+      .first->second;
 }
 
 double IncompatibleShare(const Interference& interference,
--- a/libraries/decisions/fleet/interference.h
+++ b/libraries/decisions/fleet/interference.h
@@ -1,36 +1,54 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
 #include "base/ids.h"
 #include "base/quantity.h"
+#include "base/strong_id.h"
 #include "base/time.h"
 
 namespace daisyarch::fleet {
 
+/// Number of a serving image, counted from 0; indexes the effects on it.
+using ServingNumber = StrongId<struct ServingNumberTag, std::size_t>;
+
 /// Mean and variance of a quantity that is learned from noisy samples.
 struct Estimate {
   double m_mean = 0;
   double m_variance = 0;
 };
 
+/// Orders pairs of images; compares with references to images as well, so that
+/// no image is copied to find a pair.
+struct ImagePairOrder {
+  using is_transparent = void;  // NOLINT(readability-identifier-naming)
+  template <typename Left, typename Right>
+  bool operator()(const Left& left, const Right& right) const {
+    return std::tie(left.first, left.second) <
+           std::tie(right.first, right.second);
+  }
+};
+
 /// Learned effects of best-effort tasks on serving tasks. Headroom is the
 /// latency target of a serving task divided by its tail latency. The effects
 /// of several tasks on the headroom add up, those on the tail latency do not.
 struct Interference {
   /// Headroom that a serving image would lose to a best-effort image that used
   /// the whole worker; the serving image comes first in the key.
-  std::map<std::pair<ImageId, ImageId>, Estimate> m_pairs;
+  std::map<std::pair<ImageId, ImageId>, Estimate, ImagePairOrder> m_pairs;
   /// Headroom of serving images without best-effort tasks on the worker.
   std::map<ImageId, Estimate> m_baselines;
   /// Number of best-effort images that each serving image cannot share a worker
   /// with.
   std::map<ImageId, std::uint32_t> m_incompatible_counts;
   std::set<ImageId> m_best_effort_images;  ///< Images that have run.
+  std::map<ImageId, ServingNumber> m_serving_numbers;  ///< Never reused.
 };
 
 /// The tasks of one serving image on one worker.
@@ -61,6 +79,14 @@
 struct ServingHeadroom {
   ImageId m_image;
   double m_headroom = 0;
+  ServingNumber m_number;  ///< Set only in Worker::m_headrooms.
+};
+
+/// Effect of a best-effort image on a serving image that placement plans with.
+struct PlannedEffect {
+  /// Headroom that would be lost if the image used the whole worker.
+  double m_headroom_loss = 0;
+  bool m_is_known = false;
 };
 
 /// Updates the estimates with one sample of a worker.
@@ -93,6 +119,19 @@
                               const ImageId& best_effort_image,
                               Millicores demand, Millicores capacity);
 
+/// The same from an effect that has been looked up.
+Compatibility CompatibilityOf(double headroom, const PlannedEffect& effect,
+                              Millicores demand, Millicores capacity);
+
+/// Returns the effect of one pair of images.
+PlannedEffect PlannedEffectOf(const Interference& interference,
+                              const ImageId& serving,
+                              const ImageId& best_effort_image);
+
+/// Returns the number of the serving image; a new image gets the next one.
+ServingNumber ServingNumberOf(Interference& interference,
+                              const ImageId& serving);
+
 /// Returns the share of the known best-effort images that are incompatible
 /// with the most sensitive of these serving images; 0 to 1.
 double IncompatibleShare(const Interference& interference,
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -2,6 +2,7 @@
 
 #include "decisions/fleet/choose_worker.h"
 #include "decisions/fleet/roster.h"
+#include "decisions/fleet/share_worker.h"
 
 namespace daisyarch::fleet {
 
@@ -52,22 +53,31 @@
           static_cast<std::uint32_t>(index)};
 }
 
+// Reserved tasks are placed regardless of interference anyway.
+bool MustStartJob(const PlacementPass& pass, const Job& job,
+                  const StepPlan& step) {
+  return pass.m_has_ample_capacity && job.m_placed == 0 &&
+         step.m_processor_use == ProcessorUse::kBestEffort;
+}
+
 void PlaceStep(PlacementPass& pass, Job& job, std::size_t step_run_index,
-               const PoolId& pool) {
+               PoolInPass& pool) {
   StepRun& step_run = job.m_steps[step_run_index];
   const StepPlan& step = job.m_plan.m_steps[step_run_index % job.StepCount()];
+  StepChoice choice = BeginStepChoice(pass, pool, step);
   for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
     Task& task = step_run.m_tasks[index];
     if (task.m_state != RunState::kWaiting) continue;
     if (pass.m_starts_left == 0) return;
     const TaskReference reference = ReferenceOf(job, step_run_index, index);
-    pass.m_must_start_job = pass.m_has_ample_capacity && job.m_placed == 0;
-    Worker* worker = ChooseWorker(pass, pool, step, reference);
+    pass.m_must_start_job = MustStartJob(pass, job, step);
+    Worker* worker = ChooseNextWorker(pass, choice, reference);
     if (worker == nullptr) {
+      if (!choice.m_has_room) RecordUnavailable(pool, choice.m_need);
       if (pass.m_must_start_job) break;
       const bool is_plain =
           step.m_required_label.empty() && step.m_maximum_per_worker == 0;
-      if (is_plain) RecordUnplaceable(pass, pool, step);
+      if (is_plain) RecordUnplaceable(pool, step);
       break;
     }
     Start(pass, job, reference, *worker, NextRun(pass.m_fleet, task),
@@ -113,24 +123,27 @@
 
 void PlaceWaiting(PlacementPass& pass, const WaitingSteps& queue) {
   Fleet& fleet = pass.m_fleet;
-  // Placing a step removes it from the set, so a copy is iterated.
-  const std::vector<WaitingSteps::value_type> waiting(queue.begin(),
-                                                      queue.end());
-  for (const auto& [rank, key, step_run_index] : waiting) {
+  // Placing a step removes at most the step itself from the set.
+  for (auto next = queue.begin(); next != queue.end();) {
     if (pass.m_starts_left == 0) return;
+    const auto& [rank, key, step_run_index] = *next++;
     Job* job = FindJob(fleet, key);
     if (pass.m_may_have_inherited_runs && job->m_is_inherited) continue;
-    const PoolId pool = QueueSettingsOf(fleet, *job).m_pool;
+    const PoolId& pool_id = QueueSettingsOf(fleet, *job).m_pool;
+    PoolInPass& pool = FindPool(pass, pool_id);
     const StepPlan& step =
         job->m_plan.m_steps[step_run_index % job->StepCount()];
-    const bool may_wait = !pass.m_has_ample_capacity || job->m_placed > 0;
-    if (may_wait && IsUnplaceable(pass, pool, step)) continue;
+    const bool must_start = MustStartJob(pass, *job, step);
+    if (IsUnavailable(pool, NeededRoom(step, must_start))) continue;
+    if (!must_start && IsUnplaceable(pool, step)) continue;
     if (step.m_is_gang) {
-      PlaceGang(pass, *job, step_run_index, pool);
+      PlaceGang(pass, *job, step_run_index, pool_id);
     } else {
       PlaceStep(pass, *job, step_run_index, pool);
     }
-    UpdateWaitingSteps(fleet, *job, step_run_index);
+    if (job->m_steps[step_run_index].m_waiting == 0) {
+      UpdateWaitingSteps(fleet, *job, step_run_index);
+    }
   }
 }
 
--- a/tests/decisions/fleet/place_runs_test.cc
+++ b/tests/decisions/fleet/place_runs_test.cc
@@ -158,6 +158,24 @@
   CHECK(TakeOrders<StartOrder>(fixture).size() == 1);
 }
 
+TEST_CASE("A best-effort task waits for 60% of its demand to be idle") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(1000));
+  Submit(fixture, MakePlan("reserved", 1, Millicores(800)));
+  fixture.m_fleet.m_orders.clear();
+  JobPlan best_effort = MakePlan("filler", 1, Millicores(1000));
+  best_effort.m_steps.front().m_processor_use = ProcessorUse::kBestEffort;
+  SECTION("600 millicores are needed and idle") {
+    Submit(fixture, best_effort);
+    CHECK(TakeOrders<StartOrder>(fixture).size() == 1);
+  }
+  SECTION("600.6 millicores are needed") {
+    best_effort.m_steps.front().m_demand.m_processors = Millicores(1001);
+    Submit(fixture, best_effort);
+    CHECK(TakeOrders<StartOrder>(fixture).empty());
+  }
+}
+
 namespace {
 
 JobPlan ServingPlan(const std::string& key, const std::string& image) {
