--- a/libraries/decisions/fleet/change_batch.cc
+++ b/libraries/decisions/fleet/change_batch.cc
@@ -26,7 +26,8 @@
     if (worker == nullptr) continue;
     if (worker->m_listing.m_incarnation != applied.m_incarnation) continue;
     worker->m_stored_end = std::max(worker->m_stored_end, applied.m_end);
-    worker->m_next_poll_at = TimePoint();
+    worker->m_next_poll_at =
+        worker->m_clock_read_at + PollSpacing(fleet, *worker);
   }
   for (const JobChange& change : batch.m_jobs) {
     if (change.m_has_ended) RemoveJob(fleet, change.m_key);
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -221,9 +221,13 @@
                        StartOutcome outcome, TimePoint now);
 /// Records that the worker applies the limit that the order sets.
 void ConfirmLimit(Fleet& fleet, const ThrottleOrder& order);
-/// Handles a stop or throttle order with an unknown outcome: raises the
-/// worker's fencing token, so that no order sent earlier can take effect.
-void ApplyOrderFailure(Fleet& fleet, const WorkerId& worker);
+/// Records that the worker may apply another limit than the order's.
+void ForgetLimit(Fleet& fleet, const ThrottleOrder& order);
+/// Handles a stop or throttle order, sent under `token`, with an unknown
+/// outcome: raises the worker's fencing token, so that no order sent earlier
+/// can take effect.
+void ApplyOrderFailure(Fleet& fleet, const WorkerId& worker,
+                       FencingToken token);
 /// Releases due occurrences, refreshes ranks, handles expired leases, and
 /// sends polls that are due and stops that have to be repeated.
 void TickFleet(Fleet& fleet, TimePoint now, std::int64_t unix_ms);
@@ -277,6 +281,11 @@
 WorkerMilliseconds WorkerClockAt(const Worker& worker, TimePoint now);
 /// Returns the time at which the worker's lease has certainly expired.
 TimePoint LeaseEndOf(const Worker& worker);
+/// Stops services and tasks that save their progress on a leaving worker, so
+/// that they restart on another one.
+void EvacuateRuns(Fleet& fleet, Worker& worker, TimePoint now);
+/// Returns the time from the worker's last report to its next poll.
+Duration PollSpacing(const Fleet& fleet, const Worker& worker);
 /// Counts the jobs per queue that have not started and are not cancelled.
 std::map<QueueId, std::uint64_t> CountPending(const Fleet& fleet);
 
--- a/libraries/decisions/fleet/listing.cc
+++ b/libraries/decisions/fleet/listing.cc
@@ -2,11 +2,7 @@
 
 namespace daisyarch::fleet {
 
-namespace {
-
-// Stops services and tasks that save their progress, so that they restart on
-// another worker. They lose nothing by that, and would otherwise end when this
-// worker leaves.
+// They lose nothing by that, and would otherwise end when this worker leaves.
 void EvacuateRuns(Fleet& fleet, Worker& worker, TimePoint now) {
   const std::set<TaskReference> runs = worker.m_runs;
   for (const TaskReference& reference : runs) {
@@ -21,8 +17,6 @@
   }
 }
 
-}  // namespace
-
 void ApplyListing(Fleet& fleet, const std::vector<ListedWorker>& listing,
                   TimePoint asked_at, TimePoint now) {
   fleet.m_listed_at = asked_at;
--- a/libraries/decisions/fleet/load_control.cc
+++ b/libraries/decisions/fleet/load_control.cc
@@ -11,12 +11,14 @@
 constexpr Duration kPunctualGap = std::chrono::milliseconds(100);
 // Hysteresis: passes grow below the first gap and shrink above the second,
 // which leaves several turns of the loop to renew a claim of 2 s.
-constexpr Duration kGrowBelowGap = std::chrono::milliseconds(200);
-constexpr Duration kShrinkAboveGap = std::chrono::milliseconds(400);
+constexpr Duration kGrowBelowGap = std::chrono::milliseconds(100);
+constexpr Duration kShrinkAboveGap = std::chrono::milliseconds(250);
 constexpr std::size_t kMinimumStartsPerPass = 16;
 constexpr std::size_t kMaximumStartsPerPass = 128;
-// Leaves time to extend a lease of 4 s at every second poll.
-constexpr Duration kMaximumPollSpacing = std::chrono::milliseconds(800);
+constexpr Duration kMaximumPollSpacing = std::chrono::milliseconds(400);
+// With less of its lease left, a worker is polled at once. Covers a poll
+// without an answer and the one after it.
+constexpr WorkerMilliseconds kMinimumLeaseLeft{2500};
 
 }  // namespace
 
@@ -33,4 +35,10 @@
                              : Duration{};
 }
 
+Duration PollSpacing(const Fleet& fleet, const Worker& worker) {
+  const bool has_time =
+      worker.m_lease_until - worker.m_clock >= kMinimumLeaseLeft;
+  return has_time ? fleet.m_poll_spacing : Duration{};
+}
+
 }  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -13,6 +13,7 @@
 constexpr std::int64_t kAmpleCapacityPercent = 60;
 constexpr std::int64_t kPercent = 100;
 // Best-effort tasks run for seconds, so this delay of their start costs little.
+constexpr std::size_t kBestEffortDivisor = 4;
 constexpr Duration kBestEffortPassInterval = std::chrono::milliseconds(50);
 
 void Start(PlacementPass& pass, Job& job, const TaskReference& reference,
@@ -167,15 +168,21 @@
   if (listing_age > fleet.m_limits.m_maximum_listing_age) return false;
   PlacementPass pass{fleet, now, MayHaveInheritedRuns(fleet, now),
                      HasAmpleCapacity(fleet)};
-  pass.m_starts_left = fleet.m_limits.m_starts_per_pass;
+  const std::size_t starts = fleet.m_limits.m_starts_per_pass;
+  const std::size_t best_effort_starts = starts / kBestEffortDivisor;
+  pass.m_starts_left = starts - best_effort_starts;
   PlaceWaiting(pass, fleet.m_waiting_reserved);
-  if (pass.m_starts_left > 0 && now >= fleet.m_next_best_effort_pass_at) {
+  bool is_finished = pass.m_starts_left > 0;
+  if (now >= fleet.m_next_best_effort_pass_at) {
+    pass.m_starts_left += best_effort_starts;
     PlaceWaiting(pass, fleet.m_waiting_best_effort);
     if (pass.m_starts_left > 0) {
       fleet.m_next_best_effort_pass_at = now + kBestEffortPassInterval;
+    } else {
+      is_finished = false;
     }
   }
-  fleet.m_needs_placement = pass.m_starts_left == 0;
+  fleet.m_needs_placement = !is_finished;
   return fleet.m_needs_placement;
 }
 
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -50,18 +50,14 @@
   return true;
 }
 
-// Only the earlier leader knew the limit of an adopted run. The processor use
-// shows how much the task may work at present; near its full demand, it is not
-// limited.
-void AssumeLimit(Task& task, const StepPlan& step, const ActiveRun& active) {
+// Only the earlier leader knew the limit of an adopted run, unless the task
+// uses nearly all of its demand and so has none.
+void ForgetLimit(Task& task, const StepPlan& step, const ActiveRun& active) {
   if (step.m_processor_use != ProcessorUse::kBestEffort) return;
-  const std::int64_t demand =
-      std::max<std::int64_t>(1, step.m_demand.m_processors.value());
-  const std::int64_t used_percent =
-      std::clamp<std::int64_t>(active.m_load * kPercent / demand, 0, kPercent);
-  if (used_percent >= kUnlimitedUsePercent) return;
-  task.m_processor_limit_percent = static_cast<std::uint8_t>(used_percent);
-  task.m_is_limit_confirmed = false;
+  const bool is_unlimited =
+      active.m_load * kPercent >=
+      step.m_demand.m_processors.value() * kUnlimitedUsePercent;
+  task.m_is_limit_confirmed = is_unlimited;
 }
 
 void StopUnknownRun(Fleet& fleet, Worker& worker, const ActiveRun& active) {
@@ -100,7 +96,7 @@
     if (!AdoptRun(fleet, *job, *task, worker, active.m_task, active.m_run)) {
       return StopUnknownRun(fleet, worker, active);
     }
-    AssumeLimit(*task, job->m_plan.m_steps[active.m_task.m_step], active);
+    ForgetLimit(*task, job->m_plan.m_steps[active.m_task.m_step], active);
   }
   if (task->m_start_confirmation != StartConfirmation::kConfirmed) {
     RecordStart(fleet, *job, *task, active.m_task, now);
@@ -212,6 +208,15 @@
   return true;
 }
 
+// Raises the worker's token, unless it has been raised since the order was sent
+// and the report under it is still to come.
+void FenceUnanswered(Fleet& fleet, Worker& worker, FencingToken token) {
+  const bool is_fenced =
+      worker.m_state == WorkerState::kUnverified && token < worker.m_token;
+  if (is_fenced) return;
+  StepWorker(fleet, worker, WorkerEvent::kOrderUnanswered);
+}
+
 // Aggregates the reported loads of the runs by image.
 void AggregateLoads(Fleet& fleet, Worker& worker) {
   std::map<ImageId, std::vector<double>> tail_latencies;
@@ -314,8 +319,9 @@
   // next poll waits until these can be acknowledged.
   const bool has_unstored_ends = worker->m_stored_end < worker->m_applied_end;
   worker->m_next_poll_at =
-      now + std::max(fleet.m_poll_spacing,
+      now + std::max(PollSpacing(fleet, *worker),
                      has_unstored_ends ? kUnstoredPollInterval : Duration{});
+  if (worker->m_listing.m_is_leaving) EvacuateRuns(fleet, *worker, now);
   AggregateLoads(fleet, *worker);
   worker->m_headrooms.clear();
   if (HasSteadyBestEffort(fleet, *worker, now)) {
@@ -360,15 +366,16 @@
       if (task->m_start_confirmation == StartConfirmation::kConfirmed) break;
       task->m_start_confirmation = StartConfirmation::kUnconfirmed;
       StepTask(fleet, *job, order.m_task, RunEvent::kStartUnanswered);
-      StepWorker(fleet, *worker, WorkerEvent::kOrderUnanswered);
+      FenceUnanswered(fleet, *worker, order.m_token);
       break;
   }
 }
 
-void ApplyOrderFailure(Fleet& fleet, const WorkerId& worker_id) {
+void ApplyOrderFailure(Fleet& fleet, const WorkerId& worker_id,
+                       FencingToken token) {
   Worker* worker = FindWorker(fleet, worker_id);
   if (worker == nullptr) return;
-  StepWorker(fleet, *worker, WorkerEvent::kOrderUnanswered);
+  FenceUnanswered(fleet, *worker, token);
 }
 
 }  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/throttle_best_effort.cc
+++ b/libraries/decisions/fleet/throttle_best_effort.cc
@@ -187,15 +187,30 @@
   }
 }
 
-void ConfirmLimit(Fleet& fleet, const ThrottleOrder& order) {
+namespace {
+
+// Returns the task if the order's run is its present one; nullptr otherwise.
+Task* FindLimitedTask(Fleet& fleet, const ThrottleOrder& order) {
   Job* job = nullptr;
   Task* task = FindTask(fleet, order.m_task, job);
-  if (task == nullptr || task->m_run != order.m_run ||
-      task->m_worker != order.m_worker) {
+  const bool is_present = task != nullptr && task->m_run == order.m_run &&
+                          task->m_worker == order.m_worker;
+  return is_present ? task : nullptr;
+}
+
+}  // namespace
+
+void ConfirmLimit(Fleet& fleet, const ThrottleOrder& order) {
+  Task* task = FindLimitedTask(fleet, order);
+  if (task == nullptr || task->m_processor_limit_percent != order.m_percent) {
     return;
   }
-  if (task->m_processor_limit_percent != order.m_percent) return;
   task->m_is_limit_confirmed = true;
 }
 
+void ForgetLimit(Fleet& fleet, const ThrottleOrder& order) {
+  Task* task = FindLimitedTask(fleet, order);
+  if (task != nullptr) task->m_is_limit_confirmed = false;
+}
+
 }  // namespace daisyarch::fleet
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -237,6 +237,7 @@
   if (fleet.m_needs_placement && leader->m_has_worker_listing &&
       began_at >= leader->m_next_placement_at && leader->m_may_start_runs()) {
     has_unfinished_pass = PlaceRuns(fleet, began_at);
+    SendOrders(leader);
     // Leaves at least half of the loop's time to everything else.
     const TimePoint ended_at = Now(*leader);
     leader->m_next_placement_at = ended_at + (ended_at - began_at);
--- a/services/daisyarchd/fleet/leader_orders.cc
+++ b/services/daisyarchd/fleet/leader_orders.cc
@@ -58,7 +58,7 @@
     return HandleFencedOrder(*self, worker, token);
   }
   if (result.assume_error().m_code == ErrorCode::kUnavailable) return;
-  ApplyOrderFailure(self->m_fleet, worker);
+  ApplyOrderFailure(self->m_fleet, worker, token);
   RequestSchedulingPass(self);
 }
 
@@ -78,7 +78,12 @@
       AddressOf(*leader, order.m_worker), order,
       [weak, order](const Result<void>& result) {
         const LeaderPointer self = weak.lock();
-        if (self && result) ConfirmLimit(self->m_fleet, order);
+        if (!self) return;
+        if (result) {
+          ConfirmLimit(self->m_fleet, order);
+        } else {
+          ForgetLimit(self->m_fleet, order);
+        }
         HandleOrderResult(weak, order.m_worker, order.m_token, result);
       });
 }
--- a/tests/decisions/fleet/backlog_test.cc
+++ b/tests/decisions/fleet/backlog_test.cc
@@ -70,8 +70,9 @@
   }
   CHECK(limits.m_starts_per_pass > 0);
   CHECK(limits.m_starts_per_pass < kMaximumStartsPerTurn / 4);
-  // A lease of 4 s still covers two polls, each of which waits up to 1 s.
-  CHECK(fixture.m_fleet.m_poll_spacing <= std::chrono::seconds(1));
+  // A lease of 4 s still covers a poll that waits 1 s, one without an answer
+  // for 1.7 s, and a third.
+  CHECK(fixture.m_fleet.m_poll_spacing <= std::chrono::milliseconds(500));
   CHECK(fixture.m_fleet.m_poll_spacing > Duration{});
   for (int tick = 0; tick < kTicks; ++tick) {
     AdaptToLoop(fixture.m_fleet, std::chrono::milliseconds(40));
@@ -80,20 +81,57 @@
   CHECK(fixture.m_fleet.m_poll_spacing == Duration{});
 }
 
+// Guards against best-effort work that waits while reserved work keeps coming.
+TEST_CASE("Reserved tasks leave some starts of a pass to best-effort tasks") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, kWorkers, kWorkerProcessors);
+  AddJob(fixture.m_fleet, MakePlan("reserved", kTasks, kTaskProcessors), {},
+         fixture.m_now);
+  JobPlan filler = MakePlan("best-effort", kTasks, Millicores(100));
+  filler.m_steps.front().m_processor_use = ProcessorUse::kBestEffort;
+  Submit(fixture, filler);
+  std::size_t best_effort = 0;
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  for (const StartOrder& start : starts) {
+    if (start.m_task.m_job == JobKey("best-effort")) ++best_effort;
+  }
+  CHECK(starts.size() <= kMaximumStartsPerTurn);
+  CHECK(best_effort > 0);
+  CHECK(best_effort < starts.size() / 2);
+}
+
 // Guards against a leader whose polls alone occupy its loop.
-TEST_CASE("A busy leader spaces its polls") {
+TEST_CASE("A busy leader spaces its polls, also after ended runs") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, kWorkerProcessors);
   Submit(fixture, MakePlan("job", 2, kTaskProcessors));
   const auto starts = TakeOrders<StartOrder>(fixture);
   REQUIRE(starts.size() == 2);
-  fixture.m_fleet.m_poll_spacing = std::chrono::milliseconds(500);
+  fixture.m_fleet.m_poll_spacing = std::chrono::milliseconds(400);
   Wait(fixture, std::chrono::milliseconds(10));
-  Report(fixture, "w0", {ActiveRunOf(starts[0]), ActiveRunOf(starts[1])}, {});
+  Report(fixture, "w0", {ActiveRunOf(starts[0])},
+         {EndedRunOf(starts[1], 1, RunOutcome::kDone)});
+  ApplyStoredBatch(fixture.m_fleet, TakeChanges(fixture.m_fleet));
   fixture.m_fleet.m_orders.clear();
-  Wait(fixture, std::chrono::milliseconds(400));
+  Wait(fixture, std::chrono::milliseconds(350));
   CHECK(TakeOrders<PollOrder>(fixture).empty());
-  Wait(fixture, std::chrono::milliseconds(200));
+  Wait(fixture, std::chrono::milliseconds(100));
+  CHECK(TakeOrders<PollOrder>(fixture).size() == 1);
+}
+
+TEST_CASE("A busy leader extends a lease that ends soon at once") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kWorkerProcessors);
+  Submit(fixture, MakePlan("job", 1, kTaskProcessors));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  fixture.m_fleet.m_poll_spacing = std::chrono::milliseconds(400);
+  Wait(fixture, std::chrono::milliseconds(10));
+  // The poll took 2 s to answer, so that 2 s are left of the lease.
+  fixture.m_now += std::chrono::seconds(2);
+  Report(fixture, "w0", {ActiveRunOf(starts[0])}, {});
+  fixture.m_fleet.m_orders.clear();
+  Wait(fixture, std::chrono::milliseconds(10));
   CHECK(TakeOrders<PollOrder>(fixture).size() == 1);
 }
 
--- a/tests/decisions/fleet/plain_placement.cc
+++ b/tests/decisions/fleet/plain_placement.cc
@@ -7,6 +7,7 @@
 namespace {
 
 // The values that placement uses.
+constexpr std::size_t kBestEffortPercentOfStarts = 25;
 constexpr std::int64_t kRemoteDataPenalty = 4000;
 constexpr std::int64_t kInterferencePenalty = 2000;
 constexpr std::int64_t kFitScale = 1000;
@@ -258,8 +259,11 @@
 
 void PlaceRunsPlainly(Fleet& fleet, TimePoint now) {
   PlainPass pass{fleet, now, HasAmpleReserve(fleet)};
-  pass.m_starts_left = fleet.m_limits.m_starts_per_pass;
+  const std::size_t best_effort_starts =
+      fleet.m_limits.m_starts_per_pass * kBestEffortPercentOfStarts / 100;
+  pass.m_starts_left = fleet.m_limits.m_starts_per_pass - best_effort_starts;
   PlaceWaiting(pass, fleet.m_waiting_reserved);
+  pass.m_starts_left += best_effort_starts;
   PlaceWaiting(pass, fleet.m_waiting_best_effort);
 }
 
--- a/tests/decisions/fleet/processor_limit_test.cc
+++ b/tests/decisions/fleet/processor_limit_test.cc
@@ -80,6 +80,24 @@
   CHECK(OrdersAfterReport(fixture, run, 1900).empty());
 }
 
+TEST_CASE("An order of unknown outcome makes its task's limit unknown") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(10000));
+  Submit(fixture, MakeBestEffortPlan("filler"));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  ApplyStartOutcome(fixture.m_fleet, starts[0], StartOutcome::kStarted,
+                    fixture.m_now);
+  const ActiveRun run = ActiveRunOf(starts[0]);
+  REQUIRE(OrdersAfterReport(fixture, run, 1900).empty());
+  ThrottleOrder late;
+  late.m_worker = starts[0].m_worker;
+  late.m_task = starts[0].m_task;
+  late.m_run = starts[0].m_run;
+  ForgetLimit(fixture.m_fleet, late);
+  CHECK(OrdersAfterReport(fixture, run, 1900).size() == 1);
+}
+
 TEST_CASE("The answer to an order for another limit confirms nothing") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, Millicores(10000));
--- a/tests/decisions/fleet/reports_test.cc
+++ b/tests/decisions/fleet/reports_test.cc
@@ -192,6 +192,48 @@
   CHECK(stops[0].m_task.m_job == JobKey("serving"));
 }
 
+// Guards against a takeover after which nothing leaves the worker: the run is
+// adopted after the listing that says that the worker is leaving.
+TEST_CASE("Adopted serving tasks move off a worker that is leaving") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(2000));
+  JobPlan serving = MakePlan("serving", 1, kCore);
+  serving.m_steps.front().m_kind = StepKind::kService;
+  AddJob(fixture.m_fleet, serving, {}, fixture.m_now);
+  ListedWorker leaving = FindWorker(fixture.m_fleet, WorkerId("w0"))->m_listing;
+  leaving.m_is_leaving = true;
+  ApplyListing(fixture.m_fleet, {leaving}, fixture.m_now, fixture.m_now);
+  ActiveRun adopted;
+  adopted.m_task.m_job = JobKey("serving");
+  adopted.m_run = RunNumber(7);
+  Wait(fixture, std::chrono::seconds(11));
+  Report(fixture, "w0", {adopted}, {});
+  CHECK(TakeOrders<StopOrder>(fixture).size() == 1);
+}
+
+// Guards against a worker that a late loop keeps unverified: each of several
+// unanswered orders discarded the poll that was to resolve them all.
+TEST_CASE("Unanswered orders under an older token keep the poll in flight") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(3000));
+  Submit(fixture, MakePlan("job", 3, kCore));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 3);
+  ApplyStartOutcome(fixture.m_fleet, starts[0], StartOutcome::kUnanswered,
+                    fixture.m_now);
+  Wait(fixture, std::chrono::milliseconds(10));
+  REQUIRE(TakeOrders<PollOrder>(fixture).size() == 1);
+  ApplyStartOutcome(fixture.m_fleet, starts[1], StartOutcome::kUnanswered,
+                    fixture.m_now);
+  ApplyOrderFailure(fixture.m_fleet, WorkerId("w0"), starts[2].m_token);
+  Wait(fixture, std::chrono::milliseconds(10));
+  CHECK(TakeOrders<PollOrder>(fixture).empty());
+  Report(fixture, "w0", {ActiveRunOf(starts[2])}, {});
+  CHECK(TaskOf(fixture, starts[0].m_task).m_state == RunState::kWaiting);
+  CHECK(TaskOf(fixture, starts[1].m_task).m_state == RunState::kWaiting);
+  CHECK(TaskOf(fixture, starts[2].m_task).m_state == RunState::kRunning);
+}
+
 TEST_CASE("A worker with repeated failures is quarantined") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, Millicores(3000));
