--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -52,7 +52,8 @@
 
 // Only the earlier leader knew the limit of an adopted run, unless the task
 // uses nearly all of its demand and so has none.
-void ForgetLimit(Task& task, const StepPlan& step, const ActiveRun& active) {
+void CheckAdoptedLimit(Task& task, const StepPlan& step,
+                       const ActiveRun& active) {
   if (step.m_processor_use != ProcessorUse::kBestEffort) return;
   const bool is_unlimited =
       active.m_load * kPercent >=
@@ -96,7 +97,7 @@
     if (!AdoptRun(fleet, *job, *task, worker, active.m_task, active.m_run)) {
       return StopUnknownRun(fleet, worker, active);
     }
-    ForgetLimit(*task, job->m_plan.m_steps[active.m_task.m_step], active);
+    CheckAdoptedLimit(*task, job->m_plan.m_steps[active.m_task.m_step], active);
   }
   if (task->m_start_confirmation != StartConfirmation::kConfirmed) {
     RecordStart(fleet, *job, *task, active.m_task, now);
