fleet: Read a long backlog in parts

Cause: a new leader read all jobs and their progress in one turn of the loop. On nodes of 0.1 core, seven times slower, that took longer than the claim's 2 s, and leaders claimed every 5 s without ever loading. A leader also let its passes grow before it had measured its loop.

Change: 32 items a turn, and no adaption before the first measurement.

"A new leader reads a long backlog in parts" fails at 300 jobs in one turn without the change.

--- a/libraries/decisions/fleet/load_control.cc
+++ b/libraries/decisions/fleet/load_control.cc
@@ -23,6 +23,7 @@
 }  // namespace
 
 void AdaptToLoop(Fleet& fleet, Duration tick_gap) {
+  if (tick_gap == Duration{}) return;
   std::size_t& starts = fleet.m_limits.m_starts_per_pass;
   if (tick_gap > kShrinkAboveGap) {
     starts = std::max(kMinimumStartsPerPass, starts / 2);
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -22,6 +22,7 @@
 constexpr Duration kListingRetryDelay = std::chrono::milliseconds(100);
 // The gap between ticks is averaged over about this many.
 constexpr int kGapSamples = 4;
+constexpr std::size_t kLoadedItemsPerTurn = 32;
 const std::string kCancelSuffix = "/cancel";
 
 TimePoint Now(const Leader& leader) { return leader.m_runtime.m_clock.m_now(); }
@@ -144,46 +145,56 @@
       });
 }
 
+// What the store holds of the jobs, while it is added to the fleet in parts.
 struct LoadedState {
   StoreListing m_jobs;
+  StoreListing m_progress_items;
+  std::size_t m_next_progress_item = 0;
+  std::size_t m_next_job = 0;
   std::map<JobKey, JobProgress> m_progress;
 };
 
-void DecodeProgressItems(Leader& leader, const StoreListing& listing,
-                         LoadedState& loaded) {
-  for (const StoredItem& item : listing.m_items) {
-    const JobKey key(item.m_key.substr(kProgressPrefix.size()));
-    leader.m_progress_revisions[key] = item.m_revision;
-    auto progress =
-        DecodeCbor<JobProgress>(item.m_value, "read progress", item.m_key);
-    if (!progress) {
-      LogError("progress_unreadable", progress.assume_error());
-      continue;
-    }
-    if (progress.assume_value().m_ended_unix_ms > 0) {
-      leader.m_ended_unix_ms[key] = progress.assume_value().m_ended_unix_ms;
-    }
-    loaded.m_progress[key] = std::move(progress).assume_value();
+void DecodeProgressItem(Leader& leader, const StoredItem& item,
+                        LoadedState& loaded) {
+  const JobKey key(item.m_key.substr(kProgressPrefix.size()));
+  leader.m_progress_revisions[key] = item.m_revision;
+  auto progress =
+      DecodeCbor<JobProgress>(item.m_value, "read progress", item.m_key);
+  if (!progress)
+    return LogError("progress_unreadable", progress.assume_error());
+  if (progress.assume_value().m_ended_unix_ms > 0) {
+    leader.m_ended_unix_ms[key] = progress.assume_value().m_ended_unix_ms;
   }
+  loaded.m_progress[key] = std::move(progress).assume_value();
 }
 
-void AddLoadedJobs(Leader& leader, const LoadedState& loaded) {
-  for (const StoredItem& item : loaded.m_jobs.m_items) {
-    if (IsCancelKey(item.m_key)) {
-      leader.m_cancelled_jobs.insert(JobKeyOfItem(item.m_key));
+void AddLoadedJob(Leader& leader, const StoredItem& item,
+                  const LoadedState& loaded) {
+  if (IsCancelKey(item.m_key)) return;
+  const JobKey key = JobKeyOfItem(item.m_key);
+  if (leader.m_ended_unix_ms.count(key) > 0) return;
+  const auto progress = loaded.m_progress.find(key);
+  AddStoredJob(
+      leader, item.m_key, item.m_value,
+      progress == loaded.m_progress.end() ? JobProgress() : progress->second);
+  Job* job = FindJob(leader.m_fleet, key);
+  if (job != nullptr) job->m_is_inherited = true;
+}
+
+// Adds the next part of the state; returns whether all of it is added.
+bool AddLoadedPart(Leader& leader, LoadedState& loaded) {
+  const auto& progress_items = loaded.m_progress_items.m_items;
+  const auto& jobs = loaded.m_jobs.m_items;
+  for (std::size_t count = 0; count < kLoadedItemsPerTurn; ++count) {
+    if (loaded.m_next_progress_item < progress_items.size()) {
+      DecodeProgressItem(leader, progress_items[loaded.m_next_progress_item++],
+                         loaded);
+    } else if (loaded.m_next_job < jobs.size()) {
+      AddLoadedJob(leader, jobs[loaded.m_next_job++], loaded);
     }
   }
-  for (const StoredItem& item : loaded.m_jobs.m_items) {
-    if (IsCancelKey(item.m_key)) continue;
-    const JobKey key = JobKeyOfItem(item.m_key);
-    if (leader.m_ended_unix_ms.count(key) > 0) continue;
-    const auto progress = loaded.m_progress.find(key);
-    AddStoredJob(
-        leader, item.m_key, item.m_value,
-        progress == loaded.m_progress.end() ? JobProgress() : progress->second);
-    Job* job = FindJob(leader.m_fleet, key);
-    if (job != nullptr) job->m_is_inherited = true;
-  }
+  return loaded.m_next_progress_item == progress_items.size() &&
+         loaded.m_next_job == jobs.size();
 }
 
 void LoadRoster(const LeaderPointer& leader, std::function<void()> on_loaded) {
@@ -208,6 +219,22 @@
       });
 }
 
+// The claim has to be renewed meanwhile, so each part takes a turn of the loop.
+void AddLoadedState(const LeaderPointer& leader,
+                    const std::shared_ptr<LoadedState>& loaded,
+                    std::function<void()> on_loaded) {
+  if (AddLoadedPart(*leader, *loaded)) {
+    StartJobsWatch(leader, loaded->m_jobs.m_as_of);
+    return LoadRoster(leader, std::move(on_loaded));
+  }
+  const std::weak_ptr<Leader> weak = leader;
+  leader->m_runtime.m_clock.m_defer(
+      [weak, loaded, on_loaded = std::move(on_loaded)]() mutable {
+        const LeaderPointer self = weak.lock();
+        if (self) AddLoadedState(self, loaded, std::move(on_loaded));
+      });
+}
+
 void LoadProgress(const LeaderPointer& leader, StoreListing jobs,
                   std::function<void()> on_loaded) {
   const std::weak_ptr<Leader> weak = leader;
@@ -218,12 +245,15 @@
         const LeaderPointer self = weak.lock();
         if (!self) return;
         if (!result) return self->m_on_claim_lost("cannot read job progress");
-        LoadedState loaded;
-        loaded.m_jobs = std::move(jobs);
-        DecodeProgressItems(*self, result.assume_value(), loaded);
-        AddLoadedJobs(*self, loaded);
-        StartJobsWatch(self, loaded.m_jobs.m_as_of);
-        LoadRoster(self, std::move(on_loaded));
+        auto loaded = std::make_shared<LoadedState>();
+        loaded->m_jobs = std::move(jobs);
+        loaded->m_progress_items = std::move(result).assume_value();
+        for (const StoredItem& item : loaded->m_jobs.m_items) {
+          if (IsCancelKey(item.m_key)) {
+            self->m_cancelled_jobs.insert(JobKeyOfItem(item.m_key));
+          }
+        }
+        AddLoadedState(self, loaded, std::move(on_loaded));
       });
 }
 
@@ -256,8 +286,10 @@
   if (leader.m_ticked_at != TimePoint()) {
     const Duration gap = now - leader.m_ticked_at;
     leader.m_longest_tick_gap = std::max(leader.m_longest_tick_gap, gap);
+    const bool is_first = leader.m_tick_gap == Duration{};
     leader.m_tick_gap =
-        (leader.m_tick_gap * (kGapSamples - 1) + gap) / kGapSamples;
+        is_first ? gap
+                 : (leader.m_tick_gap * (kGapSamples - 1) + gap) / kGapSamples;
   }
   leader.m_ticked_at = now;
 }
--- a/tests/decisions/fleet/backlog_test.cc
+++ b/tests/decisions/fleet/backlog_test.cc
@@ -60,6 +60,9 @@
   FleetFixture fixture;
   FleetLimits& limits = fixture.m_fleet.m_limits;
   constexpr int kTicks = 10;
+  const std::size_t initial = limits.m_starts_per_pass;
+  AdaptToLoop(fixture.m_fleet, Duration{});
+  CHECK(limits.m_starts_per_pass == initial);
   for (int tick = 0; tick < kTicks; ++tick) {
     AdaptToLoop(fixture.m_fleet, std::chrono::milliseconds(40));
   }
--- a/tests/invariants/take_over_test.cc
+++ b/tests/invariants/take_over_test.cc
@@ -79,4 +79,39 @@
   CHECK(has_leader);
 }
 
+// Guards against leaders that lose their claims in turn, each while it reads a
+// long backlog in one turn of its loop.
+TEST_CASE("A new leader reads a long backlog in parts") {
+  constexpr int kBacklog = 300;
+  constexpr std::size_t kMaximumJobsPerTurn = 64;
+  FakeSite site(1);
+  BuildSite(site);
+  for (int number = 0; number < kBacklog; ++number) {
+    SubmitToSite(site, *site.m_nodes[0], MakeTestJob(number, 8));
+  }
+  RunFor(site.m_loop, std::chrono::seconds(1));
+  FakeSiteNode* leader = FindLeader(site);
+  REQUIRE(leader != nullptr);
+  KillSiteNode(site, *leader);
+  std::size_t known = 0;
+  std::size_t most_in_one_turn = 0;
+  site.m_loop.m_check = [&] {
+    std::size_t jobs = 0;
+    for (const auto& node : site.m_nodes) {
+      if (!node->m_is_alive || !node->m_node->m_leader) continue;
+      jobs = node->m_node->m_leader->m_fleet.m_jobs.size();
+    }
+    if (jobs > known)
+      most_in_one_turn = std::max(most_in_one_turn, jobs - known);
+    known = jobs;
+  };
+  const bool has_leader =
+      RunUntilTrue(site.m_loop, std::chrono::seconds(7),
+                   [&site] { return FindLeader(site) != nullptr; });
+  site.m_loop.m_check = nullptr;
+  REQUIRE(has_leader);
+  CHECK(known > kBacklog / 2);
+  CHECK(most_in_one_turn <= kMaximumJobsPerTurn);
+}
+
 }  // namespace daisyarch::fleet
