--- a/tests/decisions/fleet/processor_limit_test.cc
+++ b/tests/decisions/fleet/processor_limit_test.cc
@@ -17,6 +17,17 @@
   return plan;
 }
 
+// Starts a best-effort task on the only worker.
+StartOrder StartFiller(FleetFixture& fixture) {
+  AddReadyWorkers(fixture, 1, Millicores(10000));
+  Submit(fixture, MakeBestEffortPlan("filler"));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  ApplyStartOutcome(fixture.m_fleet, starts[0], StartOutcome::kStarted,
+                    fixture.m_now);
+  return starts[0];
+}
+
 // Lets the worker report the run at this processor use, and returns the orders
 // that follow.
 std::vector<ThrottleOrder> OrdersAfterReport(FleetFixture& fixture,
@@ -54,14 +65,9 @@
 // was taken as applied and not sent again.
 TEST_CASE("A limit whose order has failed is sent again") {
   FleetFixture fixture;
-  AddReadyWorkers(fixture, 1, Millicores(10000));
-  Submit(fixture, MakeBestEffortPlan("filler"));
-  const auto starts = TakeOrders<StartOrder>(fixture);
-  REQUIRE(starts.size() == 1);
-  ApplyStartOutcome(fixture.m_fleet, starts[0], StartOutcome::kStarted,
-                    fixture.m_now);
-  TaskOf(fixture, starts[0].m_task).m_processor_limit_percent = 0;
-  const ActiveRun run = ActiveRunOf(starts[0]);
+  const StartOrder start = StartFiller(fixture);
+  TaskOf(fixture, start.m_task).m_processor_limit_percent = 0;
+  const ActiveRun run = ActiveRunOf(start);
   ThrottleOrder last;
   int failed = 0;
   // The worker refuses every order until the leader believes in no limit.
@@ -82,32 +88,22 @@
 
 TEST_CASE("An order of unknown outcome makes its task's limit unknown") {
   FleetFixture fixture;
-  AddReadyWorkers(fixture, 1, Millicores(10000));
-  Submit(fixture, MakeBestEffortPlan("filler"));
-  const auto starts = TakeOrders<StartOrder>(fixture);
-  REQUIRE(starts.size() == 1);
-  ApplyStartOutcome(fixture.m_fleet, starts[0], StartOutcome::kStarted,
-                    fixture.m_now);
-  const ActiveRun run = ActiveRunOf(starts[0]);
+  const StartOrder start = StartFiller(fixture);
+  const ActiveRun run = ActiveRunOf(start);
   REQUIRE(OrdersAfterReport(fixture, run, 1900).empty());
   ThrottleOrder late;
-  late.m_worker = starts[0].m_worker;
-  late.m_task = starts[0].m_task;
-  late.m_run = starts[0].m_run;
+  late.m_worker = start.m_worker;
+  late.m_task = start.m_task;
+  late.m_run = start.m_run;
   ForgetLimit(fixture.m_fleet, late);
   CHECK(OrdersAfterReport(fixture, run, 1900).size() == 1);
 }
 
 TEST_CASE("The answer to an order for another limit confirms nothing") {
   FleetFixture fixture;
-  AddReadyWorkers(fixture, 1, Millicores(10000));
-  Submit(fixture, MakeBestEffortPlan("filler"));
-  const auto starts = TakeOrders<StartOrder>(fixture);
-  REQUIRE(starts.size() == 1);
-  ApplyStartOutcome(fixture.m_fleet, starts[0], StartOutcome::kStarted,
-                    fixture.m_now);
-  TaskOf(fixture, starts[0].m_task).m_processor_limit_percent = 0;
-  const ActiveRun run = ActiveRunOf(starts[0]);
+  const StartOrder start = StartFiller(fixture);
+  TaskOf(fixture, start.m_task).m_processor_limit_percent = 0;
+  const ActiveRun run = ActiveRunOf(start);
   auto sent = OrdersAfterReport(fixture, run, 0);
   REQUIRE(sent.size() == 1);
   sent[0].m_percent = 0;
