tests: Check again that plain reports are spaced

A comment on the bound of starts named a duration that no run had shown; it names the design's limit now.

The program is unchanged.

--- a/tests/decisions/fleet/backlog_test.cc
+++ b/tests/decisions/fleet/backlog_test.cc
@@ -11,8 +11,7 @@
 constexpr Millicores kTaskProcessors{6400};
 constexpr int kWorkers = 100;
 constexpr int kTasks = 600;
-// Sending more orders in one turn takes the smallest nodes longer than half of
-// the claim's lease.
+// The most that DESIGN allows, so that the claim is renewed between two turns.
 constexpr std::size_t kMaximumStartsPerTurn = 128;
 
 }  // namespace
@@ -104,6 +103,22 @@
 }
 
 // Guards against a leader whose polls alone occupy its loop.
+TEST_CASE("A busy leader spaces its polls") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kWorkerProcessors);
+  Submit(fixture, MakePlan("job", 2, kTaskProcessors));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 2);
+  fixture.m_fleet.m_poll_spacing = std::chrono::milliseconds(500);
+  Wait(fixture, std::chrono::milliseconds(10));
+  Report(fixture, "w0", {ActiveRunOf(starts[0]), ActiveRunOf(starts[1])}, {});
+  fixture.m_fleet.m_orders.clear();
+  Wait(fixture, std::chrono::milliseconds(400));
+  CHECK(TakeOrders<PollOrder>(fixture).empty());
+  Wait(fixture, std::chrono::milliseconds(200));
+  CHECK(TakeOrders<PollOrder>(fixture).size() == 1);
+}
+
 TEST_CASE("A busy leader spaces its polls, also after ended runs") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, kWorkerProcessors);
