--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -82,6 +82,8 @@
   WorkerMilliseconds m_clock;  ///< Its clock at the answer.
   std::vector<ActiveRun> m_running;
   std::vector<EndedRun> m_ended;
+  /// False if the worker may have ended runs after those in `m_ended`.
+  bool m_lists_all_ends = true;
 };
 
 /// The leader's state of one worker.
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -147,6 +147,12 @@
   if (task == nullptr) return;
   if (!IsRunOnWorker(*task, worker, ended.m_run) &&
       !AdoptRun(fleet, *job, *task, worker, ended.m_task, ended.m_run)) {
+    if (ended.m_outcome == RunOutcome::kDone &&
+        task->m_state != RunState::kDone) {
+      fleet.m_events.push_back({"done_run_ignored", ended.m_task.m_job,
+                                worker.m_listing.m_worker, ended.m_run,
+                                Duration{}});
+    }
     return RecordSupersededFailure(fleet, *job, *task, ended);
   }
   if (!ended.m_checkpoint.empty()) task->m_checkpoint = ended.m_checkpoint;
@@ -183,6 +189,9 @@
       continue;
     }
     if (task->m_started_at >= worker.m_poll_sent_at) continue;
+    fleet.m_events.push_back({"run_missing", reference.m_job,
+                              worker.m_listing.m_worker, task->m_run,
+                              worker.m_clock_read_at - task->m_started_at});
     StepTask(fleet, *job, reference, RunEvent::kInterrupted);
   }
 }
@@ -270,6 +279,9 @@
   const bool was_known = worker.m_listing.m_incarnation != Incarnation();
   worker.m_listing.m_incarnation = incarnation;
   if (!was_known) return;
+  fleet.m_events.push_back({"worker_restarted", JobKey(),
+                            worker.m_listing.m_worker, RunNumber(),
+                            worker.m_poll_sent_at - worker.m_clock_read_at});
   worker.m_applied_end = worker.m_stored_end = worker.m_acknowledged_end =
       OutcomeNumber();
   worker.m_has_clock = false;
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -129,8 +129,14 @@
 void InterruptRuns(WorkerContext& context) {
   const std::set<TaskReference> runs = context.m_worker.m_runs;
   for (const TaskReference& reference : runs) {
-    Job* job = FindJob(context.m_fleet, reference.m_job);
-    if (job == nullptr) continue;
+    Job* job = nullptr;
+    const Task* task = FindTask(context.m_fleet, reference, job);
+    if (task == nullptr) continue;
+    if (task->m_start_confirmation == StartConfirmation::kUnconfirmed) {
+      context.m_fleet.m_events.push_back({"start_abandoned", reference.m_job,
+                                          task->m_worker, task->m_run,
+                                          Duration{}});
+    }
     StepTask(context.m_fleet, *job, reference, RunEvent::kInterrupted);
   }
 }
