fleet: Acknowledge ended runs only to the incarnation that listed them

Every poll carried the number of the last stored end. A worker that has restarted under its id numbers its ends anew, so the first poll that reached it made it forget runs that the leader had not seen. They were then missing from the report, counted as gone, and started again, although their ends had been acknowledged. Ends in the report that first showed the new incarnation were not applied either.

Change: a poll acknowledges only while the last report listed ended runs and every call since then was answered, so the first poll after any failure acknowledges nothing. Ended runs are applied from every report, whatever its token.

Evidence: "A poll acknowledges only ended runs that the last report listed" and "The first report of a new incarnation counts its ended runs" failed before and pass.

--- a/libraries/decisions/fleet/fleet_timers.cc
+++ b/libraries/decisions/fleet/fleet_timers.cc
@@ -12,13 +12,21 @@
 // Poll interval of a worker that runs nothing.
 constexpr Duration kIdlePollInterval = std::chrono::seconds(10);
 
+bool HasEndsToAcknowledge(const Worker& worker) {
+  return worker.m_first_listed_end != OutcomeNumber() &&
+         worker.m_first_listed_end <= worker.m_stored_end;
+}
+
 void SendPoll(Fleet& fleet, Worker& worker, TimePoint now) {
   PollOrder poll;
   poll.m_worker = worker.m_listing.m_worker;
   poll.m_poll_number = ++worker.m_poll_number;
   poll.m_token = worker.m_token;
-  poll.m_acknowledged = worker.m_stored_end;
-  worker.m_acknowledged_end = worker.m_stored_end;
+  // A worker that has restarted numbers its ended runs anew, so it would forget
+  // ended runs that it has not reported.
+  if (worker.m_is_incarnation_confirmed && HasEndsToAcknowledge(worker)) {
+    poll.m_acknowledged = worker.m_stored_end;
+  }
   // The lease of a worker that does not answer is not extended: an unanswered
   // poll may still have reached it, so the leader could never be sure that the
   // lease has expired.
@@ -77,10 +85,10 @@
     AbandonExpiredStarts(fleet, worker, now);
   }
   if (worker.m_is_polling || now < worker.m_next_poll_at) return false;
-  const bool has_ends = worker.m_acknowledged_end < worker.m_stored_end;
   const bool is_idle = worker.m_state == WorkerState::kReady &&
                        worker.m_runs.empty() && worker.m_unknown_runs == 0;
-  if (is_idle && !has_ends && now - worker.m_poll_sent_at < kIdlePollInterval) {
+  if (is_idle && !HasEndsToAcknowledge(worker) &&
+      now - worker.m_poll_sent_at < kIdlePollInterval) {
     return false;
   }
   SendPoll(fleet, worker, now);
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -107,10 +107,12 @@
   TimePoint m_poll_sent_at{};
   TimePoint m_next_poll_at{};
 
-  OutcomeNumber m_applied_end;  ///< The last ended run that was applied.
-  OutcomeNumber m_stored_end;   ///< Ended runs up to here are stored.
-  OutcomeNumber
-      m_acknowledged_end;  ///< Sent to the worker with the latest poll.
+  OutcomeNumber m_applied_end;       ///< The last ended run that was applied.
+  OutcomeNumber m_stored_end;        ///< Ended runs up to here are stored.
+  OutcomeNumber m_first_listed_end;  ///< In its last report; 0: none.
+  /// The latest answer to a poll came from this incarnation, and every order
+  /// since then was answered.
+  bool m_is_incarnation_confirmed = false;
 
   bool m_has_clock = false;    ///< This incarnation has reported its clock.
   WorkerMilliseconds m_clock;  ///< As last reported.
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -186,6 +186,19 @@
   }
 }
 
+// An ended run stays ended, whatever token the poll carried.
+void ApplyEndedRuns(Fleet& fleet, Worker& worker, const WorkerReport& report,
+                    TimePoint now) {
+  for (const EndedRun& ended : report.m_ended) {
+    if (ended.m_number <= worker.m_applied_end) continue;
+    ApplyEndedRun(fleet, worker, ended, now);
+    worker.m_applied_end = ended.m_number;
+  }
+  worker.m_first_listed_end = report.m_ended.empty()
+                                  ? OutcomeNumber()
+                                  : report.m_ended.front().m_number;
+}
+
 // A run whose start was confirmed before the poll was sent, and that the report
 // lists neither as active nor as ended, is gone.
 void InterruptMissingRuns(Fleet& fleet, Worker& worker,
@@ -295,7 +308,7 @@
   fleet.m_events.push_back({"worker_restarted", JobKey(),
                             worker.m_listing.m_worker, RunNumber(),
                             worker.m_poll_sent_at - worker.m_clock_read_at});
-  worker.m_applied_end = worker.m_stored_end = worker.m_acknowledged_end =
+  worker.m_applied_end = worker.m_stored_end = worker.m_first_listed_end =
       OutcomeNumber();
   worker.m_has_clock = false;
   worker.m_clock = worker.m_lease_until = WorkerMilliseconds();
@@ -321,6 +334,8 @@
   worker->m_next_poll_at = now;
   const Incarnation before = worker->m_listing.m_incarnation;
   UpdateIncarnation(fleet, *worker, report.m_incarnation, now);
+  ApplyEndedRuns(fleet, *worker, report, now);
+  worker->m_is_incarnation_confirmed = true;
   // A new incarnation is polled again under its new token.
   if (before != Incarnation() && before != worker->m_listing.m_incarnation) {
     return;
@@ -330,11 +345,6 @@
   worker->m_has_clock = true;
   if (token != worker->m_token) return;
   worker->m_unknown_runs = 0;
-  for (const EndedRun& ended : report.m_ended) {
-    if (ended.m_number <= worker->m_applied_end) continue;
-    ApplyEndedRun(fleet, *worker, ended, now);
-    worker->m_applied_end = ended.m_number;
-  }
   for (const ActiveRun& active : report.m_running) {
     ApplyActiveRun(fleet, *worker, active, now);
   }
@@ -368,6 +378,7 @@
   Worker* worker = FindWorker(fleet, worker_id);
   if (worker == nullptr || poll != worker->m_poll_number) return;
   worker->m_is_polling = false;
+  worker->m_is_incarnation_confirmed = false;
   worker->m_next_poll_at = now + kPollRetryInterval;
   StepWorker(fleet, *worker, WorkerEvent::kPollFailed);
 }
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -123,6 +123,7 @@
   Worker& worker = context.m_worker;
   worker.m_token = Next(worker.m_token);
   worker.m_is_polling = false;
+  worker.m_is_incarnation_confirmed = false;
   worker.m_next_poll_at = TimePoint();
 }
 
--- a/tests/decisions/fleet/run_once_test.cc
+++ b/tests/decisions/fleet/run_once_test.cc
@@ -86,8 +86,7 @@
 
 // Guards against an acknowledgement that makes a restarted worker forget ended
 // runs that the leader has not seen.
-TEST_CASE("A poll acknowledges only ended runs that the last report listed",
-          "[!shouldfail]") {
+TEST_CASE("A poll acknowledges only ended runs that the last report listed") {
   FleetFixture fixture;
   const StartOrder start = StartOne(fixture, 1, 2);
   Confirm(fixture, start);
@@ -110,8 +109,7 @@
 
 // Guards against an ended run of a new incarnation that is acknowledged or lost
 // before it counts.
-TEST_CASE("The first report of a new incarnation counts its ended runs",
-          "[!shouldfail]") {
+TEST_CASE("The first report of a new incarnation counts its ended runs") {
   FleetFixture fixture;
   const StartOrder start = StartOne(fixture, 1, 2);
   Confirm(fixture, start);
