fleet: Count a done run of a task that waits

A done run that was not the task's current one changed nothing, and the next poll acknowledged it; the waiting task then started again. The same made a gang wait forever: one member was lost with its worker, another was reported as done, and neither could start again.

Change: a done run of a waiting task makes the task done, and a done member of a gang also its waiting members. While a later run is active, that run decides, and the event done_run_ignored tells of it.

Evidence: "A done run counts although its worker had counted as lapsed" and "A gang is done once a member is, also after another was lost" failed before and pass.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -60,7 +60,7 @@
       job.m_steps[StepRunIndex(job, ended.m_occurrence, ended.m_step)];
   for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
     Task& task = step_run.m_tasks[index];
-    if (!IsPlaced(task.m_state)) continue;
+    if (!IsPlaced(task.m_state) && task.m_state != RunState::kWaiting) continue;
     TaskReference member = ended;
     member.m_index = static_cast<std::uint32_t>(index);
     StepTask(fleet, job, member, RunEvent::kCompleted);
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -136,15 +136,25 @@
                             Duration{}});
 }
 
+// A done run that was taken as interrupted makes a waiting task done. While a
+// later run is active, that run decides: its worker's lease has expired, so the
+// done run may not be relied on.
+void ApplySupersededDone(Fleet& fleet, Job& job, Task& task,
+                         const Worker& worker, const EndedRun& ended) {
+  if (task.m_state == RunState::kWaiting && ended.m_run <= task.m_run) {
+    StepTask(fleet, job, ended.m_task, RunEvent::kCompleted);
+  } else if (IsPlaced(task.m_state)) {
+    fleet.m_events.push_back({"done_run_ignored", ended.m_task.m_job,
+                              worker.m_listing.m_worker, ended.m_run,
+                              Duration{}});
+  }
+}
+
 // The failure of a run that a later run has replaced still counts as an
 // attempt.
 void RecordSupersededFailure(Fleet& fleet, Job& job, Task& task,
                              const EndedRun& ended) {
-  if (ended.m_outcome != RunOutcome::kFailed || task.m_state == RunState::kDone)
-    return;
-  if (job.m_plan.m_steps[ended.m_task.m_step].m_kind == StepKind::kService) {
-    return;
-  }
+  if (task.m_state == RunState::kDone) return;
   if (ended.m_run >= task.m_run || !RecordFailedRun(task, ended.m_run)) return;
   MarkChanged(fleet, job);
   const bool is_waiting = task.m_state == RunState::kWaiting;
@@ -153,6 +163,19 @@
   }
 }
 
+// Applies the end of a run that is not the task's current one.
+void ApplySupersededEnd(Fleet& fleet, Job& job, Task& task,
+                        const Worker& worker, const EndedRun& ended) {
+  if (job.m_plan.m_steps[ended.m_task.m_step].m_kind == StepKind::kService) {
+    return;
+  }
+  if (ended.m_outcome == RunOutcome::kDone) {
+    ApplySupersededDone(fleet, job, task, worker, ended);
+  } else if (ended.m_outcome == RunOutcome::kFailed) {
+    RecordSupersededFailure(fleet, job, task, ended);
+  }
+}
+
 void ApplyEndedRun(Fleet& fleet, Worker& worker, const EndedRun& ended,
                    TimePoint now) {
   Job* job = nullptr;
@@ -160,13 +183,7 @@
   if (task == nullptr) return;
   if (!IsRunOnWorker(*task, worker, ended.m_run) &&
       !AdoptRun(fleet, *job, *task, worker, ended.m_task, ended.m_run)) {
-    if (ended.m_outcome == RunOutcome::kDone &&
-        task->m_state != RunState::kDone) {
-      fleet.m_events.push_back({"done_run_ignored", ended.m_task.m_job,
-                                worker.m_listing.m_worker, ended.m_run,
-                                Duration{}});
-    }
-    return RecordSupersededFailure(fleet, *job, *task, ended);
+    return ApplySupersededEnd(fleet, *job, *task, worker, ended);
   }
   if (!ended.m_checkpoint.empty()) task->m_checkpoint = ended.m_checkpoint;
   UpdateQuarantine(fleet, worker, ended.m_outcome, now);
--- a/tests/decisions/fleet/run_once_test.cc
+++ b/tests/decisions/fleet/run_once_test.cc
@@ -147,8 +147,7 @@
 
 // Guards against a done run that is acknowledged without having counted, after
 // which the task starts again.
-TEST_CASE("A done run counts although its worker had counted as lapsed",
-          "[!shouldfail]") {
+TEST_CASE("A done run counts although its worker had counted as lapsed") {
   FleetFixture fixture;
   const StartOrder start = StartOne(fixture, 1, 2);
   Confirm(fixture, start);
@@ -160,8 +159,7 @@
 
 // Guards against a gang that can neither end nor start again: one member's
 // worker was lost before another member's worker reported the gang as done.
-TEST_CASE("A gang is done once a member is, also after another was lost",
-          "[!shouldfail]") {
+TEST_CASE("A gang is done once a member is, also after another was lost") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 2, kCore);
   JobPlan plan = MakePlan("job", 2, kCore);
