fleet: Await the lease that another leader granted

After a takeover, the leader knew of no lease of a worker until its second poll. If an order failed at once, as when a connection is reset, the worker counted as lapsed after 100 ms, and the runs that it had just reported were started elsewhere while the earlier leader's lease let them go on. The deadline of a start that reached a new incarnation of a worker was unknown in the same way.

Change: the first report with active runs sets the longest lease as the one to await.

Evidence: "An earlier leader's lease is awaited after the first report" failed before and passes.

--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -216,6 +216,18 @@
                                   : report.m_ended.front().m_number;
 }
 
+// Another leader, or a deadline on the clock of an earlier incarnation, may
+// have granted the lease of runs that the worker reports before this leader has
+// granted any.
+void ExtendUnknownLease(const Fleet& fleet, Worker& worker,
+                        const WorkerReport& report) {
+  if (report.m_running.empty()) return;
+  if (worker.m_lease_until != WorkerMilliseconds()) return;
+  worker.m_lease_until =
+      report.m_clock +
+      WorkerMilliseconds(ToMilliseconds(fleet.m_limits.m_longest_lease));
+}
+
 // A run whose start was confirmed before the poll was sent, and that the report
 // lists neither as active nor as ended, is gone.
 void InterruptMissingRuns(Fleet& fleet, Worker& worker,
@@ -361,6 +373,7 @@
   worker->m_clock_read_at = now;
   worker->m_has_clock = true;
   if (token != worker->m_token) return;
+  ExtendUnknownLease(fleet, *worker, report);
   worker->m_unknown_runs = 0;
   for (const ActiveRun& active : report.m_running) {
     ApplyActiveRun(fleet, *worker, active, now);
--- a/tests/decisions/fleet/run_once_test.cc
+++ b/tests/decisions/fleet/run_once_test.cc
@@ -182,8 +182,7 @@
 
 // Guards against a run of an earlier leader that counts as ended while that
 // leader's lease lets it continue.
-TEST_CASE("An earlier leader's lease is awaited after the first report",
-          "[!shouldfail]") {
+TEST_CASE("An earlier leader's lease is awaited after the first report") {
   FleetFixture fixture;
   ListedWorker listed;
   listed.m_worker = WorkerId("w0");
