fleet: Hold ended runs of jobs that may become known

An ended run of a job that the leader does not know was passed over and acknowledged. A leader whose claim was taken away may start jobs until it learns of it, also a job that is stored after the next leader has read the jobs. If that run was done before the next leader's watch told of the job, the run did not count and the task started again.

Change: the fleet knows which jobs have ended and until when it knows every stored job, from the watch on jobs. A done or failed run of a job that is neither known nor ended is not applied, nor are the ended runs after it, until the watch has answered a call that was sent after the report. A report with ends that wait proves nothing about the runs that it does not list, and an idle worker with listed ends is polled.

Evidence: "An ended run of a job that may become known is not acknowledged" failed with the check for unknown jobs left out, and passes.

--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -130,6 +130,11 @@
   TimePoint m_listed_at{};      ///< When the latest listing was requested.
   std::set<WorkerId> m_roster;  ///< Workers in the stored roster.
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
+  /// Jobs whose final state is stored, and the Unix time in ms at which each
+  /// ended. The stored state is removed some time later.
+  std::map<JobKey, std::int64_t> m_ended_jobs;
+  /// Every job that was stored before this time is known, or has ended.
+  TimePoint m_jobs_known_at{};
   /// Released steps with waiting tasks that reserve processors.
   WaitingSteps m_waiting_reserved;
   /// The same for best-effort tasks, which reserve no processors. Choosing
--- a/libraries/decisions/fleet/fleet_timers.cc
+++ b/libraries/decisions/fleet/fleet_timers.cc
@@ -85,9 +85,10 @@
     AbandonExpiredStarts(fleet, worker, now);
   }
   if (worker.m_is_polling || now < worker.m_next_poll_at) return false;
+  const bool has_listed_ends = worker.m_first_listed_end != OutcomeNumber();
   const bool is_idle = worker.m_state == WorkerState::kReady &&
                        worker.m_runs.empty() && worker.m_unknown_runs == 0;
-  if (is_idle && !HasEndsToAcknowledge(worker) &&
+  if (is_idle && !has_listed_ends &&
       now - worker.m_poll_sent_at < kIdlePollInterval) {
     return false;
   }
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -107,8 +107,11 @@
   TimePoint m_poll_sent_at{};
   TimePoint m_next_poll_at{};
 
-  OutcomeNumber m_applied_end;       ///< The last ended run that was applied.
-  OutcomeNumber m_stored_end;        ///< Ended runs up to here are stored.
+  OutcomeNumber m_applied_end;  ///< The last ended run that was applied.
+  OutcomeNumber m_stored_end;   ///< Ended runs up to here are stored.
+  /// The first ended run whose job is not known, and since when it is listed.
+  OutcomeNumber m_unknown_end;
+  TimePoint m_unknown_end_since{};
   OutcomeNumber m_first_listed_end;  ///< In its last report; 0: none.
   /// The latest answer to a poll came from this incarnation, and every order
   /// since then was answered.
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -203,17 +203,40 @@
   }
 }
 
-// An ended run stays ended, whatever token the poll carried.
-void ApplyEndedRuns(Fleet& fleet, Worker& worker, const WorkerReport& report,
+// Returns whether the ended run may belong to a job that was stored but has not
+// reached this leader yet. An earlier leader that does not know of this one may
+// have started it.
+bool AwaitsJob(const Fleet& fleet, Worker& worker, const EndedRun& ended,
+               TimePoint now) {
+  const bool is_counted = ended.m_outcome == RunOutcome::kDone ||
+                          ended.m_outcome == RunOutcome::kFailed;
+  const JobKey& key = ended.m_task.m_job;
+  if (!is_counted || fleet.m_jobs.count(key.value()) > 0 ||
+      fleet.m_ended_jobs.count(key) > 0) {
+    return false;
+  }
+  if (worker.m_unknown_end != ended.m_number) {
+    worker.m_unknown_end = ended.m_number;
+    worker.m_unknown_end_since = now;
+  }
+  return fleet.m_jobs_known_at <= worker.m_unknown_end_since;
+}
+
+// Applies the ended runs up to the first whose job may still become known, and
+// returns whether that was all. An ended run stays ended, whatever token the
+// poll carried.
+bool ApplyEndedRuns(Fleet& fleet, Worker& worker, const WorkerReport& report,
                     TimePoint now) {
+  worker.m_first_listed_end = report.m_ended.empty()
+                                  ? OutcomeNumber()
+                                  : report.m_ended.front().m_number;
   for (const EndedRun& ended : report.m_ended) {
     if (ended.m_number <= worker.m_applied_end) continue;
+    if (AwaitsJob(fleet, worker, ended, now)) return false;
     ApplyEndedRun(fleet, worker, ended, now);
     worker.m_applied_end = ended.m_number;
   }
-  worker.m_first_listed_end = report.m_ended.empty()
-                                  ? OutcomeNumber()
-                                  : report.m_ended.front().m_number;
+  return report.m_lists_all_ends;
 }
 
 // Another leader, or a deadline on the clock of an earlier incarnation, may
@@ -340,6 +363,7 @@
   worker.m_applied_end = worker.m_stored_end = worker.m_first_listed_end =
       OutcomeNumber();
   worker.m_has_clock = false;
+  worker.m_unknown_end = OutcomeNumber();
   worker.m_clock = worker.m_lease_until = WorkerMilliseconds();
   worker.m_unknown_runs = 0;
   worker.m_consecutive_failures = 0;
@@ -363,7 +387,7 @@
   worker->m_next_poll_at = now;
   const Incarnation before = worker->m_listing.m_incarnation;
   UpdateIncarnation(fleet, *worker, report.m_incarnation, now);
-  ApplyEndedRuns(fleet, *worker, report, now);
+  const bool has_all_ends = ApplyEndedRuns(fleet, *worker, report, now);
   worker->m_is_incarnation_confirmed = true;
   // A new incarnation is polled again under its new token.
   if (before != Incarnation() && before != worker->m_listing.m_incarnation) {
@@ -378,8 +402,8 @@
   for (const ActiveRun& active : report.m_running) {
     ApplyActiveRun(fleet, *worker, active, now);
   }
-  // Only a report with every ended run shows which runs are gone.
-  if (report.m_lists_all_ends) {
+  // Only a report whose ended runs are all applied shows which runs are gone.
+  if (has_all_ends) {
     InterruptMissingRuns(fleet, *worker, report);
     if (worker->m_state != WorkerState::kReady) fleet.m_needs_placement = true;
     worker->m_inherited_runs_until = TimePoint();
@@ -391,7 +415,9 @@
   }
   // A worker answers at once while it has unacknowledged ended runs, so the
   // next poll waits until these can be acknowledged.
-  const bool has_unstored_ends = worker->m_stored_end < worker->m_applied_end;
+  const bool has_unstored_ends =
+      !report.m_ended.empty() &&
+      worker->m_stored_end < report.m_ended.back().m_number;
   worker->m_next_poll_at =
       now + std::max(PollSpacing(fleet, *worker),
                      has_unstored_ends ? kUnstoredPollInterval : Duration{});
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -65,7 +65,7 @@
     CancelJob(leader.m_fleet, key, Now(leader));
     return;
   }
-  if (leader.m_ended_unix_ms.count(key) > 0) return;
+  if (leader.m_fleet.m_ended_jobs.count(key) > 0) return;
   AddStoredJob(leader, change.m_key, *change.m_value, {});
 }
 
@@ -163,7 +163,7 @@
   if (!progress)
     return LogError("progress_unreadable", progress.assume_error());
   if (progress.assume_value().m_ended_unix_ms > 0) {
-    leader.m_ended_unix_ms[key] = progress.assume_value().m_ended_unix_ms;
+    leader.m_fleet.m_ended_jobs[key] = progress.assume_value().m_ended_unix_ms;
   }
   loaded.m_progress[key] = std::move(progress).assume_value();
 }
@@ -172,7 +172,7 @@
                   const LoadedState& loaded) {
   if (IsCancelKey(item.m_key)) return;
   const JobKey key = JobKeyOfItem(item.m_key);
-  if (leader.m_ended_unix_ms.count(key) > 0) return;
+  if (leader.m_fleet.m_ended_jobs.count(key) > 0) return;
   const auto progress = loaded.m_progress.find(key);
   AddStoredJob(
       leader, item.m_key, item.m_value,
@@ -332,6 +332,7 @@
   LogLeaderStatus(*leader);
   TickWatch(leader->m_jobs_watch, leader->m_runtime.m_store,
             leader->m_runtime.m_clock.m_now);
+  leader->m_fleet.m_jobs_known_at = leader->m_jobs_watch->m_known_at;
   if (Now(*leader) >= leader->m_next_listing_at) ListWorkers(leader);
   WritePendingCounts(leader);
   WriteDrainedTerm(leader);
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -47,8 +47,6 @@
   /// job itself.
   std::set<JobKey> m_cancelled_jobs;
   std::map<JobKey, StoreRevision> m_progress_revisions;
-  /// When each ended job ended; its progress is removed some time later.
-  std::map<JobKey, std::int64_t> m_ended_unix_ms;
   BatchWriter m_writer;
   TimePoint m_next_write_at{};
   bool m_is_listing = false;  ///< A listing of workers is in flight.
--- a/services/daisyarchd/fleet/leader_writes.cc
+++ b/services/daisyarchd/fleet/leader_writes.cc
@@ -75,7 +75,7 @@
 
 void RecordJobEnd(Leader& leader, const JobChange& change) {
   if (!change.m_has_ended) return;
-  leader.m_ended_unix_ms[change.m_key] = change.m_progress.m_ended_unix_ms;
+  leader.m_fleet.m_ended_jobs[change.m_key] = change.m_progress.m_ended_unix_ms;
   leader.m_cancelled_jobs.erase(change.m_key);
   LogEvent(LogLevel::kInfo, "job_ended",
            {{"job", change.m_key.value()},
@@ -302,7 +302,7 @@
       ToMilliseconds(leader->m_runtime.m_settings.m_state_retention);
   StoreTransaction transaction;
   std::vector<JobKey> removed;
-  for (const auto& [key, ended] : leader->m_ended_unix_ms) {
+  for (const auto& [key, ended] : leader->m_fleet.m_ended_jobs) {
     if (ended > oldest || removed.size() == kMaximumEntriesPerWrite) continue;
     removed.push_back(key);
     transaction.m_removals.push_back(ProgressItemKey(key));
@@ -318,7 +318,7 @@
         self->m_is_removing = false;
         if (!result || !result.assume_value().m_is_applied) return;
         for (const JobKey& key : removed) {
-          self->m_ended_unix_ms.erase(key);
+          self->m_fleet.m_ended_jobs.erase(key);
           self->m_progress_revisions.erase(key);
         }
       });
--- a/services/daisyarchd/fleet/prefix_watch.cc
+++ b/services/daisyarchd/fleet/prefix_watch.cc
@@ -41,6 +41,7 @@
                    return;
                  }
                  self->m_as_of = listing.m_as_of;
+                 self->m_known_at = self->m_sent_at;
                  self->m_has_listing = true;
                  self->m_on_listing(listing.m_items);
                  TickWatch(self, store, clock);
@@ -53,6 +54,7 @@
                const ClockFunction& clock) {
   if (watch->m_is_call_in_flight || clock() < watch->m_next_call_at) return;
   watch->m_is_call_in_flight = true;
+  watch->m_sent_at = clock();
   if (!watch->m_has_listing) return ListPrefix(watch, store, clock);
   const std::weak_ptr<PrefixWatch> weak = watch;
   store.m_watch(watch->m_prefix, watch->m_as_of, watch->m_wait,
@@ -66,6 +68,7 @@
                   const StoreChanges& changes = result.assume_value();
                   self->m_answered_at = clock();
                   self->m_as_of = std::max(self->m_as_of, changes.m_as_of);
+                  self->m_known_at = self->m_sent_at;
                   if (!changes.m_changes.empty()) {
                     self->m_on_changes(changes.m_changes);
                   }
--- a/services/daisyarchd/fleet/prefix_watch.h
+++ b/services/daisyarchd/fleet/prefix_watch.h
@@ -23,7 +23,9 @@
   bool m_has_listing = false;  ///< While false, the next call is a listing.
   bool m_is_call_in_flight = false;
   TimePoint m_next_call_at{};
+  TimePoint m_sent_at{};      ///< When the latest call was sent.
   TimePoint m_answered_at{};  ///< When the store last answered.
+  TimePoint m_known_at{};     ///< Every change before this time was received.
 };
 
 using PrefixWatchPointer = std::shared_ptr<PrefixWatch>;
--- a/tests/decisions/fleet/run_once_test.cc
+++ b/tests/decisions/fleet/run_once_test.cc
@@ -19,6 +19,14 @@
   return starts.front();
 }
 
+// Returns an order for the first task of a job.
+StartOrder StartOrderOf(const std::string& job, RunNumber run) {
+  StartOrder start;
+  start.m_task.m_job = JobKey(job);
+  start.m_run = run;
+  return start;
+}
+
 void Confirm(FleetFixture& fixture, const StartOrder& start) {
   ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
                     fixture.m_now);
@@ -180,6 +188,40 @@
   CHECK(TaskOf(fixture, starts[1].m_task).m_state == RunState::kDone);
 }
 
+// Guards against a done run that is acknowledged before its job is known, after
+// which the task starts again: another leader had started the job.
+TEST_CASE("An ended run of a job that may become known is not acknowledged") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  const StartOrder unknown = StartOrderOf("job", RunNumber(7));
+  fixture.m_now += seconds(11);
+  Wait(fixture, milliseconds(10));
+  const EndedRun ended = EndedRunOf(unknown, 1, RunOutcome::kDone);
+  Report(fixture, "w0", {}, {ended});
+  CHECK(AcknowledgedByNextPoll(fixture) == OutcomeNumber(0));
+  SECTION("and counts once the job is known") {
+    AddJob(fixture.m_fleet, MakePlan("job", 2, kCore), {}, fixture.m_now);
+    Report(fixture, "w0", {}, {ended});
+    CHECK(TaskOf(fixture, unknown.m_task).m_state == RunState::kDone);
+  }
+  SECTION("until every job that was stored by then is known") {
+    fixture.m_fleet.m_jobs_known_at = fixture.m_now;
+    Report(fixture, "w0", {}, {ended});
+    CHECK(AcknowledgedByNextPoll(fixture) == OutcomeNumber(1));
+  }
+}
+
+TEST_CASE("An ended run of a job that has ended is acknowledged") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  fixture.m_fleet.m_ended_jobs[JobKey("job")] = 1;
+  fixture.m_now += seconds(11);
+  Wait(fixture, milliseconds(10));
+  Report(fixture, "w0", {},
+         {EndedRunOf(StartOrderOf("job", RunNumber(7)), 1, RunOutcome::kDone)});
+  CHECK(AcknowledgedByNextPoll(fixture) == OutcomeNumber(1));
+}
+
 // Guards against a run of an earlier leader that counts as ended while that
 // leader's lease lets it continue.
 TEST_CASE("An earlier leader's lease is awaited after the first report") {
