fleet: Inherit jobs that are stored soon after a takeover

A new leader waits for every worker that may run tasks of an earlier leader before it starts jobs that it found in the store, but not before it starts those that its watch brings later. The earlier leader trusts its claim for up to 2 s after losing it and may have started such a job as well.

Change: jobs that become known within that time count as inherited, unless the earlier leader is known to have ended.

Evidence: "A job that is stored soon after a takeover waits for silent workers" failed before, and passes.

--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -126,8 +126,8 @@
   bool m_is_cancelled = false;
   bool m_has_failed = false;  ///< A task has used all its attempts.
   bool m_has_started = false;
-  /// Accepted in an earlier term; a worker that has not reported yet may run
-  /// its tasks.
+  /// An earlier leader may have started it, so that a worker that has not
+  /// reported yet may run its tasks.
   bool m_is_inherited = false;
   TimePoint m_accepted_at{};
   Duration m_objective{};  ///< Target time from acceptance to the end.
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -66,7 +66,11 @@
     return;
   }
   if (leader.m_fleet.m_ended_jobs.count(key) > 0) return;
+  if (FindJob(leader.m_fleet, key) != nullptr) return;
   AddStoredJob(leader, change.m_key, *change.m_value, {});
+  Job* job = FindJob(leader.m_fleet, key);
+  if (job == nullptr) return;
+  job->m_is_inherited = Now(leader) < leader.m_inherits_jobs_until;
 }
 
 // Makes up for changes that the watch missed. Known jobs stay as they are.
--- a/services/daisyarchd/fleet/node_leadership.cc
+++ b/services/daisyarchd/fleet/node_leadership.cc
@@ -165,6 +165,13 @@
   return predecessor;
 }
 
+// Returns whether the previous leader is known to start nothing any more.
+bool HasPredecessorEnded(const LeadershipClaim& claim) {
+  const Predecessor& predecessor = claim.m_predecessor;
+  return predecessor.m_ended_at != TimePoint() ||
+         Next(predecessor.m_handover.m_term) == claim.m_term;
+}
+
 void WriteClaim(FleetNode& node, TimePoint sent_at) {
   const Term term = Next(node.m_last_term);
   // The watch may report this claim before the store answers the commit, so
@@ -243,6 +250,9 @@
   node.m_leader->m_claim = node.m_claim;
   node.m_leader->m_predecessor = node.m_claim.m_predecessor;
   node.m_leader->m_fleet.m_limits = LimitsOf(node.m_runtime.m_settings);
+  if (!HasPredecessorEnded(node.m_claim)) {
+    node.m_leader->m_inherits_jobs_until = Now(node) + kClaimLeaseDuration;
+  }
   node.m_leader->m_on_claim_lost = [&node](const std::string& reason) {
     HandleClaimLost(node, reason);
   };
--- a/tests/invariants/take_over_test.cc
+++ b/tests/invariants/take_over_test.cc
@@ -62,6 +62,35 @@
   }
 }
 
+// Guards against a job that two leaders start: the earlier one does not know
+// yet that it has lost its claim, and the job is stored after the next one has
+// read the jobs.
+TEST_CASE(
+    "A job that is stored soon after a takeover waits for silent workers") {
+  FakeSite site(1);
+  BuildSite(site);
+  FakeSiteNode* leader = FindLeader(site);
+  REQUIRE(leader != nullptr);
+  KillSiteNode(site, *leader);
+  const WorkerId silent = site.m_workers.begin()->first;
+  for (const auto& node : site.m_nodes) {
+    node->m_unreachable_workers.insert(silent);
+  }
+  const bool has_leader = RunUntilTrue(site.m_loop, std::chrono::seconds(7),
+                                       [&site] { return FindLeader(site); });
+  REQUIRE(has_leader);
+  FakeSiteNode& next = *FindLeader(site);
+  SubmitToSite(site, next, MakeTestJob(0, 1));
+  RunFor(site.m_loop, std::chrono::seconds(3));
+  CHECK(site.m_starts == 0);
+  SubmitToSite(site, next, MakeTestJob(1, 1));
+  RunFor(site.m_loop, std::chrono::seconds(1));
+  CHECK(site.m_starts == 1);
+  // The earlier leader's leases have expired.
+  RunFor(site.m_loop, std::chrono::seconds(6));
+  CHECK(FindUnfinishedJob(site).empty());
+}
+
 TEST_CASE("A leader on a slow link loads long lists") {
   FakeSite site(1);
   BuildSite(site);
