http: Reject text that is not part of an IP address

An address such as 10.1.1.1, a zero byte and further text was taken as 10.1.1.1, and any text behind a % as the zone of an IPv6 address. The text went into the Host header of each request to that address.

Cause: the system's parser stops at a zero byte and reads a zone as a number if no interface has that name; the text was kept as it was given.

Change: a host consists of digits, hexadecimal letters, points and colons only.

--- a/libraries/http/address.cc
+++ b/libraries/http/address.cc
@@ -7,6 +7,10 @@
 
 namespace {
 
+// The system's parser ignores what follows a zero byte and accepts any text as
+// the zone of an IPv6 address.
+constexpr const char* kAddressCharacters = "0123456789abcdefABCDEF.:";
+
 Error MalformedAddressError(const std::string& text) {
   return Error{ErrorCode::kInvalidArgument, "parse address", text,
                "expected IP:port"};
@@ -23,6 +27,10 @@
   if (colon == std::string::npos) return MalformedAddressError(text);
   Address address;
   address.m_host = text.substr(0, colon);
+  if (address.m_host.find_first_not_of(kAddressCharacters) !=
+      std::string::npos) {
+    return MalformedAddressError(text);
+  }
   boost::system::error_code code;
   boost::asio::ip::make_address(address.m_host, code);
   if (code) return MalformedAddressError(text);
