--- a/tests/platform/messages_test.cc
+++ b/tests/platform/messages_test.cc
@@ -73,7 +73,8 @@
 TEST_CASE("Malformed worker entries are left out of the listing") {
   const std::string good =
       R"({"service":"p","addr":"10.128.0.9:8080","zone":"a","state":"ready",
-      "born":5,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
+      "version":"v1","slots":8,"cold_left_ms":0,"born":5,
+      "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
       "labels":["a","r1-3"],"seq":4})";
   const auto workers =
       ReadWorkers({{"servers/good", good, StoreRevision(1)},
@@ -81,15 +82,21 @@
                    {"servers/list", "[]", StoreRevision(1)},
                    {"servers/state",
                     R"({"service":"p","addr":"10.1.1.1:1","state":"odd",
-        "capacity":{"cpu":1,"mem_mb":1}})",
+        "zone":"a","version":"v1","slots":8,
+        "cold_left_ms":0,"labels":[],"seq":4,
+        "capacity":{"cpu":1,"mem_mb":1,"gpu":0}})",
                     StoreRevision(1)},
                    {"servers/room",
                     R"({"service":"p","addr":"10.1.1.1:1","state":"ready",
-        "capacity":{"cpu":"many","mem_mb":1}})",
+        "zone":"a","version":"v1","slots":8,
+        "cold_left_ms":0,"labels":[],"seq":4,
+        "capacity":{"cpu":"many","mem_mb":1,"gpu":0}})",
                     StoreRevision(1)},
                    {"servers/addr",
                     R"({"service":"p","addr":"here","state":"ready",
-        "capacity":{"cpu":1,"mem_mb":1}})",
+        "zone":"a","version":"v1","slots":8,
+        "cold_left_ms":0,"labels":[],"seq":4,
+        "capacity":{"cpu":1,"mem_mb":1,"gpu":0}})",
                     StoreRevision(1)}});
   REQUIRE(workers.size() == 1);
   CHECK(workers[0].m_worker == WorkerId("good"));
