platform: Check the range of numbers in a worker's report

A clock of 2^63-1 or one that is no number was used as it was, or as 0: deadlines of leases computed from it overflow or lie in the past. A progress of 1e300 percent was converted to a byte, and a load of 2^63-1 summed with others and multiplied.

Change: a report without a clock in range, or with a start of another type, is malformed, and its poll counts as unanswered. Progress and load, which are rough figures, are limited to their range.

--- a/tests/platform/worker_http_test.cc
+++ b/tests/platform/worker_http_test.cc
@@ -76,4 +76,47 @@
   }
 }
 
+// Guards against a worker's clock that overflows the deadlines of its leases.
+TEST_CASE("A report with a clock or a start out of range is an error") {
+  const std::string lists = R"("running":[],"finished":[]})";
+  CHECK(ErrorDetailOf(R"({"clock_ms":0,)" + lists) == "");
+  for (const char* clock : {"-1", "9223372036854775807", "18446744073709551616",
+                            "1e18", "1.5", R"("482113")", "null", "[]"}) {
+    INFO(clock);
+    CHECK(ErrorDetailOf(R"({"clock_ms":)" + std::string(clock) + "," + lists) ==
+          "clock_ms: expected a whole number in range");
+    CHECK(ErrorDetailOf(R"({"clock_ms":1,"born":)" + std::string(clock) + "," +
+                        lists) == "born: expected a whole number in range");
+  }
+  CHECK(ErrorDetailOf("{" + lists) ==
+        "clock_ms: expected a whole number in range");
+}
+
+// Guards against figures that overflow when they are converted or summed.
+TEST_CASE("The progress and the load of a report are limited to their range") {
+  struct Case {
+    const char* m_text;
+    int m_percent;
+    std::int64_t m_load;
+  };
+  for (const Case& test :
+       {Case{"-1", 0, 0}, Case{"0", 0, 0}, Case{"41.7", 41, 41},
+        Case{"100", 100, 100}, Case{"1e300", 100, 1'000'000'000},
+        Case{"-1e300", 0, 0}, Case{"9223372036854775807", 100, 1'000'000'000},
+        Case{"18446744073709551615", 100, 1'000'000'000}}) {
+    INFO(test.m_text);
+    const std::string number = test.m_text;
+    const auto report =
+        ReadReport(BodyOf(R"(["5c0e7a21d94b36f8.0.1.17",2,"",)" + number + "," +
+                              number + "]",
+                          ""),
+                   kWorker);
+    REQUIRE(report);
+    REQUIRE(report.assume_value().m_running.size() == 1);
+    const fleet::ActiveRun& active = report.assume_value().m_running[0];
+    CHECK(active.m_progress_percent == test.m_percent);
+    CHECK(active.m_load == test.m_load);
+  }
+}
+
 }  // namespace daisyarch::adapter
