platform: Count a start with an unknown status as unanswered

What callers saw: nothing yet; found by reading. Every status but 200 counted as a refusal, so the task was placed again at once. The protocol names 400, 409, 421, 429 and 503 for a start that was not executed. Any other, such as a 500 or 502, may come after the worker has received the order, and the task could then run twice.

Change: only the named statuses are refusals.

--- a/tests/platform/worker_http_test.cc
+++ b/tests/platform/worker_http_test.cc
@@ -119,4 +119,20 @@
   }
 }
 
+// Guards against a run that is started elsewhere because its first start was
+// taken as refused although the worker may have executed it.
+TEST_CASE("Only statuses of the protocol show that a start was not executed") {
+  CHECK(StartOutcomeOf(200) == fleet::StartOutcome::kStarted);
+  for (const unsigned status : {400U, 409U, 421U, 429U, 503U}) {
+    INFO(status);
+    CHECK(StartOutcomeOf(status) == fleet::StartOutcome::kRefused);
+  }
+  for (const unsigned status :
+       {0U,   100U, 201U, 202U, 204U, 302U, 401U, 403U, 404U, 405U, 408U, 410U,
+        412U, 413U, 422U, 425U, 431U, 500U, 501U, 502U, 504U, 505U, 599U}) {
+    INFO(status);
+    CHECK(StartOutcomeOf(status) == fleet::StartOutcome::kUnanswered);
+  }
+}
+
 }  // namespace daisyarch::adapter
