fleet: Use no worker by an entry without its incarnation

An entry without a start counted as one older than the worker's own, which keeps the worker as it was last listed: another program's entry kept a worker in use.

Cause: that the incarnation isn't stated was taken as incarnation 0. A worker states it in all that it says of itself, or never.

Change: an entry without an incarnation, of a worker that has stated one, leaves that worker unlisted. Sites whose workers state none are not affected.

Evidence: "An entry without the start that its worker states names no worker" failed 2 of 2 checks before, and passes now.

--- a/libraries/decisions/fleet/listing.cc
+++ b/libraries/decisions/fleet/listing.cc
@@ -22,9 +22,14 @@
   fleet.m_listed_at = asked_at;
   std::set<WorkerId> listed;
   for (const ListedWorker& entry : listing) {
-    listed.insert(entry.m_worker);
     const bool is_new = fleet.m_workers.count(entry.m_worker) == 0;
     Worker& worker = fleet.m_workers[entry.m_worker];
+    // A worker states its incarnation in its entry if it does so in its
+    // reports.
+    const bool is_own_entry = entry.m_incarnation != Incarnation() ||
+                              worker.m_listing.m_incarnation == Incarnation();
+    if (!is_own_entry) continue;
+    listed.insert(entry.m_worker);
     if (is_new) {
       worker.m_listing = entry;
       worker.m_token = FirstToken(fleet.m_term);
--- a/tests/platform/listing_test.cc
+++ b/tests/platform/listing_test.cc
@@ -301,4 +301,27 @@
   }
 }
 
+// Guards against using a worker by an entry that is not its own: what the
+// worker says of itself always states its start, or never does.
+TEST_CASE("An entry without the start that its worker states names no worker") {
+  fleet::FleetFixture fixture;
+  const StoredItem without{"servers/w0", EntryWithout("born"),
+                           StoreRevision(2)};
+  const auto list = [&fixture](const StoredItem& item) {
+    fleet::ApplyListing(fixture.m_fleet, ReadWorkers({item}), fixture.m_now,
+                        fixture.m_now);
+  };
+  list(SoundItem("w0"));
+  fleet::ApplyRosterStored(fixture.m_fleet,
+                           fleet::MissingFromRoster(fixture.m_fleet));
+  fleet::TickFleet(fixture.m_fleet, fixture.m_now, 0);
+  fleet::Report(fixture, "w0", {}, {});
+  list(without);
+  fleet::Submit(fixture, fleet::MakePlan("j", 1, Millicores(1000)));
+  CHECK(fleet::TakeOrders<fleet::StartOrder>(fixture).empty());
+  list(SoundItem("w0"));
+  fleet::PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(fleet::TakeOrders<fleet::StartOrder>(fixture).size() == 1);
+}
+
 }  // namespace daisyarch::adapter
