fleet: Log how many entries of the listing name no worker

Entries of other programs are skipped without a trace, so that operators could not see why a worker is not in use. The leader logs one line with their number and the key of the first when that number changes, and one when all are readable again.

--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -1,5 +1,6 @@
 #include "fleet/leader.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "decisions/fleet/load_control.h"
@@ -119,6 +120,27 @@
        {"store_revision", result.assume_value().m_as_of.value()}});
 }
 
+// Logs one line when the number of entries that name no worker changes.
+void RecordUnreadableEntries(Leader& leader,
+                             const std::vector<StoredItem>& items,
+                             const std::vector<ListedWorker>& workers) {
+  const std::size_t count =
+      items.size() - std::min(items.size(), workers.size());
+  if (leader.m_unreadable_entries == count) return;
+  leader.m_unreadable_entries = count;
+  if (count == 0)
+    return LogEvent(LogLevel::kInfo, "worker_entries_readable", {});
+  const std::string& prefix = leader.m_runtime.m_codec.m_worker_prefix;
+  // The workers are in the order of their entries.
+  std::size_t first = 0;
+  while (first < workers.size() &&
+         items[first].m_key == prefix + workers[first].m_worker.value()) {
+    ++first;
+  }
+  LogEvent(LogLevel::kWarning, "worker_entries_unreadable",
+           {{"count", std::uint64_t{count}}, {"first", items[first].m_key}});
+}
+
 void ListWorkers(const LeaderPointer& leader) {
   if (leader->m_is_listing) return;
   leader->m_is_listing = true;
@@ -137,10 +159,10 @@
         RecordListingResult(*self, result);
         self->m_next_listing_at = sent_at + kListingInterval;
         self->m_has_worker_listing = true;
-        ApplyListing(self->m_fleet,
-                     self->m_runtime.m_codec.m_read_workers(
-                         result.assume_value().m_items),
-                     sent_at, Now(*self));
+        const auto& items = result.assume_value().m_items;
+        const auto workers = self->m_runtime.m_codec.m_read_workers(items);
+        RecordUnreadableEntries(*self, items, workers);
+        ApplyListing(self->m_fleet, workers, sent_at, Now(*self));
         RequestSchedulingPass(self);
       });
 }
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -54,6 +54,8 @@
   bool m_is_listing = false;  ///< A listing of workers is in flight.
   bool m_has_worker_listing = false;
   bool m_last_listing_succeeded = true;
+  /// Entries of the last worker listing that name no worker.
+  std::size_t m_unreadable_entries = 0;
   TimePoint m_next_listing_at{};
   std::map<QueueId, std::uint64_t> m_stored_pending_counts;
   StoreRevision m_pending_revision;
