--- a/tests/platform/messages_test.cc
+++ b/tests/platform/messages_test.cc
@@ -70,6 +70,38 @@
   CHECK_FALSE(IsJobKey("5c0e7a21d94b36fg"));
 }
 
+// Guards against estimates that overflow when they are converted, and against
+// numbers that lose their high bits: "after" 2^32 named step 0, and a limit of
+// 2^32 tasks per worker meant none.
+TEST_CASE("A job with a number out of range is refused") {
+  for (const char* number : {"4294967296000000", "9223372036854775807",
+                             "-9223372036854775808", "18446744073709551615"}) {
+    for (const char* name : {"cpu", "mem_mb", "gpu", "est_ms", "target_ms",
+                             "max_per_server", "may_miss"}) {
+      INFO(name << " " << number);
+      CHECK(ErrorDetailOf(R"({"steps":[{"count":1,")" + std::string(name) +
+                          "\":" + number + "}]}") ==
+            std::string(name) + ": out of range");
+    }
+    for (const char* name : {"start_time_ms", "interval_ms"}) {
+      INFO(name << " " << number);
+      CHECK(ErrorDetailOf(R"({"times":2,"steps":[{"count":1}],")" +
+                          std::string(name) + "\":" + number + "}") ==
+            std::string(name) + ": out of range");
+    }
+  }
+  for (const char* number : {"4294967296", "18446744073709551615"}) {
+    CHECK(ErrorDetailOf(R"({"steps":[{"count":1},{"count":1,"after":[)" +
+                        std::string(number) + "]}]}") == "after: out of range");
+  }
+  CHECK(
+      ErrorDetailOf(R"({"steps":[{"count":1,"max_per_server":4294967296}]})") ==
+      "max_per_server: out of range");
+  CHECK(ErrorDetailOf(R"({"times":2,"start_time_ms":1792000000000,
+        "interval_ms":60000,"steps":[{"count":1,"cpu":64000,"est_ms":86400000,
+        "target_ms":50,"max_per_server":1,"may_miss":1}]})") == "");
+}
+
 TEST_CASE("Malformed worker entries are left out of the listing") {
   const std::string good =
       R"({"service":"p","addr":"10.128.0.9:8080","zone":"a","state":"ready",
