--- a/tests/platform/messages_test.cc
+++ b/tests/platform/messages_test.cc
@@ -161,4 +161,27 @@
   CHECK_FALSE(ReadConfiguration("x"));
 }
 
+// Guards against numbers of a configuration that overflow when they are
+// converted, and against a maximum of 2^32 attempts that counts as none.
+TEST_CASE("Numbers of a configuration are limited to their range") {
+  const auto routes = ReadConfiguration(
+      R"({"version":7,"limits":{"max_body_bytes":-1},"routes":[
+      {"name":"r1","host":"h","prefix":"/a/","service":"p",
+       "max_attempts":4294967296,"stretch":1e300,
+       "target_duration_ms":9223372036854775807},
+      {"name":"r2","host":"h","prefix":"/b/","service":"p",
+       "max_attempts":-1,"stretch":-1e300,
+       "target_duration_ms":-9223372036854775808}]})");
+  REQUIRE(routes);
+  CHECK(routes.assume_value().m_maximum_body_bytes == 0);
+  const auto& all = routes.assume_value().m_routes;
+  REQUIRE(all.size() == 2);
+  CHECK(all[0].m_queue.m_maximum_attempts == UINT32_MAX);
+  CHECK(all[0].m_queue.m_stretch == 50.0);
+  CHECK(all[0].m_queue.m_target == std::chrono::hours(24 * 365));
+  CHECK(all[1].m_queue.m_maximum_attempts == 1);
+  CHECK(all[1].m_queue.m_stretch == 0.0);
+  CHECK(all[1].m_queue.m_target == Duration{});
+}
+
 }  // namespace daisyarch::adapter
