--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -56,6 +56,8 @@
   bool m_last_listing_succeeded = true;
   /// Entries of the last worker listing that name no worker.
   std::size_t m_unreadable_entries = 0;
+  /// Workers whose last answer to a poll was malformed.
+  std::set<WorkerId> m_malformed_reporters;
   TimePoint m_next_listing_at{};
   std::map<QueueId, std::uint64_t> m_stored_pending_counts;
   StoreRevision m_pending_revision;
--- a/services/daisyarchd/fleet/leader_orders.cc
+++ b/services/daisyarchd/fleet/leader_orders.cc
@@ -88,6 +88,21 @@
       });
 }
 
+// Logs only the first of several malformed reports of a worker in a row.
+void RecordReportResult(Leader& leader, const WorkerId& worker,
+                        const Result<WorkerReport>& result) {
+  auto& workers = leader.m_malformed_reporters;
+  const bool is_malformed =
+      !result && result.assume_error().m_code == ErrorCode::kInvalidArgument;
+  if (!is_malformed) {
+    workers.erase(worker);
+    return;
+  }
+  if (workers.insert(worker).second) {
+    LogError("worker_report_malformed", result.assume_error());
+  }
+}
+
 void SendOrder(const LeaderPointer& leader, const PollOrder& order) {
   const std::weak_ptr<Leader> weak = leader;
   leader->m_runtime.m_order_sender.m_poll(
@@ -95,6 +110,7 @@
       [weak, order](Result<WorkerReport> result) {
         const LeaderPointer self = weak.lock();
         if (!self) return;
+        RecordReportResult(*self, order.m_worker, result);
         if (!result) {
           if (result.assume_error().m_code == ErrorCode::kConflict) {
             HandleFencedOrder(*self, order.m_worker, order.m_token);
