--- a/tests/platform/worker_http_test.cc
+++ b/tests/platform/worker_http_test.cc
@@ -44,6 +44,20 @@
   CHECK(report.m_ended[0].m_outcome == fleet::RunOutcome::kDone);
 }
 
+// Guards against a run that counts as gone because the report had no room for
+// its end.
+TEST_CASE("A report of 500 ended runs may omit others") {
+  std::string ended = kEnded;
+  for (int row = 1; row < 499; ++row) ended += "," + kEnded;
+  const auto shorter = ReadReport(BodyOf(kActive, ended), kWorker);
+  REQUIRE(shorter);
+  CHECK(shorter.assume_value().m_lists_all_ends);
+  const auto full = ReadReport(BodyOf(kActive, ended + "," + kEnded), kWorker);
+  REQUIRE(full);
+  CHECK(full.assume_value().m_ended.size() == 500);
+  CHECK_FALSE(full.assume_value().m_lists_all_ends);
+}
+
 // Guards against a report whose unreadable row is skipped: the end of a run is
 // then acknowledged without being counted, and a run that is still active
 // counts as gone.
