fleet: Let a report decide on starts confirmed by a worker in doubt

What callers could see: LOST, found by review. A start was answered after the leader had learned of its worker's restart, or after the lease had expired. It counted as confirmed, and if the worker never reported again, nothing ended the run: a lapse leaves it to the answer, and only unconfirmed starts expire. The task never started again.

Change: a start that is answered while the worker is unverified or lapsed stays unconfirmed, so that the next report, the listing or the time limit settles it.

--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -36,6 +36,18 @@
   return latest_start + limits.m_longest_lease + kUnconfirmedSlack;
 }
 
+void MarkUnconfirmed(const Fleet& fleet, Task& task, TimePoint now) {
+  task.m_start_confirmation = StartConfirmation::kUnconfirmed;
+  task.m_unconfirmed_until = std::max(
+      task.m_unconfirmed_until, UnconfirmedUntil(fleet.m_limits, task, now));
+}
+
+// Returns whether the worker has reported since its runs were last in doubt.
+bool IsInContact(const Worker& worker) {
+  return worker.m_state == WorkerState::kReady ||
+         worker.m_state == WorkerState::kSilent;
+}
+
 bool IsRunOnWorker(const Task& task, const Worker& worker,
                    const RunNumber& run) {
   return IsPlaced(task.m_state) && task.m_run == run &&
@@ -453,6 +465,9 @@
   switch (outcome) {
     case StartOutcome::kStarted:
       RecordStart(fleet, *job, *task, order.m_task, now);
+      // The answer may come from an earlier incarnation, or from before the
+      // lease expired, so the worker's next report decides.
+      if (!IsInContact(*worker)) MarkUnconfirmed(fleet, *task, now);
       break;
     case StartOutcome::kRefused:
       // The worker's state differs from the leader's view of it, which the next
@@ -465,8 +480,7 @@
       break;
     case StartOutcome::kUnanswered:
       if (task->m_start_confirmation == StartConfirmation::kConfirmed) break;
-      task->m_start_confirmation = StartConfirmation::kUnconfirmed;
-      task->m_unconfirmed_until = UnconfirmedUntil(fleet.m_limits, *task, now);
+      MarkUnconfirmed(fleet, *task, now);
       StepTask(fleet, *job, order.m_task, RunEvent::kStartUnanswered);
       FenceUnanswered(fleet, *worker, order.m_token);
       break;
--- a/tests/decisions/fleet/run_once_test.cc
+++ b/tests/decisions/fleet/run_once_test.cc
@@ -48,8 +48,25 @@
   const TimePoint end = fixture.m_now + duration;
   while (fixture.m_now < end) {
     Wait(fixture, milliseconds(100));
-    FailPoll(fixture, id.value());
+    // The fleet forgets a worker that is not listed and runs nothing.
+    if (FindWorker(fixture.m_fleet, id) != nullptr) {
+      FailPoll(fixture, id.value());
+    }
+  }
+}
+
+// Lists the fleet's workers without `id`, or with it as `incarnation`.
+void List(FleetFixture& fixture, const ListedWorker& worker,
+          Incarnation incarnation) {
+  std::vector<ListedWorker> listing;
+  for (const auto& [id, known] : fixture.m_fleet.m_workers) {
+    if (id != worker.m_worker) listing.push_back(known.m_listing);
+  }
+  if (incarnation != Incarnation()) {
+    listing.push_back(worker);
+    listing.back().m_incarnation = incarnation;
   }
+  ApplyListing(fixture.m_fleet, listing, fixture.m_now, fixture.m_now);
 }
 
 OutcomeNumber AcknowledgedByNextPoll(FleetFixture& fixture) {
@@ -247,4 +264,37 @@
   CHECK(TaskOf(fixture, adopted.m_task).m_state == RunState::kWaiting);
 }
 
+// Guards against a task that never starts again: its start was answered after
+// the leader had learned of the worker's restart, and the new incarnation never
+// reports.
+TEST_CASE("A start that a restarted worker confirmed ends with that worker") {
+  FleetFixture fixture;
+  const StartOrder start = StartOne(fixture, 2, 1);
+  const ListedWorker listed =
+      FindWorker(fixture.m_fleet, start.m_worker)->m_listing;
+  List(fixture, listed, Incarnation(2));
+  ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                    fixture.m_now);
+  FailPollsFor(fixture, start.m_worker, seconds(20));
+  List(fixture, listed, Incarnation());
+  FailPollsFor(fixture, start.m_worker, seconds(40));
+  CHECK(TaskOf(fixture, start.m_task).m_state == RunState::kWaiting);
+}
+
+// Guards against a task that never starts again: its start was answered after
+// the lease of its worker had expired, and the worker never reports.
+TEST_CASE("A start that was confirmed after a lapse ends with the worker") {
+  FleetFixture fixture;
+  const StartOrder start = StartOne(fixture, 2, 1);
+  FailPollsFor(fixture, start.m_worker, seconds(5));
+  ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                    fixture.m_now);
+  const ListedWorker listed =
+      FindWorker(fixture.m_fleet, start.m_worker)->m_listing;
+  FailPollsFor(fixture, start.m_worker, seconds(20));
+  List(fixture, listed, Incarnation());
+  FailPollsFor(fixture, start.m_worker, seconds(40));
+  CHECK(TaskOf(fixture, start.m_task).m_state == RunState::kWaiting);
+}
+
 }  // namespace daisyarch::fleet
