fleet: Give a worker that is listed again a higher token

A worker that was dropped from the listing and listed again got the first token of the term, although it may have seen a higher one. Late orders from before could take effect after its first report. A worker that had kept its process rejected the first poll, which the leader took as the work of another leader, and dropped its claim.

Change: every token is above all that were given in the term.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -6,8 +6,7 @@
 
 namespace {
 
-// Each is more than one term can use: fencing tokens per worker, and runs per
-// task.
+// Each is more than one term can use.
 constexpr std::uint64_t kTokensPerTerm = 1ULL << 20;
 constexpr std::uint64_t kRunsPerTerm = 1ULL << 20;
 constexpr Duration kLeaseSlack = std::chrono::milliseconds(100);
@@ -194,6 +193,12 @@
   return FencingToken(term.value() * kTokensPerTerm);
 }
 
+FencingToken TakeToken(Fleet& fleet) {
+  fleet.m_last_token =
+      std::max(Next(fleet.m_last_token), FirstToken(fleet.m_term));
+  return fleet.m_last_token;
+}
+
 RunNumber FirstRun(Term term) {
   return RunNumber((term.value() - 1) * kRunsPerTerm + 1);
 }
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -119,6 +119,7 @@
   const FleetStateMachines* m_state_machines = nullptr;
   FleetLimits m_limits;
   Term m_term;
+  FencingToken m_last_token;  ///< The highest that a worker was given.
   /// From then on no worker, even one that has not reported yet, runs a task
   /// that an earlier leader started; 0 once that time has passed.
   TimePoint m_inherited_runs_end_at{};
@@ -197,8 +198,10 @@
 /// earlier terms.
 RunNumber FirstRun(Term term);
 
-/// Returns the lowest fencing token of the term; each worker's first token.
+/// Returns the lowest fencing token of the term.
 FencingToken FirstToken(Term term);
+/// Returns a fencing token above all that workers were given in this term.
+FencingToken TakeToken(Fleet& fleet);
 
 // Events of the fleet. Each function may add to m_orders and m_changed_jobs.
 
--- a/libraries/decisions/fleet/listing.cc
+++ b/libraries/decisions/fleet/listing.cc
@@ -32,7 +32,8 @@
     listed.insert(entry.m_worker);
     if (is_new) {
       worker.m_listing = entry;
-      worker.m_token = FirstToken(fleet.m_term);
+      // The worker may have been listed before and have seen a token then.
+      worker.m_token = TakeToken(fleet);
       continue;
     }
     // The incarnation that the worker itself reported may be newer than the
--- a/libraries/decisions/fleet/roster.cc
+++ b/libraries/decisions/fleet/roster.cc
@@ -64,7 +64,7 @@
   Worker& worker = fleet.m_workers[entry.m_worker];
   worker.m_listing.m_worker = entry.m_worker;
   worker.m_listing.m_address = entry.m_address;
-  worker.m_token = FirstToken(fleet.m_term);
+  worker.m_token = TakeToken(fleet);
   worker.m_is_listed = false;
   worker.m_is_in_roster = true;
   worker.m_inherited_runs_until = inherited_runs_until;
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -121,7 +121,7 @@
 // the worker has reported under the new one.
 void RaiseToken(WorkerContext& context) {
   Worker& worker = context.m_worker;
-  worker.m_token = Next(worker.m_token);
+  worker.m_token = TakeToken(context.m_fleet);
   worker.m_is_polling = false;
   worker.m_is_incarnation_confirmed = false;
   worker.m_next_poll_at = TimePoint();
--- a/tests/decisions/fleet/run_once_test.cc
+++ b/tests/decisions/fleet/run_once_test.cc
@@ -297,4 +297,33 @@
   CHECK(TaskOf(fixture, start.m_task).m_state == RunState::kWaiting);
 }
 
+// Guards against a late start that takes effect at a new incarnation although
+// that has reported: the worker was listed again under its first token, below
+// that of the start.
+TEST_CASE("A worker that is listed again gets a token above its earlier ones") {
+  FleetFixture fixture;
+  const StartOrder first = StartOne(fixture, 1, 2);
+  const ListedWorker listed =
+      FindWorker(fixture.m_fleet, first.m_worker)->m_listing;
+  ApplyStartOutcome(fixture.m_fleet, first, StartOutcome::kUnanswered,
+                    fixture.m_now);
+  Wait(fixture, milliseconds(100));
+  Report(fixture, "w0", {}, {});
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(!starts.empty());
+  const StartOrder& late = starts.front();
+  ApplyStartOutcome(fixture.m_fleet, late, StartOutcome::kUnanswered,
+                    fixture.m_now);
+  FailPollsFor(fixture, WorkerId("w0"), seconds(5));
+  List(fixture, listed, Incarnation());
+  fixture.m_fleet.m_orders.clear();
+  Wait(fixture, milliseconds(700));
+  List(fixture, listed, Incarnation(2));
+  Wait(fixture, milliseconds(100));
+  const auto polls = TakeOrders<PollOrder>(fixture);
+  REQUIRE(!polls.empty());
+  CHECK(polls.back().m_token > late.m_token);
+}
+
 }  // namespace daisyarch::fleet
