fleet: Count a failure that is reported after a lapse

What callers could see: a task that is tried more often than its queue allows, found by review. A failed run that had been taken as interrupted, as its worker's lease had expired, was acknowledged without counting as an attempt, unless a later run had started.

Change: the failure of the task's latest run counts as well; a run counts once.

Evidence: "A failed run counts although its worker had counted as lapsed" failed before and passes.

--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -162,12 +162,12 @@
   }
 }
 
-// The failure of a run that a later run has replaced still counts as an
+// The failure of a run that was taken as interrupted still counts as an
 // attempt.
 void RecordSupersededFailure(Fleet& fleet, Job& job, Task& task,
                              const EndedRun& ended) {
   if (task.m_state == RunState::kDone) return;
-  if (ended.m_run >= task.m_run || !RecordFailedRun(task, ended.m_run)) return;
+  if (ended.m_run > task.m_run || !RecordFailedRun(task, ended.m_run)) return;
   MarkChanged(fleet, job);
   const bool is_waiting = task.m_state == RunState::kWaiting;
   if (is_waiting && task.m_failed_runs.size() >= job.m_maximum_attempts) {
--- a/tests/decisions/fleet/run_once_test.cc
+++ b/tests/decisions/fleet/run_once_test.cc
@@ -326,4 +326,17 @@
   CHECK(polls.back().m_token > late.m_token);
 }
 
+// Guards against a failed run that is acknowledged without having counted as an
+// attempt: its worker had counted as lapsed, and no later run had started.
+TEST_CASE("A failed run counts although its worker had counted as lapsed") {
+  FleetFixture fixture;
+  const StartOrder start = StartOne(fixture, 1, 2);
+  ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                    fixture.m_now);
+  FailPollsFor(fixture, start.m_worker, seconds(6));
+  REQUIRE(TaskOf(fixture, start.m_task).m_state == RunState::kWaiting);
+  Report(fixture, "w0", {}, {EndedRunOf(start, 1, RunOutcome::kFailed)});
+  CHECK(TaskOf(fixture, start.m_task).m_failed_runs.size() == 1);
+}
+
 }  // namespace daisyarch::fleet
