fleet: Take no restart from a listing older than a report

A listing that names another incarnation of a worker counted as its restart if that incarnation was higher, also when the worker had reported since the listing was asked for. If the worker's clock was set back before it restarted, the outdated entry ended the confirmed runs of the present incarnation.

Change: such an entry is left for the next listing.

Evidence: "An outdated listing does not restart a worker that has reported" failed before and passes.

--- a/libraries/decisions/fleet/listing.cc
+++ b/libraries/decisions/fleet/listing.cc
@@ -37,8 +37,11 @@
       continue;
     }
     // The incarnation that the worker itself reported may be newer than the
-    // listing.
-    const bool is_older = entry.m_incarnation < worker.m_listing.m_incarnation;
+    // listing, also if its clock was set back in between.
+    const Incarnation known = worker.m_listing.m_incarnation;
+    const bool is_older =
+        entry.m_incarnation < known ||
+        (entry.m_incarnation != known && asked_at < worker.m_clock_read_at);
     if (is_older) continue;
     if (!worker.m_is_listed || worker.m_listing.m_is_leaving) {
       fleet.m_needs_placement = true;
--- a/tests/decisions/fleet/run_once_test.cc
+++ b/tests/decisions/fleet/run_once_test.cc
@@ -339,4 +339,28 @@
   CHECK(TaskOf(fixture, start.m_task).m_failed_runs.size() == 1);
 }
 
+// Guards against confirmed runs that count as gone because an outdated listing
+// names the worker's previous incarnation, whose start time is the later one:
+// the clock of the worker's machine was set back in between.
+TEST_CASE("An outdated listing does not restart a worker that has reported") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  ListedWorker listed = FindWorker(fixture.m_fleet, WorkerId("w0"))->m_listing;
+  // The worker restarts with its clock set back, and reports that itself.
+  List(fixture, listed, Incarnation(9));
+  Wait(fixture, milliseconds(10));
+  Report(fixture, "w0", {}, {});
+  Wait(fixture, milliseconds(10));
+  Report(fixture, "w0", {}, {});
+  Submit(fixture, MakePlan("job", 1, kCore));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  ApplyStartOutcome(fixture.m_fleet, starts[0], StartOutcome::kStarted,
+                    fixture.m_now);
+  Wait(fixture, seconds(1));
+  Report(fixture, "w0", {ActiveRunOf(starts[0])}, {});
+  List(fixture, listed, Incarnation(9));
+  CHECK(TaskOf(fixture, starts[0].m_task).m_state == RunState::kRunning);
+}
+
 }  // namespace daisyarch::fleet
