fleet: Inherit jobs by when they were stored

What callers could see: TWICE, found by review. Whether a job was stored so soon after a takeover that the earlier leader may have started it was judged by when the watch told of it. A watch that was more than 2 s late hid it.

Change: a job counts as inherited until the watch has told of every change up to that time.

Result: "A job that is stored soon after a takeover waits for silent workers" passes; no test has a late watch.

--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -71,7 +71,9 @@
   AddStoredJob(leader, change.m_key, *change.m_value, {});
   Job* job = FindJob(leader.m_fleet, key);
   if (job == nullptr) return;
-  job->m_is_inherited = Now(leader) < leader.m_inherits_jobs_until;
+  // A late watch may bring a job long after it was stored.
+  job->m_is_inherited =
+      leader.m_jobs_watch->m_known_at < leader.m_inherits_jobs_until;
 }
 
 // Makes up for changes that the watch missed. Known jobs stay as they are.
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -41,7 +41,7 @@
   Predecessor m_predecessor;
   std::function<void(const std::string& reason)> m_on_claim_lost;
   std::function<bool()> m_may_start_runs;
-  /// Jobs that become known before this time may have been started by the
+  /// Jobs that were stored before this time may have been started by the
   /// previous leader, which may not know yet that it has lost its claim.
   TimePoint m_inherits_jobs_until{};
   bool m_is_loaded = false;
--- a/services/daisyarchd/fleet/prefix_watch.cc
+++ b/services/daisyarchd/fleet/prefix_watch.cc
@@ -41,9 +41,9 @@
                    return;
                  }
                  self->m_as_of = listing.m_as_of;
-                 self->m_known_at = self->m_sent_at;
                  self->m_has_listing = true;
                  self->m_on_listing(listing.m_items);
+                 self->m_known_at = self->m_sent_at;
                  TickWatch(self, store, clock);
                });
 }
@@ -68,10 +68,10 @@
                   const StoreChanges& changes = result.assume_value();
                   self->m_answered_at = clock();
                   self->m_as_of = std::max(self->m_as_of, changes.m_as_of);
-                  self->m_known_at = self->m_sent_at;
                   if (!changes.m_changes.empty()) {
                     self->m_on_changes(changes.m_changes);
                   }
+                  self->m_known_at = self->m_sent_at;
                   TickWatch(self, store, clock);
                 });
 }
