--- a/standins/models/fleet_worker_model.cc
+++ b/standins/models/fleet_worker_model.cc
@@ -39,6 +39,14 @@
   }
 }
 
+void ExtendLease(FleetWorkerModel& model, WorkerMilliseconds until,
+                 TimePoint now) {
+  const WorkerMilliseconds longest =
+      ClockOf(model, now) +
+      WorkerMilliseconds(ToMilliseconds(model.m_longest_lease));
+  model.m_lease_until = std::max(model.m_lease_until, std::min(until, longest));
+}
+
 // Returns true if the worker has seen a higher token, and records the token
 // otherwise.
 bool IsFenced(FleetWorkerModel& model, FencingToken token) {
@@ -158,7 +166,7 @@
       now < model.m_unhealthy_until) {
     return StartOutcome::kRefused;
   }
-  model.m_lease_until = std::max(model.m_lease_until, order.m_lease_until);
+  ExtendLease(model, order.m_lease_until, now);
   const auto closed = model.m_closed_runs.find(order.m_task);
   const bool is_outdated =
       closed != model.m_closed_runs.end() && order.m_run <= closed->second;
@@ -210,7 +218,7 @@
   Advance(model, now);
   if (IsFenced(model, order.m_token)) return FencedError(model);
   if (order.m_has_lease) {
-    model.m_lease_until = std::max(model.m_lease_until, order.m_lease_until);
+    ExtendLease(model, order.m_lease_until, now);
   }
   Forget(model, order.m_acknowledged);
   return ReportOf(model, now);
--- a/standins/models/fleet_worker_model.h
+++ b/standins/models/fleet_worker_model.h
@@ -39,6 +39,8 @@
   /// A report lists at most this many ended runs, the earliest first.
   std::size_t m_maximum_listed_ends = 500;
   WorkerMilliseconds m_lease_until;
+  /// A longer lease is shortened to this.
+  Duration m_longest_lease = std::chrono::seconds(10);
   /// Runs up to this number had ended when the lease last expired.
   OutcomeNumber m_last_end_before_lapse;
   double m_clock_rate = 1.0;  ///< Clock time per virtual time, 0.98 to 1.
--- a/tests/fakes/fake_site.cc
+++ b/tests/fakes/fake_site.cc
@@ -1,6 +1,7 @@
 #include "fakes/fake_site.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 #include "decisions/fleet/choose_worker.h"
 #include "fakes/fake_site_links.h"
@@ -204,6 +205,11 @@
 
 }  // namespace
 
+std::uint64_t SeedCount(std::uint64_t seeds_in_ci) {
+  const char* count = std::getenv("DAISYARCH_SOAK_SEEDS");
+  return count == nullptr ? seeds_in_ci : std::strtoull(count, nullptr, 10);
+}
+
 JobRoutes MakeTestRoutes() {
   JobRoutes routes;
   routes.m_version = ConfigurationVersion(1);
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -91,6 +91,10 @@
   std::set<TaskReference> m_acknowledged;
 };
 
+/// Returns how many seeds to play: as many as the environment variable
+/// DAISYARCH_SOAK_SEEDS says, if set.
+std::uint64_t SeedCount(std::uint64_t seeds_in_ci);
+
 /// Returns one queue "batch" in the pool "pool" with three attempts per task.
 JobRoutes MakeTestRoutes();
 
