tests: Let the workers of the fake site shrink and grow

A worker's capacity may change while it runs, and a start must not bring it over a capacity that it shrank to 3 s and one heartbeat ago. No test covered that: the capacities of the fakes were fixed, and the listing of the fake site showed the models as they were at that moment.

The workers of the fake site now write their entries to its store every 1.5 s, and the listing holds these entries, as on the platform.

--- a/standins/models/fleet_worker_model.cc
+++ b/standins/models/fleet_worker_model.cc
@@ -109,6 +109,25 @@
       Incarnation(model.m_listing.m_incarnation.value() + 1);
 }
 
+void SetCapacity(FleetWorkerModel& model, const Resources& capacity,
+                 TimePoint now) {
+  model.m_earlier_capacities.emplace_back(now, model.m_listing.m_capacity);
+  model.m_listing.m_capacity = capacity;
+}
+
+Resources LargestCapacitySince(const FleetWorkerModel& model, TimePoint since) {
+  Resources largest = model.m_listing.m_capacity;
+  for (const auto& [until, capacity] : model.m_earlier_capacities) {
+    if (until < since) continue;
+    largest.m_processors =
+        std::max(largest.m_processors, capacity.m_processors);
+    largest.m_memory = std::max(largest.m_memory, capacity.m_memory);
+    largest.m_accelerators =
+        std::max(largest.m_accelerators, capacity.m_accelerators);
+  }
+  return largest;
+}
+
 StartOutcome Receive(FleetWorkerModel& model, const StartOrder& order,
                      TimePoint now) {
   Advance(model, now);
--- a/standins/models/fleet_worker_model.h
+++ b/standins/models/fleet_worker_model.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "decisions/fleet/fleet.h"
@@ -40,6 +41,8 @@
   double m_clock_rate = 1.0;  ///< Clock time per virtual time, 0.98 to 1.
   /// Until then it refuses starts and throttle orders, but answers polls.
   TimePoint m_unhealthy_until{};
+  /// The capacities that the worker had earlier, and until when.
+  std::vector<std::pair<TimePoint, Resources>> m_earlier_capacities;
 
   /// Returns when a run ends, and with which outcome.
   std::function<ModelRun(const TaskReference&, RunNumber)> m_plan_run;
@@ -61,6 +64,12 @@
 /// Starts the worker process again, as another incarnation.
 void Restart(FleetWorkerModel& model, TimePoint now);
 
+/// Changes the capacity; the runs go on.
+void SetCapacity(FleetWorkerModel& model, const Resources& capacity,
+                 TimePoint now);
+/// Returns, for each resource, the most that the worker has had since then.
+Resources LargestCapacitySince(const FleetWorkerModel& model, TimePoint since);
+
 StartOutcome Receive(FleetWorkerModel& model, const StartOrder& order,
                      TimePoint now);
 /// These return kConflict for a fencing token below the highest seen.
--- a/tests/fakes/fake_site.cc
+++ b/tests/fakes/fake_site.cc
@@ -17,6 +17,11 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(40);
 constexpr Duration kLeaseCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration kMaximumStartAfterCancel = std::chrono::seconds(4);
+// A worker writes its entry to the store this often.
+constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(1500);
+// After this time and one heartbeat, a smaller capacity is binding; also this
+// time after the store was down.
+constexpr Duration kMaximumShrinkDelay = std::chrono::seconds(3);
 
 FleetClock MakeClock(FakeSite& site, FakeSiteNode& node) {
   FleetClock clock;
@@ -41,11 +46,13 @@
     return Result<JobRoutes>(site.m_routes);
   };
   codec.m_worker_prefix = kWorkerPrefix;
-  codec.m_read_workers = [&site](const std::vector<StoredItem>&) {
+  codec.m_read_workers = [&site](const std::vector<StoredItem>& items) {
     std::vector<ListedWorker> workers;
-    for (const auto& [id, model] : site.m_workers) {
-      if (site.m_unlisted_workers.count(id) == 0)
-        workers.push_back(model->m_listing);
+    for (const StoredItem& item : items) {
+      const ListedWorker& entry =
+          site.m_written_entries.at(std::stoul(item.m_value));
+      if (site.m_unlisted_workers.count(entry.m_worker) == 0)
+        workers.push_back(entry);
     }
     return workers;
   };
@@ -103,6 +110,19 @@
                                 : step->m_latency_target / 2);
 }
 
+// Returns the capacity that a start must respect. A capacity that the worker
+// had a short time ago still counts, since the leader may not know yet that it
+// has shrunk.
+Resources BindingCapacity(const FakeSite& site,
+                          const FleetWorkerModel& worker) {
+  const TimePoint now = site.m_loop.m_now;
+  const bool is_store_stable =
+      now >= site.m_faults.m_store_down_until + kMaximumShrinkDelay;
+  return LargestCapacitySince(
+      worker, is_store_stable ? now - kMaximumShrinkDelay - kHeartbeatInterval
+                              : TimePoint());
+}
+
 // Checks the invariants of the site from the workers' state alone: a task runs
 // on one worker at a time, a worker's runs fit into its capacity, a task has at
 // most three attempts, and no run of a cancelled job starts.
@@ -120,7 +140,7 @@
     const StepPlan* step = FindStep(site, running);
     if (step != nullptr) used = used + ReservedDemand(*step);
   }
-  if (!Fits(used, started.m_listing.m_capacity))
+  if (!Fits(used, BindingCapacity(site, started)))
     RecordViolation(site, "capacity of the worker exceeded by", task);
   constexpr std::size_t kMaximumAttempts = 3;
   if (site.m_failures[task].size() >= kMaximumAttempts) {
@@ -133,6 +153,25 @@
   }
 }
 
+void WriteWorkerEntry(FakeSite& site, const ListedWorker& entry) {
+  StoreTransaction transaction;
+  transaction.m_puts.push_back({kWorkerPrefix + entry.m_worker.value(),
+                                std::to_string(site.m_written_entries.size()),
+                                StoreLeaseId()});
+  site.m_written_entries.push_back(entry);
+  Apply(site.m_store, transaction);
+}
+
+void ScheduleHeartbeats(FakeSite& site, FleetWorkerModel& worker,
+                        Duration delay) {
+  RunAfter(site.m_loop, delay, [&site, &worker] {
+    const bool is_store_up =
+        site.m_loop.m_now >= site.m_faults.m_store_down_until;
+    if (worker.m_is_up && is_store_up) WriteWorkerEntry(site, worker.m_listing);
+    ScheduleHeartbeats(site, worker, kHeartbeatInterval);
+  });
+}
+
 // Records the cancellations that have reached the store since the last call.
 void RecordStoredCancellations(FakeSite& site) {
   for (const JobKey& key : site.m_cancelled) {
@@ -203,6 +242,12 @@
       site.m_failures[ended_run.m_task].insert({id, ended_run.m_run});
     }
   };
+  WriteWorkerEntry(site, model->m_listing);
+  // The workers write at different times.
+  constexpr Duration kStagger = std::chrono::milliseconds(370);
+  ScheduleHeartbeats(
+      site, *model,
+      (site.m_workers.size() + 1) * kStagger % kHeartbeatInterval);
   site.m_workers[id] = std::move(model);
 }
 
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -61,6 +61,9 @@
   SiteFaults m_faults;
   std::map<WorkerId, std::unique_ptr<FleetWorkerModel>> m_workers;
   std::set<WorkerId> m_unlisted_workers;
+  /// What the workers have written of themselves; an entry in the store holds
+  /// an index into it.
+  std::vector<ListedWorker> m_written_entries;
   std::vector<std::unique_ptr<FakeSiteNode>> m_nodes;
   JobRoutes m_routes;
   std::map<JobKey, JobPlan> m_submitted;
