fleet: Place nothing on a restarted worker before its own entry

What callers saw: nothing yet; found by reading, then by a test. A worker that restarts under its id with a smaller capacity could get tasks beyond it.

Cause: the leader learns of the new process from its answer to a poll. That replaced the incarnation of the worker's listing entry and left the rest of the entry, so the worker was ready again with the capacity and the labels of the process before, until it had written its own entry and the leader had read it.

Change: a new incarnation that a report shows is not listed until the listing holds an entry of it. That state existed: such a worker keeps its runs and its lease, and gets nothing new.

--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -87,7 +87,8 @@
 /// The leader's state of one worker.
 struct Worker {
   ListedWorker m_listing;
-  bool m_is_listed = true;      ///< In the platform's latest listing.
+  /// In the platform's latest listing, with an entry of this incarnation.
+  bool m_is_listed = true;
   bool m_is_in_roster = false;  ///< Stored, so that a later leader polls it.
   WorkerState m_state = WorkerState::kUnverified;
   FencingToken m_token;  ///< Carried by every new order.
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -270,6 +270,8 @@
   const bool was_known = worker.m_listing.m_incarnation != Incarnation();
   worker.m_listing.m_incarnation = incarnation;
   if (!was_known) return;
+  // The new process may have another capacity and other labels.
+  worker.m_is_listed = false;
   worker.m_applied_end = worker.m_stored_end = worker.m_acknowledged_end =
       OutcomeNumber();
   worker.m_has_clock = false;
--- a/tests/decisions/fleet/capacity_change_test.cc
+++ b/tests/decisions/fleet/capacity_change_test.cc
@@ -238,6 +238,33 @@
   CHECK(CountLaterStarts(fixture) == 2);
 }
 
+// Guards against a start beyond the capacity of a process that has restarted
+// with less: its report arrives before its entry in the listing.
+TEST_CASE("A restarted worker gets no task before its new capacity is listed") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(4000));
+  const ListedWorker before = WorkerOf(fixture, "w0").m_listing;
+  for (int times = 0; times < 2; ++times) {
+    Wait(fixture, std::chrono::seconds(11));
+    WorkerReport report;
+    report.m_incarnation = Incarnation(2);
+    ApplyReport(fixture.m_fleet, WorkerId("w0"),
+                WorkerOf(fixture, "w0").m_poll_number,
+                WorkerOf(fixture, "w0").m_token, report, fixture.m_now);
+  }
+  REQUIRE(WorkerOf(fixture, "w0").m_state == WorkerState::kReady);
+  fixture.m_fleet.m_orders.clear();
+  Submit(fixture, MakePlan("job", 4, kCore));
+  CHECK(TakeOrders<StartOrder>(fixture).empty());
+  ApplyListing(fixture.m_fleet, {before}, fixture.m_now, fixture.m_now);
+  CHECK(CountLaterStarts(fixture) == 0);
+  ListedWorker after = before;
+  after.m_incarnation = Incarnation(2);
+  after.m_capacity.m_processors = Millicores(2000);
+  ApplyListing(fixture.m_fleet, {after}, fixture.m_now, fixture.m_now);
+  CHECK(CountLaterStarts(fixture) == 2);
+}
+
 TEST_CASE("Adopted runs count on a worker that has shrunk below them") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, Millicores(4000));
--- a/tests/invariants/capacity_change_property_test.cc
+++ b/tests/invariants/capacity_change_property_test.cc
@@ -166,7 +166,24 @@
            [leader] { leader->m_unreachable_workers.clear(); });
 }
 
-void PlanFaults(FakeSite& site, std::uint64_t seed) {
+// The new process may have another capacity.
+void RestartWorker(CapacityDay& day) {
+  FakeSite& site = day.m_site;
+  FleetWorkerModel& worker = PickWorker(site);
+  if (!worker.m_is_up) return;
+  Crash(worker, site.m_loop.m_now);
+  const Duration down =
+      DelayBetween(site.m_loop, milliseconds(200), seconds(3));
+  RunAfter(site.m_loop, down, [&day, &site, &worker] {
+    SetCapacity(worker,
+                day.m_has_grown_again ? kCapacity : DrawCapacity(site.m_loop),
+                site.m_loop.m_now);
+    Restart(worker, site.m_loop.m_now);
+  });
+}
+
+void PlanFaults(CapacityDay& day, std::uint64_t seed) {
+  FakeSite& site = day.m_site;
   if (seed % 2 == 0) {
     site.m_faults.m_answer_loss_probability = 0.03;
     site.m_faults.m_late_effect_probability = 0.02;
@@ -182,6 +199,10 @@
       site.m_faults.m_store_down_until = site.m_loop.m_now + seconds(5);
     });
   }
+  if (seed % 4 == 0) return;
+  for (int times = 0; times < 6; ++times) {
+    ScheduleFault(site, [&day] { RestartWorker(day); });
+  }
 }
 
 bool AllJobsEnd(FakeSite& site) {
@@ -199,7 +220,7 @@
     FakeSite& site = day.m_site;
     BuildSite(day);
     SubmitJobs(site, false);
-    PlanFaults(site, seed);
+    PlanFaults(day, seed);
     ScheduleCapacityChanges(day);
     RunFor(site.m_loop, kChanges);
     site.m_faults = SiteFaults();
