fleet: Compute headrooms again when a worker's capacity changes

What callers saw: nothing yet; found by reading. For up to a poll (1 s) after a worker had shrunk, best-effort tasks could be placed there beside serving tasks that could not bear them.

Cause: the expected headrooms of a worker are kept until one of their inputs changes. The capacity is such an input, but a listing that changed it left them; reports and starts clear them.

Evidence: in the new unit test, a worker of 8000 millicores shrinks to 6000 and gets a best-effort task that leaves less than the planned headroom, and after it has grown again, none is left to start (two checks fail).

Change: a listing that changes the capacity clears the headrooms.

Result: the unit test passes, and so do all the others.

--- a/libraries/decisions/fleet/listing.cc
+++ b/libraries/decisions/fleet/listing.cc
@@ -41,6 +41,9 @@
     if (worker.m_listing.m_address != entry.m_address) {
       worker.m_is_in_roster = false;
     }
+    if (!(worker.m_listing.m_capacity == entry.m_capacity)) {
+      worker.m_headrooms.clear();
+    }
     const bool was_leaving = worker.m_listing.m_is_leaving;
     worker.m_listing = entry;
     worker.m_is_listed = true;
--- a/tests/decisions/fleet/capacity_change_test.cc
+++ b/tests/decisions/fleet/capacity_change_test.cc
@@ -265,6 +265,32 @@
   CHECK(CountLaterStarts(fixture) == 2);
 }
 
+// Guards against best-effort tasks beside serving tasks that a shrunk worker
+// can no longer bear: headroom that was computed for the larger worker was used
+// on.
+TEST_CASE("The headroom of serving tasks follows the capacity of a worker") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(8000));
+  const ImageId serving_image("serving");
+  Interference& known = fixture.m_fleet.m_interference;
+  known.m_baselines[serving_image] = {2.2, 0.01};
+  known.m_pairs[{serving_image, ImageId("best-effort")}] = {2.0, 0.01};
+  JobPlan serving = MakePlan("serving", 1, Millicores(5000));
+  serving.m_steps.front().m_image = serving_image;
+  serving.m_steps.front().m_latency_target = std::chrono::milliseconds(18);
+  REQUIRE(SubmitAndStart(fixture, serving).size() == 1);
+  REQUIRE(SubmitAndStart(fixture, MakeBestEffortPlan("first", Millicores(2000)))
+              .size() == 1);
+  // The headroom is computed to find that this one does not fit.
+  REQUIRE(SubmitAndStart(fixture, MakeBestEffortPlan("large", Millicores(5500)))
+              .empty());
+  ListProcessors(fixture, "w0", Millicores(6000));
+  Submit(fixture, MakeBestEffortPlan("second", kCore));
+  CHECK(TakeOrders<StartOrder>(fixture).empty());
+  ListProcessors(fixture, "w0", Millicores(8000));
+  CHECK(CountLaterStarts(fixture) == 1);
+}
+
 TEST_CASE("Adopted runs count on a worker that has shrunk below them") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, Millicores(4000));
