fleet: Learn no interference on a worker that shrank below its use

What callers saw: nothing yet; found by reading. After one report of a worker whose processors had shrunk to none, best-effort images that harm a serving image were taken as harmless to it, on all workers.

Cause: the effect of a best-effort image is learned from its share of the worker: the processors in use over the capacity. With tasks that run on while the capacity is smaller than their use, this is no share; with a capacity of none, it was 1900, and the filter attributed the whole error to the pair.

Change: a sample in which the best-effort tasks use more than the capacity is ignored. Throttling goes on as before, by the measured tail latencies.

--- a/libraries/decisions/fleet/interference.cc
+++ b/libraries/decisions/fleet/interference.cc
@@ -131,6 +131,14 @@
   CountIncompatible(interference, image);
 }
 
+// A worker that has shrunk may run more than its capacity, of which no share
+// can be told.
+bool IsUseBeyond(const BestEffortImages& best_effort, Millicores capacity) {
+  Millicores used;
+  for (const auto& entry : best_effort) used += entry.second.m_used;
+  return capacity < used;
+}
+
 double BaselineHeadroomOf(const Interference& interference,
                           const ImageId& serving) {
   const auto found = interference.m_baselines.find(serving);
@@ -143,6 +151,7 @@
 void AddInterferenceSample(Interference& interference, ServingImages& serving,
                            const BestEffortImages& best_effort,
                            Millicores capacity) {
+  if (IsUseBeyond(best_effort, capacity)) return;
   for (auto& [image, serving_image] : serving) {
     if (serving_image.m_mean_tail_latency_ms <= 0) continue;
     AddServingImageSample(interference, image, serving_image, best_effort,
--- a/libraries/decisions/fleet/interference.h
+++ b/libraries/decisions/fleet/interference.h
@@ -89,7 +89,8 @@
   bool m_is_known = false;
 };
 
-/// Updates the estimates with one sample of a worker.
+/// Updates the estimates with one sample of a worker. Ignores a sample in which
+/// the best-effort tasks use more than the capacity.
 void AddInterferenceSample(Interference& interference, ServingImages& serving,
                            const BestEffortImages& best_effort,
                            Millicores capacity);
--- a/tests/decisions/fleet/capacity_change_test.cc
+++ b/tests/decisions/fleet/capacity_change_test.cc
@@ -291,6 +291,38 @@
   CHECK(CountLaterStarts(fixture) == 1);
 }
 
+// Guards against harmful best-effort images that are taken as harmless: their
+// use was compared with the capacity of a worker that had shrunk below it.
+TEST_CASE("A worker that shrinks below its use teaches no interference") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(8000));
+  const ImageId serving_image("serving");
+  const std::pair<ImageId, ImageId> pair(serving_image, ImageId("best-effort"));
+  Interference& known = fixture.m_fleet.m_interference;
+  JobPlan serving = MakePlan("serving", 1, kCore);
+  serving.m_steps.front().m_image = serving_image;
+  serving.m_steps.front().m_latency_target = std::chrono::milliseconds(18);
+  const auto serving_starts = SubmitAndStart(fixture, serving);
+  REQUIRE(serving_starts.size() == 1);
+  const auto best_effort =
+      SubmitAndStart(fixture, MakeBestEffortPlan("first", Millicores(2000)));
+  REQUIRE(best_effort.size() == 1);
+  known.m_baselines[serving_image] = {2.2, 0.01};
+  known.m_pairs[pair] = {5.0, 1.0};
+  ListProcessors(fixture, "w0", Millicores(0));
+  Wait(fixture, std::chrono::seconds(2));
+  ActiveRun serving_run = ActiveRunOf(serving_starts[0]);
+  serving_run.m_progress_percent = 100;
+  serving_run.m_load = 12;
+  ActiveRun best_effort_run = ActiveRunOf(best_effort[0]);
+  best_effort_run.m_load = 1900;
+  Report(fixture, "w0", {serving_run, best_effort_run}, {});
+  REQUIRE(
+      WorkerOf(fixture, "w0").m_serving.at(serving_image).m_tail_latency_ms >
+      0);
+  CHECK(known.m_pairs.at(pair).m_mean >= 4.5);
+}
+
 TEST_CASE("Adopted runs count on a worker that has shrunk below them") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, Millicores(4000));
