--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -23,7 +23,6 @@
   kReady,
   kSilent,
   kLapsed,
-  kGone,
 };
 
 /// Events of charts/fleet_worker.yaml, in the order of WorkerBinding().
@@ -82,6 +81,8 @@
   WorkerMilliseconds m_clock;  ///< Its clock at the answer.
   std::vector<ActiveRun> m_running;
   std::vector<EndedRun> m_ended;
+  /// False if the worker may have ended runs after those in `m_ended`.
+  bool m_lists_all_ends = true;
 };
 
 /// The leader's state of one worker.
@@ -109,8 +110,13 @@
 
   OutcomeNumber m_applied_end;  ///< The last ended run that was applied.
   OutcomeNumber m_stored_end;   ///< Ended runs up to here are stored.
-  OutcomeNumber
-      m_acknowledged_end;  ///< Sent to the worker with the latest poll.
+  /// The first ended run whose job is not known, and since when it is listed.
+  OutcomeNumber m_unknown_end;
+  TimePoint m_unknown_end_since{};
+  OutcomeNumber m_first_listed_end;  ///< In its last report; 0: none.
+  /// The latest answer to a poll came from this incarnation, and every order
+  /// since then was answered.
+  bool m_is_incarnation_confirmed = false;
 
   bool m_has_clock = false;    ///< This incarnation has reported its clock.
   WorkerMilliseconds m_clock;  ///< As last reported.
@@ -121,11 +127,6 @@
   /// it has reported its runs to this leader.
   TimePoint m_inherited_runs_until{};
 
-  /// After a restart: when the leases of all starts that were sent before the
-  /// leader learned of it have certainly expired, even if the new incarnation
-  /// never reports. 0 once it has reported or that time has passed.
-  TimePoint m_unconfirmed_until{};
-
   /// Failed runs since the last success.
   std::uint32_t m_consecutive_failures = 0;
   TimePoint m_quarantined_until{};  ///< It gets no new tasks until then.
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -17,12 +17,25 @@
 constexpr std::int64_t kUnlimitedUsePercent = 90;
 // Poll interval that extends leases while ended runs cannot be stored.
 constexpr Duration kUnstoredPollInterval = std::chrono::milliseconds(300);
-// Covers a worker's clock that runs 2% slow, and a start in transit.
-constexpr Duration kRestartSlack = std::chrono::milliseconds(700);
+// Covers a worker's clock that runs 2% slow, and an order in transit.
+constexpr Duration kUnconfirmedSlack = std::chrono::milliseconds(900);
 // Period that reported tail latencies cover, and the time until they arrive.
 constexpr Duration kTailLatencyWindow = std::chrono::milliseconds(600);
 constexpr Duration kPollRetryInterval = std::chrono::milliseconds(100);
 
+// Returns until when an unconfirmed start may take effect or its run be active.
+// The deadline of the order is no bound: a worker that restarts accepts one
+// that has passed on its earlier clock.
+TimePoint UnconfirmedUntil(const FleetLimits& limits, const Task& task,
+                           TimePoint now) {
+  const bool has_started = task.m_started_at != TimePoint();
+  const TimePoint latest_start =
+      has_started
+          ? now
+          : std::max(now, task.m_start_sent_at + limits.m_longest_order_delay);
+  return latest_start + limits.m_longest_lease + kUnconfirmedSlack;
+}
+
 bool IsRunOnWorker(const Task& task, const Worker& worker,
                    const RunNumber& run) {
   return IsPlaced(task.m_state) && task.m_run == run &&
@@ -123,15 +136,25 @@
                             Duration{}});
 }
 
+// A done run that was taken as interrupted makes a waiting task done. While a
+// later run is active, that run decides: its worker's lease has expired, so the
+// done run may not be relied on.
+void ApplySupersededDone(Fleet& fleet, Job& job, Task& task,
+                         const Worker& worker, const EndedRun& ended) {
+  if (task.m_state == RunState::kWaiting && ended.m_run <= task.m_run) {
+    StepTask(fleet, job, ended.m_task, RunEvent::kCompleted);
+  } else if (IsPlaced(task.m_state)) {
+    fleet.m_events.push_back({"done_run_ignored", ended.m_task.m_job,
+                              worker.m_listing.m_worker, ended.m_run,
+                              Duration{}});
+  }
+}
+
 // The failure of a run that a later run has replaced still counts as an
 // attempt.
 void RecordSupersededFailure(Fleet& fleet, Job& job, Task& task,
                              const EndedRun& ended) {
-  if (ended.m_outcome != RunOutcome::kFailed || task.m_state == RunState::kDone)
-    return;
-  if (job.m_plan.m_steps[ended.m_task.m_step].m_kind == StepKind::kService) {
-    return;
-  }
+  if (task.m_state == RunState::kDone) return;
   if (ended.m_run >= task.m_run || !RecordFailedRun(task, ended.m_run)) return;
   MarkChanged(fleet, job);
   const bool is_waiting = task.m_state == RunState::kWaiting;
@@ -140,6 +163,19 @@
   }
 }
 
+// Applies the end of a run that is not the task's current one.
+void ApplySupersededEnd(Fleet& fleet, Job& job, Task& task,
+                        const Worker& worker, const EndedRun& ended) {
+  if (job.m_plan.m_steps[ended.m_task.m_step].m_kind == StepKind::kService) {
+    return;
+  }
+  if (ended.m_outcome == RunOutcome::kDone) {
+    ApplySupersededDone(fleet, job, task, worker, ended);
+  } else if (ended.m_outcome == RunOutcome::kFailed) {
+    RecordSupersededFailure(fleet, job, task, ended);
+  }
+}
+
 void ApplyEndedRun(Fleet& fleet, Worker& worker, const EndedRun& ended,
                    TimePoint now) {
   Job* job = nullptr;
@@ -147,7 +183,7 @@
   if (task == nullptr) return;
   if (!IsRunOnWorker(*task, worker, ended.m_run) &&
       !AdoptRun(fleet, *job, *task, worker, ended.m_task, ended.m_run)) {
-    return RecordSupersededFailure(fleet, *job, *task, ended);
+    return ApplySupersededEnd(fleet, *job, *task, worker, ended);
   }
   if (!ended.m_checkpoint.empty()) task->m_checkpoint = ended.m_checkpoint;
   UpdateQuarantine(fleet, worker, ended.m_outcome, now);
@@ -167,6 +203,54 @@
   }
 }
 
+// Returns whether the ended run may belong to a job that was stored but has not
+// reached this leader yet. An earlier leader that does not know of this one may
+// have started it.
+bool AwaitsJob(const Fleet& fleet, Worker& worker, const EndedRun& ended,
+               TimePoint now) {
+  const bool is_counted = ended.m_outcome == RunOutcome::kDone ||
+                          ended.m_outcome == RunOutcome::kFailed;
+  const JobKey& key = ended.m_task.m_job;
+  if (!is_counted || fleet.m_jobs.count(key.value()) > 0 ||
+      fleet.m_ended_jobs.count(key) > 0) {
+    return false;
+  }
+  if (worker.m_unknown_end != ended.m_number) {
+    worker.m_unknown_end = ended.m_number;
+    worker.m_unknown_end_since = now;
+  }
+  return fleet.m_jobs_known_at <= worker.m_unknown_end_since;
+}
+
+// Applies the ended runs up to the first whose job may still become known, and
+// returns whether that was all. An ended run stays ended, whatever token the
+// poll carried.
+bool ApplyEndedRuns(Fleet& fleet, Worker& worker, const WorkerReport& report,
+                    TimePoint now) {
+  worker.m_first_listed_end = report.m_ended.empty()
+                                  ? OutcomeNumber()
+                                  : report.m_ended.front().m_number;
+  for (const EndedRun& ended : report.m_ended) {
+    if (ended.m_number <= worker.m_applied_end) continue;
+    if (AwaitsJob(fleet, worker, ended, now)) return false;
+    ApplyEndedRun(fleet, worker, ended, now);
+    worker.m_applied_end = ended.m_number;
+  }
+  return report.m_lists_all_ends;
+}
+
+// Another leader, or a deadline on the clock of an earlier incarnation, may
+// have granted the lease of runs that the worker reports before this leader has
+// granted any.
+void ExtendUnknownLease(const Fleet& fleet, Worker& worker,
+                        const WorkerReport& report) {
+  if (report.m_running.empty()) return;
+  if (worker.m_lease_until != WorkerMilliseconds()) return;
+  worker.m_lease_until =
+      report.m_clock +
+      WorkerMilliseconds(ToMilliseconds(fleet.m_limits.m_longest_lease));
+}
+
 // A run whose start was confirmed before the poll was sent, and that the report
 // lists neither as active nor as ended, is gone.
 void InterruptMissingRuns(Fleet& fleet, Worker& worker,
@@ -183,6 +267,9 @@
       continue;
     }
     if (task->m_started_at >= worker.m_poll_sent_at) continue;
+    fleet.m_events.push_back({"run_missing", reference.m_job,
+                              worker.m_listing.m_worker, task->m_run,
+                              worker.m_clock_read_at - task->m_started_at});
     StepTask(fleet, *job, reference, RunEvent::kInterrupted);
   }
 }
@@ -272,16 +359,25 @@
   if (!was_known) return;
   // The new process may have another capacity and other labels.
   worker.m_is_listed = false;
-  worker.m_applied_end = worker.m_stored_end = worker.m_acknowledged_end =
+  fleet.m_events.push_back({"worker_restarted", JobKey(),
+                            worker.m_listing.m_worker, RunNumber(),
+                            worker.m_poll_sent_at - worker.m_clock_read_at});
+  worker.m_applied_end = worker.m_stored_end = worker.m_first_listed_end =
       OutcomeNumber();
   worker.m_has_clock = false;
+  worker.m_unknown_end = OutcomeNumber();
   worker.m_clock = worker.m_lease_until = WorkerMilliseconds();
   worker.m_unknown_runs = 0;
   worker.m_consecutive_failures = 0;
-  // Its clock has restarted, so deadlines sent earlier are meaningless.
-  worker.m_unconfirmed_until =
-      now + fleet.m_limits.m_longest_lease + kRestartSlack;
   StepWorker(fleet, worker, WorkerEvent::kRestarted);
+  for (const TaskReference& reference : worker.m_runs) {
+    Job* job = nullptr;
+    Task* task = FindTask(fleet, reference, job);
+    if (task == nullptr) continue;
+    task->m_unconfirmed_until =
+        std::max(task->m_unconfirmed_until,
+                 UnconfirmedUntil(fleet.m_limits, *task, now));
+  }
 }
 
 void ApplyReport(Fleet& fleet, const WorkerId& worker_id, std::uint64_t poll,
@@ -293,6 +389,8 @@
   worker->m_next_poll_at = now;
   const Incarnation before = worker->m_listing.m_incarnation;
   UpdateIncarnation(fleet, *worker, report.m_incarnation, now);
+  const bool has_all_ends = ApplyEndedRuns(fleet, *worker, report, now);
+  worker->m_is_incarnation_confirmed = true;
   // A new incarnation is polled again under its new token.
   if (before != Incarnation() && before != worker->m_listing.m_incarnation) {
     return;
@@ -301,26 +399,27 @@
   worker->m_clock_read_at = now;
   worker->m_has_clock = true;
   if (token != worker->m_token) return;
+  ExtendUnknownLease(fleet, *worker, report);
   worker->m_unknown_runs = 0;
-  for (const EndedRun& ended : report.m_ended) {
-    if (ended.m_number <= worker->m_applied_end) continue;
-    ApplyEndedRun(fleet, *worker, ended, now);
-    worker->m_applied_end = ended.m_number;
-  }
   for (const ActiveRun& active : report.m_running) {
     ApplyActiveRun(fleet, *worker, active, now);
   }
-  InterruptMissingRuns(fleet, *worker, report);
-  if (worker->m_state != WorkerState::kReady) fleet.m_needs_placement = true;
-  worker->m_inherited_runs_until = worker->m_unconfirmed_until = TimePoint();
-  StepWorker(fleet, *worker, WorkerEvent::kReported);
+  // Only a report whose ended runs are all applied shows which runs are gone.
+  if (has_all_ends) {
+    InterruptMissingRuns(fleet, *worker, report);
+    if (worker->m_state != WorkerState::kReady) fleet.m_needs_placement = true;
+    worker->m_inherited_runs_until = TimePoint();
+    StepWorker(fleet, *worker, WorkerEvent::kReported);
+  }
   // With nothing to store, the ended runs can be acknowledged at once.
   if (fleet.m_changed_jobs.empty() && !fleet.m_is_storing) {
     worker->m_stored_end = worker->m_applied_end;
   }
   // A worker answers at once while it has unacknowledged ended runs, so the
   // next poll waits until these can be acknowledged.
-  const bool has_unstored_ends = worker->m_stored_end < worker->m_applied_end;
+  const bool has_unstored_ends =
+      !report.m_ended.empty() &&
+      worker->m_stored_end < report.m_ended.back().m_number;
   worker->m_next_poll_at =
       now + std::max(PollSpacing(fleet, *worker),
                      has_unstored_ends ? kUnstoredPollInterval : Duration{});
@@ -340,6 +439,7 @@
   Worker* worker = FindWorker(fleet, worker_id);
   if (worker == nullptr || poll != worker->m_poll_number) return;
   worker->m_is_polling = false;
+  worker->m_is_incarnation_confirmed = false;
   worker->m_next_poll_at = now + kPollRetryInterval;
   StepWorker(fleet, *worker, WorkerEvent::kPollFailed);
 }
@@ -368,6 +468,7 @@
     case StartOutcome::kUnanswered:
       if (task->m_start_confirmation == StartConfirmation::kConfirmed) break;
       task->m_start_confirmation = StartConfirmation::kUnconfirmed;
+      task->m_unconfirmed_until = UnconfirmedUntil(fleet.m_limits, *task, now);
       StepTask(fleet, *job, order.m_task, RunEvent::kStartUnanswered);
       FenceUnanswered(fleet, *worker, order.m_token);
       break;
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -41,14 +41,15 @@
   Predecessor m_predecessor;
   std::function<void(const std::string& reason)> m_on_claim_lost;
   std::function<bool()> m_may_start_runs;
+  /// Jobs that become known before this time may have been started by the
+  /// previous leader, which may not know yet that it has lost its claim.
+  TimePoint m_inherits_jobs_until{};
   bool m_is_loaded = false;
   PrefixWatchPointer m_jobs_watch;
   /// Unfinished jobs with a stored cancellation, which may be seen before the
   /// job itself.
   std::set<JobKey> m_cancelled_jobs;
   std::map<JobKey, StoreRevision> m_progress_revisions;
-  /// When each ended job ended; its progress is removed some time later.
-  std::map<JobKey, std::int64_t> m_ended_unix_ms;
   BatchWriter m_writer;
   TimePoint m_next_write_at{};
   bool m_is_listing = false;  ///< A listing of workers is in flight.
