--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -369,6 +369,8 @@
   const bool was_known = worker.m_listing.m_incarnation != Incarnation();
   worker.m_listing.m_incarnation = incarnation;
   if (!was_known) return;
+  // The new process may have another capacity and other labels.
+  worker.m_is_listed = false;
   fleet.m_events.push_back({"worker_restarted", JobKey(),
                             worker.m_listing.m_worker, RunNumber(),
                             worker.m_poll_sent_at - worker.m_clock_read_at});
