--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -36,6 +36,18 @@
   return latest_start + limits.m_longest_lease + kUnconfirmedSlack;
 }
 
+void MarkUnconfirmed(const Fleet& fleet, Task& task, TimePoint now) {
+  task.m_start_confirmation = StartConfirmation::kUnconfirmed;
+  task.m_unconfirmed_until = std::max(
+      task.m_unconfirmed_until, UnconfirmedUntil(fleet.m_limits, task, now));
+}
+
+// Returns whether the worker has reported since its runs were last in doubt.
+bool IsInContact(const Worker& worker) {
+  return worker.m_state == WorkerState::kReady ||
+         worker.m_state == WorkerState::kSilent;
+}
+
 bool IsRunOnWorker(const Task& task, const Worker& worker,
                    const RunNumber& run) {
   return IsPlaced(task.m_state) && task.m_run == run &&
@@ -150,12 +162,12 @@
   }
 }
 
-// The failure of a run that a later run has replaced still counts as an
+// The failure of a run that was taken as interrupted still counts as an
 // attempt.
 void RecordSupersededFailure(Fleet& fleet, Job& job, Task& task,
                              const EndedRun& ended) {
   if (task.m_state == RunState::kDone) return;
-  if (ended.m_run >= task.m_run || !RecordFailedRun(task, ended.m_run)) return;
+  if (ended.m_run > task.m_run || !RecordFailedRun(task, ended.m_run)) return;
   MarkChanged(fleet, job);
   const bool is_waiting = task.m_state == RunState::kWaiting;
   if (is_waiting && task.m_failed_runs.size() >= job.m_maximum_attempts) {
@@ -357,6 +369,8 @@
   const bool was_known = worker.m_listing.m_incarnation != Incarnation();
   worker.m_listing.m_incarnation = incarnation;
   if (!was_known) return;
+  // The new process may have another capacity and other labels.
+  worker.m_is_listed = false;
   fleet.m_events.push_back({"worker_restarted", JobKey(),
                             worker.m_listing.m_worker, RunNumber(),
                             worker.m_poll_sent_at - worker.m_clock_read_at});
@@ -453,6 +467,9 @@
   switch (outcome) {
     case StartOutcome::kStarted:
       RecordStart(fleet, *job, *task, order.m_task, now);
+      // The answer may come from an earlier incarnation, or from before the
+      // lease expired, so the worker's next report decides.
+      if (!IsInContact(*worker)) MarkUnconfirmed(fleet, *task, now);
       break;
     case StartOutcome::kRefused:
       // The worker's state differs from the leader's view of it, which the next
@@ -465,8 +482,7 @@
       break;
     case StartOutcome::kUnanswered:
       if (task->m_start_confirmation == StartConfirmation::kConfirmed) break;
-      task->m_start_confirmation = StartConfirmation::kUnconfirmed;
-      task->m_unconfirmed_until = UnconfirmedUntil(fleet.m_limits, *task, now);
+      MarkUnconfirmed(fleet, *task, now);
       StepTask(fleet, *job, order.m_task, RunEvent::kStartUnanswered);
       FenceUnanswered(fleet, *worker, order.m_token);
       break;
