fleet: Log which runs may have crashed their worker

An error says whether the peer's host refused or closed the connection. Two such polls in a row show that the process has crashed: worker_crashed, and run_crashed for each run that had started less than 1 s before the worker's last answer. The fakes play such crashes. The fields for counting are there and not in use.

--- a/libraries/base/error.h
+++ b/libraries/base/error.h
@@ -23,6 +23,9 @@
   std::string m_step;
   std::string m_peer;
   std::string m_detail;
+  /// The peer's host refused or closed the connection, as after a crash of the
+  /// peer's process. False if there was no response at all.
+  bool m_is_closed_by_peer = false;
 };
 
 /// Returns the lower-case name of the code, as used in logs and responses.
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -94,6 +95,12 @@
   kUnanswered,  ///< The task may run, now or later.
 };
 
+/// How a poll of a worker failed.
+enum class PollFailure {
+  kUnanswered,  ///< No response, or an error from the worker.
+  kClosed,      ///< Its host refused or closed the connection.
+};
+
 /// An event that is logged and counted for operators.
 struct FleetEvent {
   const char* m_name;  ///< Name of the event in the log and the metrics.
@@ -103,6 +110,13 @@
   /// Age of the job at its start, duration of the failed run, or time from
   /// the worker's last report to the latest poll.
   Duration m_age{};
+  std::optional<TaskReference> m_task;  ///< Of an event of one task.
+};
+
+/// The worker that a task waits for or runs on in isolation.
+struct Isolation {
+  WorkerId m_worker;  ///< Empty while no worker is held for the task.
+  TimePoint m_since{};
 };
 
 struct FleetStateMachines;
@@ -136,6 +150,10 @@
   TimePoint m_next_best_effort_pass_at{};
   TimePoint m_next_stop_repeat_at{};
   Interference m_interference;
+  /// The unfinished tasks that need isolation.
+  std::map<TaskReference, Isolation> m_isolations;
+  /// The latest crashes of workers, the oldest first.
+  std::vector<std::pair<TimePoint, WorkerId>> m_recent_crashes;
   /// Occurrences of timed jobs that are not due yet: the Unix time in ms, the
   /// job and the occurrence.
   std::set<std::tuple<std::int64_t, JobKey, std::uint32_t>>
@@ -216,7 +234,7 @@
 void ApplyReport(Fleet& fleet, const WorkerId& worker, std::uint64_t poll,
                  FencingToken token, const WorkerReport& report, TimePoint now);
 void ApplyPollFailure(Fleet& fleet, const WorkerId& worker, std::uint64_t poll,
-                      TimePoint now);
+                      PollFailure failure, TimePoint now);
 void ApplyStartOutcome(Fleet& fleet, const StartOrder& order,
                        StartOutcome outcome, TimePoint now);
 /// Records that the worker applies the limit that the order sets.
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -54,6 +54,9 @@
   bool m_is_limit_confirmed = true;
   std::uint8_t m_progress_percent = 0;   ///< As last reported.
   std::vector<RunNumber> m_failed_runs;  ///< Without duplicates.
+  /// Runs during which the worker crashed and that may have caused it; without
+  /// duplicates. See crash_count.h.
+  std::vector<RunNumber> m_crashed_runs;
   /// As last reported: the tail latency of a serving task in milliseconds, or
   /// the processor use of any other task in thousandths of a core.
   std::int64_t m_load = 0;
@@ -172,6 +175,7 @@
   std::uint32_t m_index = 0;
   bool m_is_done = false;
   std::vector<RunNumber> m_failed_runs;
+  std::vector<RunNumber> m_crashed_runs;
   RunNumber m_run;
   std::string m_checkpoint;
 };
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/ids.h"
@@ -106,6 +107,16 @@
   TimePoint m_poll_sent_at{};
   TimePoint m_next_poll_at{};
 
+  /// Polls since the last answer that its host refused or closed.
+  std::uint32_t m_closed_polls = 0;
+  /// Another poll since the last answer has failed otherwise.
+  bool m_has_unanswered_poll = false;
+  /// Runs that are counted as crashed because of its present silence.
+  std::vector<std::pair<TaskReference, RunNumber>> m_crashed_runs;
+  /// The job whose isolated tasks alone may start on it; empty: any task. See
+  /// isolation.h.
+  JobKey m_isolated_for;
+
   OutcomeNumber m_applied_end;  ///< The last ended run that was applied.
   OutcomeNumber m_stored_end;   ///< Ended runs up to here are stored.
   OutcomeNumber
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <numeric>
 
+#include "decisions/fleet/crash_count.h"
 #include "decisions/fleet/fleet.h"
 
 namespace daisyarch::fleet {
@@ -291,6 +292,7 @@
   worker->m_next_poll_at = now;
   const Incarnation before = worker->m_listing.m_incarnation;
   UpdateIncarnation(fleet, *worker, report.m_incarnation, now);
+  RecordAnswer(fleet, *worker);
   // A new incarnation is polled again under its new token.
   if (before != Incarnation() && before != worker->m_listing.m_incarnation) {
     return;
@@ -334,11 +336,12 @@
 }
 
 void ApplyPollFailure(Fleet& fleet, const WorkerId& worker_id,
-                      std::uint64_t poll, TimePoint now) {
+                      std::uint64_t poll, PollFailure failure, TimePoint now) {
   Worker* worker = FindWorker(fleet, worker_id);
   if (worker == nullptr || poll != worker->m_poll_number) return;
   worker->m_is_polling = false;
   worker->m_next_poll_at = now + kPollRetryInterval;
+  RecordPollFailure(fleet, *worker, failure, now);
   StepWorker(fleet, *worker, WorkerEvent::kPollFailed);
 }
 
--- a/libraries/http/http_client.cc
+++ b/libraries/http/http_client.cc
@@ -33,6 +33,14 @@
 
 namespace {
 
+bool IsClosedByPeer(beast::error_code code) {
+  return code == asio::error::connection_refused ||
+         code == asio::error::connection_reset ||
+         code == asio::error::broken_pipe || code == asio::error::eof ||
+         code == beast::http::error::end_of_stream ||
+         code == beast::http::error::partial_message;
+}
+
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   explicit Connection(std::shared_ptr<HttpClient::State> state)
@@ -164,7 +172,8 @@
 
   void Fail(ErrorCode kind, const std::string& step, beast::error_code code) {
     Close();
-    Finish(Error{kind, step, ToString(m_state->m_address), code.message()});
+    Finish(Error{kind, step, ToString(m_state->m_address), code.message(),
+                 IsClosedByPeer(code)});
   }
 
   void Finish(Result<HttpResponse> result) {
--- a/libraries/wire/field_codec.h
+++ b/libraries/wire/field_codec.h
@@ -38,6 +38,12 @@
     m_object[name] = Write(value);
   }
 
+  /// Encodes a field that older records lack.
+  template <typename Value>
+  void Optional(const char* name, const Value& value) {
+    (*this)(name, value);
+  }
+
   Json Take() { return std::move(m_object); }
 
   template <typename Value>
@@ -117,6 +123,13 @@
     }
   }
 
+  /// Decodes a field that older records lack; leaves `value` as it is if the
+  /// field is missing.
+  template <typename Value>
+  void Optional(const char* name, Value& value) {
+    if (m_object.find(name) != m_object.end()) (*this)(name, value);
+  }
+
   /// Decodes `json` into `value`. Returns the error, or "" on success.
   template <typename Value>
   static std::string Read(const Json& json, Value& value) {
--- a/services/daisyarchd/fleet/leader_log.cc
+++ b/services/daisyarchd/fleet/leader_log.cc
@@ -35,6 +35,16 @@
                      {"last_answer_ms", ToMilliseconds(event.m_age)},
                      {"term", leader.m_claim.m_term.value()}});
   }
+  if (event.m_task) {
+    return LogEvent(LogLevel::kInfo, event.m_name,
+                    {{"job", event.m_job.value()},
+                     {"step", std::uint64_t{event.m_task->m_step}},
+                     {"task", std::uint64_t{event.m_task->m_index}},
+                     {"worker", event.m_worker.value()},
+                     {"run", event.m_run.value()},
+                     {"age_ms", ToMilliseconds(event.m_age)},
+                     {"term", leader.m_claim.m_term.value()}});
+  }
   LogEvent(LogLevel::kInfo, event.m_name,
            {{"job", event.m_job.value()},
             {"worker", event.m_worker.value()},
--- a/services/daisyarchd/fleet/leader_orders.cc
+++ b/services/daisyarchd/fleet/leader_orders.cc
@@ -100,6 +100,9 @@
             HandleFencedOrder(*self, order.m_worker, order.m_token);
           }
           ApplyPollFailure(self->m_fleet, order.m_worker, order.m_poll_number,
+                           result.assume_error().m_is_closed_by_peer
+                               ? PollFailure::kClosed
+                               : PollFailure::kUnanswered,
                            Now(*self));
         } else {
           ApplyReport(self->m_fleet, order.m_worker, order.m_poll_number,
--- a/standins/models/fleet_worker_model.cc
+++ b/standins/models/fleet_worker_model.cc
@@ -102,8 +102,14 @@
   model.m_lease_until = WorkerMilliseconds();
 }
 
+void CrashProcess(FleetWorkerModel& model, TimePoint now) {
+  Crash(model, now);
+  model.m_is_host_up = true;
+}
+
 void Restart(FleetWorkerModel& model, TimePoint now) {
   model.m_is_up = true;
+  model.m_is_host_up = false;
   model.m_process_started_at = now;
   model.m_listing.m_incarnation =
       Incarnation(model.m_listing.m_incarnation.value() + 1);
--- a/standins/models/fleet_worker_model.h
+++ b/standins/models/fleet_worker_model.h
@@ -29,6 +29,9 @@
 struct FleetWorkerModel {
   ListedWorker m_listing;
   bool m_is_up = true;
+  /// While it is down: only its process has crashed, so its host closes
+  /// connections and refuses new ones. False after a loss of power.
+  bool m_is_host_up = false;
   TimePoint m_process_started_at{};
   FencingToken m_highest_token;
   std::map<TaskReference, ModelRun> m_running;
@@ -56,8 +59,11 @@
 /// Ends the runs that are due, and every run once the lease has expired.
 void Advance(FleetWorkerModel& model, TimePoint now);
 
-/// Ends the worker process; its runs and everything that it knew are lost.
+/// Ends the worker process, as a loss of power does; its runs and everything
+/// that it knew are lost.
 void Crash(FleetWorkerModel& model, TimePoint now);
+/// The same, but its host stays up.
+void CrashProcess(FleetWorkerModel& model, TimePoint now);
 /// Starts the worker process again, as another incarnation.
 void Restart(FleetWorkerModel& model, TimePoint now);
 
--- a/tests/decisions/fleet/fleet_fixture.cc
+++ b/tests/decisions/fleet/fleet_fixture.cc
@@ -79,10 +79,11 @@
               known.m_token, report, fixture.m_now);
 }
 
-void FailPoll(FleetFixture& fixture, const std::string& worker) {
+void FailPoll(FleetFixture& fixture, const std::string& worker,
+              PollFailure failure) {
   const Worker& known = *FindWorker(fixture.m_fleet, WorkerId(worker));
   ApplyPollFailure(fixture.m_fleet, WorkerId(worker), known.m_poll_number,
-                   fixture.m_now);
+                   failure, fixture.m_now);
 }
 
 ActiveRun ActiveRunOf(const StartOrder& start) {
--- a/tests/decisions/fleet/fleet_fixture.h
+++ b/tests/decisions/fleet/fleet_fixture.h
@@ -51,7 +51,8 @@
             const std::vector<EndedRun>& ended);
 
 /// Fails the worker's latest poll.
-void FailPoll(FleetFixture& fixture, const std::string& worker);
+void FailPoll(FleetFixture& fixture, const std::string& worker,
+              PollFailure failure = PollFailure::kUnanswered);
 
 /// Returns the worker's report of the run as active.
 ActiveRun ActiveRunOf(const StartOrder& start);
--- a/tests/fakes/fake_site_links.cc
+++ b/tests/fakes/fake_site_links.cc
@@ -19,6 +19,10 @@
   return Error{ErrorCode::kOutcomeUnknown, "call", peer, "no answer"};
 }
 
+Error ClosedError(const std::string& peer) {
+  return Error{ErrorCode::kOutcomeUnknown, "call", peer, "closed", true};
+}
+
 bool IsStoreUnreachable(const FakeSite& site, const FakeSiteNode& node) {
   const TimePoint now = site.m_loop.m_now;
   return now < site.m_faults.m_store_down_until ||
@@ -123,14 +127,23 @@
 }
 
 /// What happens to an order and to its answer on the network.
-enum class OrderDelivery { kUnreachable, kLate, kAnswerLost, kNormal };
+enum class OrderDelivery {
+  kUnreachable,
+  kClosed,
+  kLate,
+  kAnswerLost,
+  kNormal,
+};
 
 OrderDelivery DrawOrderDelivery(FakeSite& site, const FakeSiteNode& node,
                                 const FleetWorkerModel& worker) {
-  if (!worker.m_is_up ||
-      node.m_unreachable_workers.count(worker.m_listing.m_worker) > 0) {
+  if (node.m_unreachable_workers.count(worker.m_listing.m_worker) > 0) {
     return OrderDelivery::kUnreachable;
   }
+  if (!worker.m_is_up) {
+    return worker.m_is_host_up ? OrderDelivery::kClosed
+                               : OrderDelivery::kUnreachable;
+  }
   if (Chance(site.m_loop, site.m_faults.m_late_order_probability))
     return OrderDelivery::kLate;
   if (Chance(site.m_loop, site.m_faults.m_order_answer_loss_probability))
@@ -146,7 +159,7 @@
 template <typename Order, typename Answer>
 void SendToWorker(FakeSite& site, FakeSiteNode& node, const Order& order,
                   std::function<void(Answer)> on_answer, Answer no_answer,
-                  Duration timeout = kOrderTimeout) {
+                  Answer closed, Duration timeout = kOrderTimeout) {
   const auto found = site.m_workers.find(order.m_worker);
   if (found == site.m_workers.end()) {
     return DeliverError(site, node, timeout, on_answer, no_answer);
@@ -160,25 +173,33 @@
     delay = DelayBetween(site.m_loop, std::chrono::seconds(2),
                          std::chrono::seconds(12));
   }
+  if (delivery == OrderDelivery::kClosed) {
+    return DeliverError(site, node, delay, on_answer, closed);
+  }
   if (delivery != OrderDelivery::kNormal) {
     DeliverError(site, node, timeout, on_answer, no_answer);
   }
   if (delivery == OrderDelivery::kUnreachable) return;
   const TimePoint deadline = site.m_loop.m_now + timeout;
-  RunAfter(
-      site.m_loop, delay,
-      [&site, &node, &worker, order, on_answer, no_answer, delivery, deadline] {
-        const TimePoint now = site.m_loop.m_now;
-        const bool is_normal = delivery == OrderDelivery::kNormal;
-        if (!worker.m_is_up) {
-          if (!is_normal) return;
-          return DeliverError(site, node, deadline - now, on_answer, no_answer);
-        }
-        const Answer answer = Receive(worker, order, now);
-        if (!is_normal) return;
-        Deliver(site, node, DrawOrderDelay(site), deadline, on_answer, answer,
-                no_answer);
-      });
+  RunAfter(site.m_loop, delay,
+           [&site, &node, &worker, order, on_answer, no_answer, closed,
+            delivery, deadline] {
+             const TimePoint now = site.m_loop.m_now;
+             const bool is_normal = delivery == OrderDelivery::kNormal;
+             if (!worker.m_is_up) {
+               if (!is_normal) return;
+               if (worker.m_is_host_up) {
+                 return DeliverError(site, node, DrawOrderDelay(site),
+                                     on_answer, closed);
+               }
+               return DeliverError(site, node, deadline - now, on_answer,
+                                   no_answer);
+             }
+             const Answer answer = Receive(worker, order, now);
+             if (!is_normal) return;
+             Deliver(site, node, DrawOrderDelay(site), deadline, on_answer,
+                     answer, no_answer);
+           });
 }
 
 /// Sends a poll to the worker as soon as the worker has an ended run that the
@@ -193,9 +214,12 @@
                   [&order](const EndedRun& ended_run) {
                     return ended_run.m_number > order.m_acknowledged;
                   });
-  if (has_outcome || site.m_loop.m_now >= until) {
+  const bool is_closed = found != site.m_workers.end() &&
+                         !found->second->m_is_up && found->second->m_is_host_up;
+  if (has_outcome || is_closed || site.m_loop.m_now >= until) {
     return SendToWorker<PollOrder, Result<WorkerReport>>(
         site, node, order, on_answer, NoAnswerError(order.m_worker.value()),
+        ClosedError(order.m_worker.value()),
         std::max(until, site.m_loop.m_now) + kOrderTimeout - site.m_loop.m_now);
   }
   constexpr Duration kStep = std::chrono::milliseconds(10);
@@ -290,18 +314,21 @@
   sender.m_start = [&site, &node](const std::string&, const StartOrder& order,
                                   auto on_answer) {
     SendToWorker<StartOrder, StartOutcome>(site, node, order, on_answer,
-                                           StartOutcome::kUnanswered);
+                                           StartOutcome::kUnanswered,
+                                           StartOutcome::kRefused);
   };
   sender.m_stop = [&site, &node](const std::string&, const StopOrder& order,
                                  auto on_answer) {
-    SendToWorker<StopOrder, Result<void>>(
-        site, node, order, on_answer, NoAnswerError(order.m_worker.value()));
+    SendToWorker<StopOrder, Result<void>>(site, node, order, on_answer,
+                                          NoAnswerError(order.m_worker.value()),
+                                          ClosedError(order.m_worker.value()));
   };
   sender.m_throttle = [&site, &node](const std::string&,
                                      const ThrottleOrder& order,
                                      auto on_answer) {
     SendToWorker<ThrottleOrder, Result<void>>(
-        site, node, order, on_answer, NoAnswerError(order.m_worker.value()));
+        site, node, order, on_answer, NoAnswerError(order.m_worker.value()),
+        ClosedError(order.m_worker.value()));
   };
   sender.m_poll = [&site, &node](const std::string&, const PollOrder& order,
                                  auto on_answer) {
