fleet: Give up tasks that crash their workers

Cause: a run that is lost with its worker is interrupted, and the chart puts the task back without limit; only a reported failure counts as an attempt.

Two polls in a row that the worker's host closes show that its process has crashed. The crash is counted by run under the tasks that may have caused it, and stored with their progress before they start again. After two crashes a task starts in isolation, on a worker that is held for it; after the third it is given up and its job fails. A loss of power, a cut, a shutdown, and a mass loss under isolated tasks do not count, and a worker that answers again as the same incarnation takes the count back.

It works because only the task itself can be blamed for a crash in isolation, and because the count outlives the leader: one that dies loses a crash only if it had no time to store it.

--- a/libraries/decisions/fleet/choose_worker.cc
+++ b/libraries/decisions/fleet/choose_worker.cc
@@ -28,13 +28,6 @@
   return std::find(labels.begin(), labels.end(), label) != labels.end();
 }
 
-bool IsUsable(const Worker& worker, const PoolId& pool, TimePoint now) {
-  return worker.m_state == WorkerState::kReady && worker.m_is_listed &&
-         worker.m_is_in_roster && worker.m_has_clock &&
-         worker.m_unknown_runs == 0 && !worker.m_listing.m_is_leaving &&
-         worker.m_listing.m_pool == pool && worker.m_quarantined_until <= now;
-}
-
 std::uint32_t RunsOfStep(const Worker& worker, const TaskReference& task) {
   TaskReference first = task;
   first.m_index = 0;
@@ -144,17 +137,10 @@
               const TaskReference& task) {
   const StepPlan& step = choice.m_step;
   if (!Covers(RoomOf(worker), choice.m_need)) return false;
-  if (!step.m_required_label.empty() &&
-      !HasLabel(worker, step.m_required_label)) {
-    return false;
-  }
+  if (!MeetsConstraints(worker, step, task)) return false;
   const bool may_wait = step.m_processor_use == ProcessorUse::kBestEffort &&
                         !pass.m_must_start_job;
-  if (may_wait && !MayShareWorker(pass, choice, worker)) {
-    return false;
-  }
-  return step.m_maximum_per_worker == 0 ||
-         RunsOfStep(worker, task) < step.m_maximum_per_worker;
+  return !may_wait || MayShareWorker(pass, choice, worker);
 }
 
 // Best-effort images differ in the serving images that they harm.
@@ -220,11 +206,29 @@
 
 }  // namespace
 
+bool IsUsable(const Worker& worker, const PoolId& pool, TimePoint now) {
+  return worker.m_state == WorkerState::kReady && worker.m_is_listed &&
+         worker.m_is_in_roster && worker.m_has_clock &&
+         worker.m_unknown_runs == 0 && !worker.m_listing.m_is_leaving &&
+         worker.m_listing.m_pool == pool && worker.m_quarantined_until <= now;
+}
+
+bool MeetsConstraints(const Worker& worker, const StepPlan& step,
+                      const TaskReference& task) {
+  if (!step.m_required_label.empty() &&
+      !HasLabel(worker, step.m_required_label)) {
+    return false;
+  }
+  return step.m_maximum_per_worker == 0 ||
+         RunsOfStep(worker, task) < step.m_maximum_per_worker;
+}
+
 PoolInPass& FindPool(PlacementPass& pass, const PoolId& pool) {
   const auto [entry, is_new] = pass.m_pools.try_emplace(pool);
   if (is_new) {
     for (auto& [id, worker] : pass.m_fleet.m_workers) {
       if (!IsUsable(worker, pool, pass.m_now)) continue;
+      if (worker.m_isolated_for != JobKey()) continue;
       entry->second.m_workers.push_back({&worker, RoomOf(worker)});
     }
   }
--- a/libraries/decisions/fleet/choose_worker.h
+++ b/libraries/decisions/fleet/choose_worker.h
@@ -78,7 +78,15 @@
   std::vector<Candidate> m_candidates;  ///< A heap, the best first.
 };
 
-/// Returns the pool with the workers that may get tasks.
+/// Returns whether the worker may get tasks of the pool.
+bool IsUsable(const Worker& worker, const PoolId& pool, TimePoint now);
+
+/// Returns whether the worker has the label that the step requires, and fewer
+/// tasks of the step than the maximum.
+bool MeetsConstraints(const Worker& worker, const StepPlan& step,
+                      const TaskReference& task);
+
+/// Returns the pool with the workers that may get any task.
 PoolInPass& FindPool(PlacementPass& pass, const PoolId& pool);
 
 /// Returns the resources that a task reserves; no processors for a best-effort
--- a/libraries/decisions/fleet/crash_count.h
+++ b/libraries/decisions/fleet/crash_count.h
@@ -4,6 +4,14 @@
 
 namespace daisyarch::fleet {
 
+/// Returns whether so many workers have crashed under the task that it may
+/// start only in isolation.
+bool NeedsIsolation(const Task& task);
+
+/// Returns whether so many workers have crashed under the task that it is given
+/// up.
+bool HasCrashedTooOften(const Task& task);
+
 /// Returns whether the worker has survived the run for so long that the run
 /// does not crash it.
 bool IsProven(const Worker& worker, const Task& task);
@@ -12,12 +20,16 @@
 std::vector<TaskReference> FindUnprovenRuns(Fleet& fleet, const Worker& worker);
 
 /// Records a failed poll. The second one in a row that the worker's host has
-/// closed shows that the worker's process has crashed.
+/// closed shows that the worker's process has crashed, which is counted for its
+/// unproven runs.
 void RecordPollFailure(Fleet& fleet, Worker& worker, PollFailure failure,
                        TimePoint now);
 
-/// Records that the worker has answered a poll, or that another incarnation of
-/// it has appeared.
+/// Records that the worker has answered: its present incarnation has not
+/// crashed.
 void RecordAnswer(Fleet& fleet, Worker& worker);
 
+/// Records that another incarnation of the worker has appeared.
+void RecordRestart(Fleet& fleet, Worker& worker, TimePoint now);
+
 }  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "decisions/fleet/crash_count.h"
+#include "decisions/fleet/isolation.h"
+
 namespace daisyarch::fleet {
 
 namespace {
@@ -85,6 +88,11 @@
   } else if (step.m_is_gang) {
     StopGang(fleet, job, reference);
   }
+  const Task& task = step_run.m_tasks[reference.m_index];
+  if (after == RunState::kFailed && HasCrashedTooOften(task)) {
+    fleet.m_events.push_back({"task_given_up", reference.m_job, WorkerId(),
+                              task.m_run, Duration{}, reference});
+  }
   if (after == RunState::kFailed) StopJobTasks(fleet, job, TimePoint());
   if (after == RunState::kDone && step_run.m_done == step_run.m_tasks.size()) {
     ReleaseSteps(fleet, job, reference.m_occurrence);
@@ -149,9 +157,14 @@
   Task& task = step_run.m_tasks[stored.m_index];
   task.m_run = stored.m_run;
   task.m_failed_runs = stored.m_failed_runs;
+  task.m_crashed_runs = stored.m_crashed_runs;
   task.m_checkpoint = stored.m_checkpoint;
   job.m_has_started = true;
-  if (!stored.m_is_done) return;
+  if (!stored.m_is_done) {
+    // The earlier leader ended before it stored the job as failed.
+    job.m_has_failed = job.m_has_failed || HasCrashedTooOften(task);
+    return;
+  }
   task.m_state = RunState::kDone;
   --step_run.m_waiting;
   ++step_run.m_done;
@@ -172,9 +185,9 @@
       job->m_steps.push_back(std::move(step_run));
     }
   }
-  for (const TaskProgress& stored : progress.m_tasks) RestoreTask(*job, stored);
   // Its other tasks may still run: they are stopped and not restarted.
   job->m_has_failed = progress.m_state == JobState::kFailed;
+  for (const TaskProgress& stored : progress.m_tasks) RestoreTask(*job, stored);
   return job;
 }
 
@@ -302,6 +315,7 @@
   job = MakeJob(std::move(plan), progress);
   job->m_accepted_at = accepted_at;
   UpdateObjective(fleet, *job);
+  AddIsolations(fleet, *job);
   if (job->m_plan.m_is_timed) {
     for (std::uint32_t occurrence = 0; occurrence < job->m_plan.m_occurrences;
          ++occurrence) {
--- /dev/null
+++ b/libraries/decisions/fleet/isolation.cc
@@ -0,0 +1,240 @@
+#include "decisions/fleet/isolation.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "decisions/fleet/crash_count.h"
+#include "decisions/fleet/roster.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+// A task that cannot start on its worker for this long is given another.
+constexpr Duration kMaximumHold = std::chrono::seconds(8);
+// Share of the workers that may be held at a time, but one at least.
+constexpr std::size_t kHeldWorkersDivisor = 8;
+
+const StepPlan& StepOf(const Job& job, const TaskReference& reference) {
+  return job.m_plan.m_steps[reference.m_step];
+}
+
+const PoolId& PoolOf(const Fleet& fleet, const Job& job) {
+  return QueueSettingsOf(fleet, job).m_pool;
+}
+
+bool IsWaiting(const Job& job, const Task& task,
+               const TaskReference& reference) {
+  const StepRun& step_run =
+      job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)];
+  // A gang starts once all its members wait.
+  const bool has_placed_members =
+      StepOf(job, reference).m_is_gang && step_run.m_placed > 0;
+  return task.m_state == RunState::kWaiting && step_run.m_is_released &&
+         !has_placed_members;
+}
+
+bool IsFinished(const Job& job, const Task& task) {
+  return job.m_is_cancelled || job.m_has_failed || !NeedsIsolation(task) ||
+         task.m_state == RunState::kDone || task.m_state == RunState::kFailed ||
+         task.m_state == RunState::kCancelled;
+}
+
+bool IsSuitable(const Fleet& fleet, const Worker& worker, const Job& job,
+                const TaskReference& reference, TimePoint now) {
+  const StepPlan& step = StepOf(job, reference);
+  return IsUsable(worker, PoolOf(fleet, job), now) &&
+         MeetsConstraints(worker, step, reference) &&
+         Fits(ReservedDemand(step), worker.m_listing.m_capacity);
+}
+
+bool KeepsWorker(const Fleet& fleet, const Worker& worker, const Job& job,
+                 const Task& task, const TaskReference& reference,
+                 const Isolation& isolation, TimePoint now) {
+  if (task.m_worker == worker.m_listing.m_worker) {
+    return !IsProven(worker, task);
+  }
+  return IsWaiting(job, task, reference) &&
+         now - isolation.m_since < kMaximumHold &&
+         IsSuitable(fleet, worker, job, reference, now);
+}
+
+// Drops the isolations of finished tasks, and the workers that the others no
+// longer need.
+void DropIsolations(Fleet& fleet, TimePoint now) {
+  for (auto position = fleet.m_isolations.begin();
+       position != fleet.m_isolations.end();) {
+    auto& [reference, isolation] = *position;
+    Job* job = nullptr;
+    const Task* task = FindTask(fleet, reference, job);
+    if (task == nullptr || IsFinished(*job, *task)) {
+      position = fleet.m_isolations.erase(position);
+      continue;
+    }
+    const Worker* worker = FindWorker(fleet, isolation.m_worker);
+    if (worker == nullptr ||
+        !KeepsWorker(fleet, *worker, *job, *task, reference, isolation, now)) {
+      isolation.m_worker = WorkerId();
+    }
+    ++position;
+  }
+}
+
+void ReleaseWorkers(Fleet& fleet) {
+  std::set<WorkerId> held;
+  for (const auto& entry : fleet.m_isolations) {
+    held.insert(entry.second.m_worker);
+  }
+  for (auto& [id, worker] : fleet.m_workers) {
+    if (worker.m_isolated_for == JobKey() || held.count(id) > 0) continue;
+    worker.m_isolated_for = JobKey();
+    fleet.m_needs_placement = true;
+  }
+}
+
+std::set<JobKey> FindHoldingJobs(const Fleet& fleet) {
+  std::set<JobKey> holding;
+  for (const auto& [reference, isolation] : fleet.m_isolations) {
+    if (isolation.m_worker != WorkerId()) holding.insert(reference.m_job);
+  }
+  return holding;
+}
+
+// Returns what the isolated tasks that share the worker will reserve.
+Resources PlannedDemand(Fleet& fleet, const WorkerId& worker) {
+  Resources planned;
+  for (const auto& [reference, isolation] : fleet.m_isolations) {
+    if (isolation.m_worker != worker) continue;
+    Job* job = nullptr;
+    if (FindTask(fleet, reference, job) == nullptr) continue;
+    planned = planned + ReservedDemand(StepOf(*job, reference));
+  }
+  return planned;
+}
+
+// Returns a worker that is held for the job and has room for the task as well.
+Worker* FindSharedWorker(Fleet& fleet, const Job& job,
+                         const TaskReference& reference, TimePoint now) {
+  const Resources demand = ReservedDemand(StepOf(job, reference));
+  for (auto& [id, worker] : fleet.m_workers) {
+    if (worker.m_isolated_for != job.m_plan.m_key) continue;
+    if (!IsSuitable(fleet, worker, job, reference, now)) continue;
+    const Resources planned = PlannedDemand(fleet, id) + demand;
+    if (Fits(planned, worker.m_listing.m_capacity)) return &worker;
+  }
+  return nullptr;
+}
+
+// Prefers a worker where the task can start at once, then one with room, and
+// among these the one with the fewest runs, which a crash would end.
+Worker* ChooseHeldWorker(Fleet& fleet, const Job& job,
+                         const TaskReference& reference, TimePoint now) {
+  const Resources demand = ReservedDemand(StepOf(job, reference));
+  Worker* best = nullptr;
+  std::tuple<bool, bool, std::size_t> best_score;
+  for (auto& [id, worker] : fleet.m_workers) {
+    if (worker.m_isolated_for != JobKey()) continue;
+    if (!IsSuitable(fleet, worker, job, reference, now)) continue;
+    const bool has_room =
+        Fits(demand, worker.m_listing.m_capacity - worker.m_used);
+    const bool has_unproven = !FindUnprovenRuns(fleet, worker).empty();
+    const auto score =
+        std::make_tuple(!has_room, has_unproven, worker.m_runs.size());
+    if (best != nullptr && best_score <= score) continue;
+    best = &worker;
+    best_score = score;
+  }
+  return best;
+}
+
+// Returns the isolated tasks without a worker; the one that has held none for
+// the longest time comes first.
+std::vector<TaskReference> FindUnheldTasks(const Fleet& fleet) {
+  std::vector<std::pair<TimePoint, TaskReference>> unheld;
+  for (const auto& [reference, isolation] : fleet.m_isolations) {
+    if (isolation.m_worker != WorkerId()) continue;
+    unheld.emplace_back(isolation.m_since, reference);
+  }
+  std::sort(unheld.begin(), unheld.end());
+  std::vector<TaskReference> tasks;
+  tasks.reserve(unheld.size());
+  for (const auto& entry : unheld) tasks.push_back(entry.second);
+  return tasks;
+}
+
+void HoldWorkers(Fleet& fleet, TimePoint now) {
+  std::set<JobKey> holding = FindHoldingJobs(fleet);
+  const std::size_t maximum =
+      std::max<std::size_t>(1, fleet.m_workers.size() / kHeldWorkersDivisor);
+  for (const TaskReference& reference : FindUnheldTasks(fleet)) {
+    Isolation& isolation = fleet.m_isolations.at(reference);
+    Job* job = nullptr;
+    const Task* task = FindTask(fleet, reference, job);
+    if (task == nullptr || !IsWaiting(*job, *task, reference)) continue;
+    if (job->m_is_inherited && MayHaveInheritedRuns(fleet, now)) continue;
+    const bool is_holding = holding.count(reference.m_job) > 0;
+    if (!is_holding && holding.size() >= maximum) continue;
+    Worker* worker = FindSharedWorker(fleet, *job, reference, now);
+    // The members of a gang start at the same time, so they need all workers.
+    if (worker == nullptr &&
+        (!is_holding || StepOf(*job, reference).m_is_gang)) {
+      worker = ChooseHeldWorker(fleet, *job, reference, now);
+    }
+    if (worker == nullptr) continue;
+    holding.insert(reference.m_job);
+    worker->m_isolated_for = reference.m_job;
+    isolation = {worker->m_listing.m_worker, now};
+    fleet.m_events.push_back({"task_isolated", reference.m_job,
+                              isolation.m_worker, task->m_run, Duration{},
+                              reference});
+  }
+}
+
+}  // namespace
+
+void AddIsolation(Fleet& fleet, const TaskReference& reference) {
+  Job* job = nullptr;
+  const Task* task = FindTask(fleet, reference, job);
+  if (task == nullptr || IsFinished(*job, *task)) return;
+  fleet.m_isolations.emplace(reference, Isolation{});
+}
+
+void AddIsolations(Fleet& fleet, const Job& job) {
+  for (std::size_t step_run = 0; step_run < job.m_steps.size(); ++step_run) {
+    const auto& tasks = job.m_steps[step_run].m_tasks;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+      if (!NeedsIsolation(tasks[index])) continue;
+      AddIsolation(fleet,
+                   {job.m_plan.m_key,
+                    static_cast<std::uint32_t>(step_run / job.StepCount()),
+                    static_cast<std::uint32_t>(step_run % job.StepCount()),
+                    static_cast<std::uint32_t>(index)});
+    }
+  }
+}
+
+void UpdateIsolations(Fleet& fleet, TimePoint now) {
+  // Workers are held only for entries of the map.
+  if (fleet.m_isolations.empty()) return;
+  DropIsolations(fleet, now);
+  ReleaseWorkers(fleet);
+  HoldWorkers(fleet, now);
+}
+
+Worker* FindIsolatedWorker(PlacementPass& pass, const StepPlan& step,
+                           const TaskReference& reference) {
+  const auto found = pass.m_fleet.m_isolations.find(reference);
+  if (found == pass.m_fleet.m_isolations.end()) return nullptr;
+  Worker* worker = FindWorker(pass.m_fleet, found->second.m_worker);
+  if (worker == nullptr) return nullptr;
+  const auto unproven = FindUnprovenRuns(pass.m_fleet, *worker);
+  const bool is_shared = std::any_of(
+      unproven.begin(), unproven.end(),
+      [&reference](auto& other) { return other.m_job != reference.m_job; });
+  const bool can_start =
+      !is_shared && MeetsConstraints(*worker, step, reference) &&
+      Fits(ReservedDemand(step), worker->m_listing.m_capacity - worker->m_used);
+  return can_start ? worker : nullptr;
+}
+
+}  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
 
 #include "decisions/fleet/choose_worker.h"
+#include "decisions/fleet/crash_count.h"
+#include "decisions/fleet/isolation.h"
 #include "decisions/fleet/roster.h"
 #include "decisions/fleet/share_worker.h"
 
@@ -68,7 +70,7 @@
   StepChoice choice = BeginStepChoice(pass, pool, step);
   for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
     Task& task = step_run.m_tasks[index];
-    if (task.m_state != RunState::kWaiting) continue;
+    if (task.m_state != RunState::kWaiting || NeedsIsolation(task)) continue;
     if (pass.m_starts_left == 0) return;
     const TaskReference reference = ReferenceOf(job, step_run_index, index);
     pass.m_must_start_job = MustStartJob(pass, job, step);
@@ -97,11 +99,13 @@
   std::vector<WorkerId> chosen;
   const Resources demand = ReservedDemand(step);
   for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
-    Worker* worker =
-        ChooseWorker(pass, pool, step, ReferenceOf(job, step_run_index, index));
+    const TaskReference reference = ReferenceOf(job, step_run_index, index);
+    Worker* worker = NeedsIsolation(step_run.m_tasks[index])
+                         ? FindIsolatedWorker(pass, step, reference)
+                         : ChooseWorker(pass, pool, step, reference);
     if (worker == nullptr) break;
     worker->m_used = worker->m_used + demand;
-    worker->m_runs.insert(ReferenceOf(job, step_run_index, index));
+    worker->m_runs.insert(reference);
     chosen.push_back(worker->m_listing.m_worker);
   }
   RunNumber run = FirstRun(pass.m_fleet.m_term);
@@ -122,6 +126,27 @@
   }
 }
 
+// The members of a gang are placed together with the others.
+void PlaceIsolated(PlacementPass& pass) {
+  Fleet& fleet = pass.m_fleet;
+  UpdateIsolations(fleet, pass.m_now);
+  for (const auto& [reference, isolation] : fleet.m_isolations) {
+    Job* job = nullptr;
+    const Task* task = FindTask(fleet, reference, job);
+    if (task == nullptr || task->m_state != RunState::kWaiting) continue;
+    if (pass.m_may_have_inherited_runs && job->m_is_inherited) continue;
+    const StepPlan& step = job->m_plan.m_steps[reference.m_step];
+    if (step.m_is_gang) continue;
+    Worker* worker = FindIsolatedWorker(pass, step, reference);
+    if (worker == nullptr) continue;
+    Start(pass, *job, reference, *worker, NextRun(fleet, *task),
+          std::string(task->m_checkpoint));
+    UpdateWaitingSteps(
+        fleet, *job,
+        StepRunIndex(*job, reference.m_occurrence, reference.m_step));
+  }
+}
+
 void PlaceWaiting(PlacementPass& pass, const WaitingSteps& queue) {
   Fleet& fleet = pass.m_fleet;
   // Placing a step removes at most the step itself from the set.
@@ -171,6 +196,7 @@
   const std::size_t starts = fleet.m_limits.m_starts_per_pass;
   const std::size_t best_effort_starts = starts / kBestEffortDivisor;
   pass.m_starts_left = starts - best_effort_starts;
+  PlaceIsolated(pass);
   PlaceWaiting(pass, fleet.m_waiting_reserved);
   bool is_finished = pass.m_starts_left > 0;
   if (now >= fleet.m_next_best_effort_pass_at) {
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -271,6 +271,7 @@
   const bool was_known = worker.m_listing.m_incarnation != Incarnation();
   worker.m_listing.m_incarnation = incarnation;
   if (!was_known) return;
+  RecordRestart(fleet, worker, now);
   worker.m_applied_end = worker.m_stored_end = worker.m_acknowledged_end =
       OutcomeNumber();
   worker.m_has_clock = false;
