fleet: Count a crash after a lost answer, and store it at once

One unanswered poll before the closed ones no longer stands against a crash: a host without power leaves more polls unanswered until it is back. A counted crash is stored at once, and no longer with the next batch.

--- a/libraries/decisions/fleet/crash_count.cc
+++ b/libraries/decisions/fleet/crash_count.cc
@@ -14,6 +14,9 @@
 constexpr Duration kProofTime = std::chrono::seconds(1);
 // A single poll is closed when only its connection is reset.
 constexpr std::uint32_t kClosedPollsOfCrash = 2;
+// An answer may be lost just before the crash. A host that has lost power
+// leaves more polls unanswered until it is back and refuses connections.
+constexpr std::uint32_t kMaximumUnansweredPolls = 1;
 // Tasks in isolation crash one worker at a time, so a loss of this many workers
 // within the window has another cause.
 constexpr Duration kMassLossWindow = std::chrono::milliseconds(500);
@@ -60,6 +63,8 @@
        reference});
   AddIsolation(fleet, reference);
   MarkChanged(fleet, *job);
+  // A leader that ends before the count is stored takes it with it.
+  fleet.m_has_urgent_change = true;
 }
 
 // Removes the crash from those tasks of the worker that `is_wrong` selects.
@@ -106,7 +111,7 @@
 
 void Forget(Worker& worker) {
   worker.m_closed_polls = 0;
-  worker.m_has_unanswered_poll = false;
+  worker.m_unanswered_polls = 0;
   worker.m_crashed_runs.clear();
 }
 
@@ -140,11 +145,10 @@
 void RecordPollFailure(Fleet& fleet, Worker& worker, PollFailure failure,
                        TimePoint now) {
   if (failure != PollFailure::kClosed) {
-    worker.m_has_unanswered_poll = true;
+    ++worker.m_unanswered_polls;
     return;
   }
-  // After a loss of power, the host refuses connections only once it is back.
-  if (worker.m_has_unanswered_poll) return;
+  if (worker.m_unanswered_polls > kMaximumUnansweredPolls) return;
   if (++worker.m_closed_polls == kClosedPollsOfCrash) {
     RecordCrash(fleet, worker, now);
   }
@@ -156,9 +160,10 @@
 }
 
 void RecordRestart(Fleet& fleet, Worker& worker, TimePoint now) {
-  const bool is_uncounted_crash = worker.m_closed_polls > 0 &&
-                                  worker.m_closed_polls < kClosedPollsOfCrash &&
-                                  !worker.m_has_unanswered_poll;
+  const bool is_uncounted_crash =
+      worker.m_closed_polls > 0 &&
+      worker.m_closed_polls < kClosedPollsOfCrash &&
+      worker.m_unanswered_polls <= kMaximumUnansweredPolls;
   if (is_uncounted_crash) RecordCrash(fleet, worker, now);
   Forget(worker);
 }
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -109,8 +109,8 @@
 
   /// Polls since the last answer that its host refused or closed.
   std::uint32_t m_closed_polls = 0;
-  /// Another poll since the last answer has failed otherwise.
-  bool m_has_unanswered_poll = false;
+  /// Polls since the last answer that failed otherwise.
+  std::uint32_t m_unanswered_polls = 0;
   /// Runs that are counted as crashed because of its present silence.
   std::vector<std::pair<TaskReference, RunNumber>> m_crashed_runs;
   /// The job whose isolated tasks alone may start on it; empty: any task. See
--- a/tests/decisions/fleet/crash_count_test.cc
+++ b/tests/decisions/fleet/crash_count_test.cc
@@ -195,8 +195,10 @@
   const StartOrder start = PlaceOne(fixture);
   SECTION("a cut") { Lose(fixture, "w0", PollFailure::kUnanswered); }
   SECTION("a loss of power, after which its host refuses connections") {
-    Wait(fixture, kPollInterval);
-    FailPoll(fixture, "w0", PollFailure::kUnanswered);
+    for (int poll = 0; poll < 2; ++poll) {
+      Wait(fixture, kPollInterval);
+      FailPoll(fixture, "w0", PollFailure::kUnanswered);
+    }
     Lose(fixture, "w0", PollFailure::kClosed);
   }
   SECTION("a shutdown") {
@@ -221,6 +223,17 @@
   CHECK(CrashesOf(fixture, start.m_task) == 0);
 }
 
+TEST_CASE("A crash after a lost answer is counted") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  AddJob(fixture.m_fleet, MakePlan("job", 1, kCore), {}, fixture.m_now);
+  const StartOrder start = PlaceOne(fixture);
+  Wait(fixture, kPollInterval);
+  FailPoll(fixture, "w0", PollFailure::kUnanswered);
+  Lose(fixture, "w0", PollFailure::kClosed);
+  CHECK(CrashesOf(fixture, start.m_task) == 1);
+}
+
 TEST_CASE("A worker that restarts after a closed poll has crashed") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, kCore);
