--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -20,8 +20,7 @@
 
 // Event names in the order of WorkerState.
 constexpr const char* kStateEvents[] = {"worker_unverified", "worker_ready",
-                                        "worker_silent", "worker_lapsed",
-                                        "worker_gone"};
+                                        "worker_silent", "worker_lapsed"};
 
 // Cancels the waiting tasks and stops the placed ones.
 void StopJobTasks(Fleet& fleet, Job& job, TimePoint now) {
@@ -64,7 +63,7 @@
       job.m_steps[StepRunIndex(job, ended.m_occurrence, ended.m_step)];
   for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
     Task& task = step_run.m_tasks[index];
-    if (!IsPlaced(task.m_state)) continue;
+    if (!IsPlaced(task.m_state) && task.m_state != RunState::kWaiting) continue;
     TaskReference member = ended;
     member.m_index = static_cast<std::uint32_t>(index);
     StepTask(fleet, job, member, RunEvent::kCompleted);
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -24,6 +24,8 @@
   Duration m_lease = std::chrono::seconds(4);
   /// Maximum lease duration; the workers shorten longer leases to it.
   Duration m_longest_lease = std::chrono::seconds(10);
+  /// Maximum time from sending an unanswered order until it takes effect.
+  Duration m_longest_order_delay = std::chrono::seconds(12);
   /// How long a worker may hold back its answer to a poll until a run ends.
   Duration m_poll_wait = std::chrono::milliseconds(1000);
   /// How long after a takeover a worker may still run tasks that an earlier
@@ -142,6 +144,11 @@
   TimePoint m_listed_at{};      ///< When the latest listing was requested.
   std::set<WorkerId> m_roster;  ///< Workers in the stored roster.
   std::unordered_map<std::string, std::unique_ptr<Job>> m_jobs;
+  /// Jobs whose final state is stored, and the Unix time in ms at which each
+  /// ended. The stored state is removed some time later.
+  std::map<JobKey, std::int64_t> m_ended_jobs;
+  /// Every job that was stored before this time is known, or has ended.
+  TimePoint m_jobs_known_at{};
   /// Released steps with waiting tasks that reserve processors.
   WaitingSteps m_waiting_reserved;
   /// The same for best-effort tasks, which reserve no processors. Choosing
@@ -299,6 +306,8 @@
 WorkerMilliseconds WorkerClockAt(const Worker& worker, TimePoint now);
 /// Returns the time at which the worker's lease has certainly expired.
 TimePoint LeaseEndOf(const Worker& worker);
+/// Interrupts the run if its start is unconfirmed.
+void AbandonStart(Fleet& fleet, Job& job, const TaskReference& reference);
 /// Stops services and tasks that save their progress on a leaving worker, so
 /// that they restart on another one.
 void EvacuateRuns(Fleet& fleet, Worker& worker, TimePoint now);
--- a/libraries/decisions/fleet/listing.cc
+++ b/libraries/decisions/fleet/listing.cc
@@ -22,9 +22,14 @@
   fleet.m_listed_at = asked_at;
   std::set<WorkerId> listed;
   for (const ListedWorker& entry : listing) {
-    listed.insert(entry.m_worker);
     const bool is_new = fleet.m_workers.count(entry.m_worker) == 0;
     Worker& worker = fleet.m_workers[entry.m_worker];
+    // A worker states its incarnation in its entry if it does so in its
+    // reports.
+    const bool is_own_entry = entry.m_incarnation != Incarnation() ||
+                              worker.m_listing.m_incarnation == Incarnation();
+    if (!is_own_entry) continue;
+    listed.insert(entry.m_worker);
     if (is_new) {
       worker.m_listing = entry;
       worker.m_token = FirstToken(fleet.m_term);
@@ -51,11 +56,12 @@
     Worker& worker = position->second;
     const bool is_listed = listed.count(position->first) > 0;
     if (!is_listed) worker.m_is_listed = false;
-    const bool is_unused = worker.m_runs.empty();
-    const bool is_out_of_contact = worker.m_state == WorkerState::kLapsed ||
-                                   worker.m_state == WorkerState::kSilent ||
-                                   worker.m_state == WorkerState::kUnverified;
     const bool may_have_inherited_runs = now < worker.m_inherited_runs_until;
+    if (!is_listed && !may_have_inherited_runs) {
+      StepWorker(fleet, worker, WorkerEvent::kDelisted);
+    }
+    const bool is_unused = worker.m_runs.empty();
+    const bool is_out_of_contact = worker.m_state != WorkerState::kReady;
     if (!is_listed && is_unused && is_out_of_contact &&
         !may_have_inherited_runs) {
       position = fleet.m_workers.erase(position);
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -1,5 +1,6 @@
 #include "fleet/leader.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "decisions/fleet/load_control.h"
@@ -65,8 +66,12 @@
     CancelJob(leader.m_fleet, key, Now(leader));
     return;
   }
-  if (leader.m_ended_unix_ms.count(key) > 0) return;
+  if (leader.m_fleet.m_ended_jobs.count(key) > 0) return;
+  if (FindJob(leader.m_fleet, key) != nullptr) return;
   AddStoredJob(leader, change.m_key, *change.m_value, {});
+  Job* job = FindJob(leader.m_fleet, key);
+  if (job == nullptr) return;
+  job->m_is_inherited = Now(leader) < leader.m_inherits_jobs_until;
 }
 
 // Makes up for changes that the watch missed. Known jobs stay as they are.
@@ -119,6 +124,27 @@
        {"store_revision", result.assume_value().m_as_of.value()}});
 }
 
+// Logs one line when the number of entries that name no worker changes.
+void RecordUnreadableEntries(Leader& leader,
+                             const std::vector<StoredItem>& items,
+                             const std::vector<ListedWorker>& workers) {
+  const std::size_t count =
+      items.size() - std::min(items.size(), workers.size());
+  if (leader.m_unreadable_entries == count) return;
+  leader.m_unreadable_entries = count;
+  if (count == 0)
+    return LogEvent(LogLevel::kInfo, "worker_entries_readable", {});
+  const std::string& prefix = leader.m_runtime.m_codec.m_worker_prefix;
+  // The workers are in the order of their entries.
+  std::size_t first = 0;
+  while (first < workers.size() &&
+         items[first].m_key == prefix + workers[first].m_worker.value()) {
+    ++first;
+  }
+  LogEvent(LogLevel::kWarning, "worker_entries_unreadable",
+           {{"count", std::uint64_t{count}}, {"first", items[first].m_key}});
+}
+
 void ListWorkers(const LeaderPointer& leader) {
   if (leader->m_is_listing) return;
   leader->m_is_listing = true;
@@ -137,10 +163,10 @@
         RecordListingResult(*self, result);
         self->m_next_listing_at = sent_at + kListingInterval;
         self->m_has_worker_listing = true;
-        ApplyListing(self->m_fleet,
-                     self->m_runtime.m_codec.m_read_workers(
-                         result.assume_value().m_items),
-                     sent_at, Now(*self));
+        const auto& items = result.assume_value().m_items;
+        const auto workers = self->m_runtime.m_codec.m_read_workers(items);
+        RecordUnreadableEntries(*self, items, workers);
+        ApplyListing(self->m_fleet, workers, sent_at, Now(*self));
         RequestSchedulingPass(self);
       });
 }
@@ -163,7 +189,7 @@
   if (!progress)
     return LogError("progress_unreadable", progress.assume_error());
   if (progress.assume_value().m_ended_unix_ms > 0) {
-    leader.m_ended_unix_ms[key] = progress.assume_value().m_ended_unix_ms;
+    leader.m_fleet.m_ended_jobs[key] = progress.assume_value().m_ended_unix_ms;
   }
   loaded.m_progress[key] = std::move(progress).assume_value();
 }
@@ -172,7 +198,7 @@
                   const LoadedState& loaded) {
   if (IsCancelKey(item.m_key)) return;
   const JobKey key = JobKeyOfItem(item.m_key);
-  if (leader.m_ended_unix_ms.count(key) > 0) return;
+  if (leader.m_fleet.m_ended_jobs.count(key) > 0) return;
   const auto progress = loaded.m_progress.find(key);
   AddStoredJob(
       leader, item.m_key, item.m_value,
@@ -332,6 +358,7 @@
   LogLeaderStatus(*leader);
   TickWatch(leader->m_jobs_watch, leader->m_runtime.m_store,
             leader->m_runtime.m_clock.m_now);
+  leader->m_fleet.m_jobs_known_at = leader->m_jobs_watch->m_known_at;
   if (Now(*leader) >= leader->m_next_listing_at) ListWorkers(leader);
   WritePendingCounts(leader);
   WriteDrainedTerm(leader);
--- a/tests/platform/messages_test.cc
+++ b/tests/platform/messages_test.cc
@@ -70,10 +70,43 @@
   CHECK_FALSE(IsJobKey("5c0e7a21d94b36fg"));
 }
 
+// Guards against estimates that overflow when they are converted, and against
+// numbers that lose their high bits: "after" 2^32 named step 0, and a limit of
+// 2^32 tasks per worker meant none.
+TEST_CASE("A job with a number out of range is refused") {
+  for (const char* number : {"4294967296000000", "9223372036854775807",
+                             "-9223372036854775808", "18446744073709551615"}) {
+    for (const char* name : {"cpu", "mem_mb", "gpu", "est_ms", "target_ms",
+                             "max_per_server", "may_miss"}) {
+      INFO(name << " " << number);
+      CHECK(ErrorDetailOf(R"({"steps":[{"count":1,")" + std::string(name) +
+                          "\":" + number + "}]}") ==
+            std::string(name) + ": out of range");
+    }
+    for (const char* name : {"start_time_ms", "interval_ms"}) {
+      INFO(name << " " << number);
+      CHECK(ErrorDetailOf(R"({"times":2,"steps":[{"count":1}],")" +
+                          std::string(name) + "\":" + number + "}") ==
+            std::string(name) + ": out of range");
+    }
+  }
+  for (const char* number : {"4294967296", "18446744073709551615"}) {
+    CHECK(ErrorDetailOf(R"({"steps":[{"count":1},{"count":1,"after":[)" +
+                        std::string(number) + "]}]}") == "after: out of range");
+  }
+  CHECK(
+      ErrorDetailOf(R"({"steps":[{"count":1,"max_per_server":4294967296}]})") ==
+      "max_per_server: out of range");
+  CHECK(ErrorDetailOf(R"({"times":2,"start_time_ms":1792000000000,
+        "interval_ms":60000,"steps":[{"count":1,"cpu":64000,"est_ms":86400000,
+        "target_ms":50,"max_per_server":1,"may_miss":1}]})") == "");
+}
+
 TEST_CASE("Malformed worker entries are left out of the listing") {
   const std::string good =
       R"({"service":"p","addr":"10.128.0.9:8080","zone":"a","state":"ready",
-      "born":5,"capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
+      "version":"v1","slots":8,"cold_left_ms":0,"born":5,
+      "capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},
       "labels":["a","r1-3"],"seq":4})";
   const auto workers =
       ReadWorkers({{"servers/good", good, StoreRevision(1)},
@@ -81,15 +114,21 @@
                    {"servers/list", "[]", StoreRevision(1)},
                    {"servers/state",
                     R"({"service":"p","addr":"10.1.1.1:1","state":"odd",
-        "capacity":{"cpu":1,"mem_mb":1}})",
+        "zone":"a","version":"v1","slots":8,
+        "cold_left_ms":0,"labels":[],"seq":4,
+        "capacity":{"cpu":1,"mem_mb":1,"gpu":0}})",
                     StoreRevision(1)},
                    {"servers/room",
                     R"({"service":"p","addr":"10.1.1.1:1","state":"ready",
-        "capacity":{"cpu":"many","mem_mb":1}})",
+        "zone":"a","version":"v1","slots":8,
+        "cold_left_ms":0,"labels":[],"seq":4,
+        "capacity":{"cpu":"many","mem_mb":1,"gpu":0}})",
                     StoreRevision(1)},
                    {"servers/addr",
                     R"({"service":"p","addr":"here","state":"ready",
-        "capacity":{"cpu":1,"mem_mb":1}})",
+        "zone":"a","version":"v1","slots":8,
+        "cold_left_ms":0,"labels":[],"seq":4,
+        "capacity":{"cpu":1,"mem_mb":1,"gpu":0}})",
                     StoreRevision(1)}});
   REQUIRE(workers.size() == 1);
   CHECK(workers[0].m_worker == WorkerId("good"));
@@ -122,4 +161,27 @@
   CHECK_FALSE(ReadConfiguration("x"));
 }
 
+// Guards against numbers of a configuration that overflow when they are
+// converted, and against a maximum of 2^32 attempts that counts as none.
+TEST_CASE("Numbers of a configuration are limited to their range") {
+  const auto routes = ReadConfiguration(
+      R"({"version":7,"limits":{"max_body_bytes":-1},"routes":[
+      {"name":"r1","host":"h","prefix":"/a/","service":"p",
+       "max_attempts":4294967296,"stretch":1e300,
+       "target_duration_ms":9223372036854775807},
+      {"name":"r2","host":"h","prefix":"/b/","service":"p",
+       "max_attempts":-1,"stretch":-1e300,
+       "target_duration_ms":-9223372036854775808}]})");
+  REQUIRE(routes);
+  CHECK(routes.assume_value().m_maximum_body_bytes == 0);
+  const auto& all = routes.assume_value().m_routes;
+  REQUIRE(all.size() == 2);
+  CHECK(all[0].m_queue.m_maximum_attempts == UINT32_MAX);
+  CHECK(all[0].m_queue.m_stretch == 50.0);
+  CHECK(all[0].m_queue.m_target == std::chrono::hours(24 * 365));
+  CHECK(all[1].m_queue.m_maximum_attempts == 1);
+  CHECK(all[1].m_queue.m_stretch == 0.0);
+  CHECK(all[1].m_queue.m_target == Duration{});
+}
+
 }  // namespace daisyarch::adapter
