fleet: Blame a task only after two crashes in isolation

A task is given up after four counted crashes, of which two came in isolation. One of an inherited job is given up after three, since an earlier leader may have ended before it stored a count, and the users allow five starts in all. A chance crash may still meet an inherited job that is in isolation.

--- a/libraries/decisions/fleet/crash_count.cc
+++ b/libraries/decisions/fleet/crash_count.cc
@@ -9,7 +9,10 @@
 namespace {
 
 constexpr std::size_t kCrashesBeforeIsolation = 2;
-constexpr std::size_t kCrashesBeforeGivingUp = 3;
+// Two of them in isolation, as a worker may crash by chance.
+constexpr std::size_t kCrashesBeforeGivingUp = 4;
+// An earlier leader may have ended before it stored a count.
+constexpr std::size_t kCrashesOfInheritedJob = 3;
 // A task that crashes its worker does so within this time after its start.
 constexpr Duration kProofTime = std::chrono::seconds(1);
 // A single poll is closed when only its connection is reset.
@@ -81,11 +84,15 @@
   }
 }
 
+bool HasCrashedAlone(const Task& task) {
+  return task.m_crashed_runs.size() > kCrashesBeforeIsolation;
+}
+
 // In a mass loss, the tasks in isolation are not to blame.
 void TakeBackMassLoss(Fleet& fleet) {
   for (const auto& crash : fleet.m_recent_crashes) {
     Worker* worker = FindWorker(fleet, crash.second);
-    if (worker != nullptr) TakeBackCrashes(fleet, *worker, HasCrashedTooOften);
+    if (worker != nullptr) TakeBackCrashes(fleet, *worker, HasCrashedAlone);
   }
 }
 
@@ -121,8 +128,9 @@
   return task.m_crashed_runs.size() >= kCrashesBeforeIsolation;
 }
 
-bool HasCrashedTooOften(const Task& task) {
-  return task.m_crashed_runs.size() >= kCrashesBeforeGivingUp;
+bool HasCrashedTooOften(const Job& job, const Task& task) {
+  return task.m_crashed_runs.size() >=
+         (job.m_is_inherited ? kCrashesOfInheritedJob : kCrashesBeforeGivingUp);
 }
 
 bool IsProven(const Worker& worker, const Task& task) {
--- a/libraries/decisions/fleet/crash_count.h
+++ b/libraries/decisions/fleet/crash_count.h
@@ -10,7 +10,7 @@
 
 /// Returns whether so many workers have crashed under the task that it is given
 /// up.
-bool HasCrashedTooOften(const Task& task);
+bool HasCrashedTooOften(const Job& job, const Task& task);
 
 /// Returns whether the worker has survived the run for so long that the run
 /// does not crash it.
--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -88,7 +88,7 @@
     StopGang(fleet, job, reference);
   }
   const Task& task = step_run.m_tasks[reference.m_index];
-  if (after == RunState::kFailed && HasCrashedTooOften(task)) {
+  if (after == RunState::kFailed && HasCrashedTooOften(job, task)) {
     fleet.m_events.push_back({"task_given_up", reference.m_job, WorkerId(),
                               task.m_run, Duration{}, reference});
   }
@@ -161,7 +161,7 @@
   job.m_has_started = true;
   if (!stored.m_is_done) {
     // The earlier leader ended before it stored the job as failed.
-    job.m_has_failed = job.m_has_failed || HasCrashedTooOften(task);
+    job.m_has_failed = job.m_has_failed || HasCrashedTooOften(job, task);
     return;
   }
   task.m_state = RunState::kDone;
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -22,7 +22,7 @@
 
 // A failure that was reported late may have used the last attempt.
 bool AreAttemptsExhausted(const RunContext& context) {
-  if (HasCrashedTooOften(context.m_task)) return true;
+  if (HasCrashedTooOften(context.m_job, context.m_task)) return true;
   return context.m_step.m_kind == StepKind::kFinite &&
          context.m_task.m_failed_runs.size() >=
              context.m_job.m_maximum_attempts;
