--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <numeric>
 
+#include "decisions/fleet/crash_count.h"
 #include "decisions/fleet/fleet.h"
 
 namespace daisyarch::fleet {
@@ -371,6 +372,7 @@
   if (!was_known) return;
   // The new process may have another capacity and other labels.
   worker.m_is_listed = false;
+  RecordRestart(fleet, worker, now);
   fleet.m_events.push_back({"worker_restarted", JobKey(),
                             worker.m_listing.m_worker, RunNumber(),
                             worker.m_poll_sent_at - worker.m_clock_read_at});
@@ -401,6 +403,7 @@
   worker->m_next_poll_at = now;
   const Incarnation before = worker->m_listing.m_incarnation;
   UpdateIncarnation(fleet, *worker, report.m_incarnation, now);
+  RecordAnswer(fleet, *worker);
   const bool has_all_ends = ApplyEndedRuns(fleet, *worker, report, now);
   worker->m_is_incarnation_confirmed = true;
   // A new incarnation is polled again under its new token.
@@ -447,12 +450,13 @@
 }
 
 void ApplyPollFailure(Fleet& fleet, const WorkerId& worker_id,
-                      std::uint64_t poll, TimePoint now) {
+                      std::uint64_t poll, PollFailure failure, TimePoint now) {
   Worker* worker = FindWorker(fleet, worker_id);
   if (worker == nullptr || poll != worker->m_poll_number) return;
   worker->m_is_polling = false;
   worker->m_is_incarnation_confirmed = false;
   worker->m_next_poll_at = now + kPollRetryInterval;
+  RecordPollFailure(fleet, *worker, failure, now);
   StepWorker(fleet, *worker, WorkerEvent::kPollFailed);
 }
 
--- a/tests/fakes/fake_site_links.cc
+++ b/tests/fakes/fake_site_links.cc
@@ -19,6 +19,10 @@
   return Error{ErrorCode::kOutcomeUnknown, "call", peer, "no answer"};
 }
 
+Error ClosedError(const std::string& peer) {
+  return Error{ErrorCode::kOutcomeUnknown, "call", peer, "closed", true};
+}
+
 bool IsStoreUnreachable(const FakeSite& site, const FakeSiteNode& node) {
   const TimePoint now = site.m_loop.m_now;
   return now < site.m_faults.m_store_down_until ||
@@ -123,14 +127,23 @@
 }
 
 /// What happens to an order and to its answer on the network.
-enum class OrderDelivery { kUnreachable, kLate, kAnswerLost, kNormal };
+enum class OrderDelivery {
+  kUnreachable,
+  kClosed,
+  kLate,
+  kAnswerLost,
+  kNormal,
+};
 
 OrderDelivery DrawOrderDelivery(FakeSite& site, const FakeSiteNode& node,
                                 const FleetWorkerModel& worker) {
-  if (!worker.m_is_up ||
-      node.m_unreachable_workers.count(worker.m_listing.m_worker) > 0) {
+  if (node.m_unreachable_workers.count(worker.m_listing.m_worker) > 0) {
     return OrderDelivery::kUnreachable;
   }
+  if (!worker.m_is_up) {
+    return worker.m_is_host_up ? OrderDelivery::kClosed
+                               : OrderDelivery::kUnreachable;
+  }
   if (Chance(site.m_loop, site.m_faults.m_late_order_probability))
     return OrderDelivery::kLate;
   if (Chance(site.m_loop, site.m_faults.m_order_answer_loss_probability))
@@ -159,7 +172,7 @@
 template <typename Order, typename Answer>
 void SendToWorker(FakeSite& site, FakeSiteNode& node, const Order& order,
                   std::function<void(Answer)> on_answer, Answer no_answer,
-                  Duration timeout = kOrderTimeout) {
+                  Answer closed, Duration timeout = kOrderTimeout) {
   const auto found = site.m_workers.find(order.m_worker);
   if (found == site.m_workers.end()) {
     return DeliverError(site, node, timeout, on_answer, no_answer);
@@ -170,6 +183,9 @@
   // may overtake each other.
   Duration delay = DrawOrderDelay(site);
   if (delivery == OrderDelivery::kLate) delay = DrawLateOrderDelay(site);
+  if (delivery == OrderDelivery::kClosed) {
+    return DeliverError(site, node, delay, on_answer, closed);
+  }
   if (delivery != OrderDelivery::kNormal) {
     DeliverError(site, node, timeout, on_answer, no_answer);
   }
@@ -205,6 +221,12 @@
   const bool is_lost = !worker.m_is_up ||
                        worker.m_listing.m_incarnation != incarnation ||
                        node.m_unreachable_workers.count(id) > 0;
+  const bool is_closed = !worker.m_is_up && worker.m_is_host_up &&
+                         node.m_unreachable_workers.count(id) == 0;
+  if (is_closed) {
+    return DeliverError<Answer>(site, node, DrawOrderDelay(site), on_answer,
+                                ClosedError(id.value()));
+  }
   if (is_lost) {
     return DeliverError<Answer>(site, node, deadline - now, on_answer,
                                 NoAnswerError(id.value()));
@@ -236,6 +258,10 @@
   }
   FleetWorkerModel& worker = *found->second;
   const OrderDelivery delivery = DrawOrderDelivery(site, node, worker);
+  if (delivery == OrderDelivery::kClosed) {
+    return DeliverError<Answer>(site, node, DrawOrderDelay(site), on_answer,
+                                ClosedError(order.m_worker.value()));
+  }
   const bool is_normal = delivery == OrderDelivery::kNormal;
   if (!is_normal) DeliverError(site, node, timeout, on_answer, no_answer);
   if (delivery == OrderDelivery::kUnreachable) return;
@@ -349,18 +375,21 @@
   sender.m_start = [&site, &node](const std::string&, const StartOrder& order,
                                   auto on_answer) {
     SendToWorker<StartOrder, StartOutcome>(site, node, order, on_answer,
-                                           StartOutcome::kUnanswered);
+                                           StartOutcome::kUnanswered,
+                                           StartOutcome::kRefused);
   };
   sender.m_stop = [&site, &node](const std::string&, const StopOrder& order,
                                  auto on_answer) {
-    SendToWorker<StopOrder, Result<void>>(
-        site, node, order, on_answer, NoAnswerError(order.m_worker.value()));
+    SendToWorker<StopOrder, Result<void>>(site, node, order, on_answer,
+                                          NoAnswerError(order.m_worker.value()),
+                                          ClosedError(order.m_worker.value()));
   };
   sender.m_throttle = [&site, &node](const std::string&,
                                      const ThrottleOrder& order,
                                      auto on_answer) {
     SendToWorker<ThrottleOrder, Result<void>>(
-        site, node, order, on_answer, NoAnswerError(order.m_worker.value()));
+        site, node, order, on_answer, NoAnswerError(order.m_worker.value()),
+        ClosedError(order.m_worker.value()));
   };
   sender.m_poll = [&site, &node](const std::string&, const PollOrder& order,
                                  auto on_answer) {
