fleet: Give up an inherited task at once after three crashes

A job that is restored with progress counts as inherited from the start, so its limit of three holds when it is loaded.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -159,8 +159,10 @@
   task.m_crashed_runs = stored.m_crashed_runs;
   task.m_checkpoint = stored.m_checkpoint;
   job.m_has_started = true;
+  job.m_is_inherited = true;
   if (!stored.m_is_done) {
-    // The earlier leader ended before it stored the job as failed.
+    // The earlier leader ended before it gave up the task, or before it stored
+    // the crash that would have led to that.
     job.m_has_failed = job.m_has_failed || HasCrashedTooOften(job, task);
     return;
   }
