--- a/tests/fakes/fake_site.cc
+++ b/tests/fakes/fake_site.cc
@@ -244,6 +244,11 @@
 
 }  // namespace
 
+std::uint64_t FirstSeed() {
+  const char* first = std::getenv("DAISYARCH_SOAK_FIRST_SEED");
+  return first == nullptr ? 1 : std::strtoull(first, nullptr, 10);
+}
+
 std::uint64_t SeedCount(std::uint64_t seeds_in_ci) {
   const char* count = std::getenv("DAISYARCH_SOAK_SEEDS");
   return count == nullptr ? seeds_in_ci : std::strtoull(count, nullptr, 10);
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -94,6 +94,8 @@
   std::set<TaskReference> m_acknowledged;
 };
 
+/// Returns the first seed to play: DAISYARCH_SOAK_FIRST_SEED, if set, or 1.
+std::uint64_t FirstSeed();
 /// Returns how many seeds to play: as many as the environment variable
 /// DAISYARCH_SOAK_SEEDS says, if set.
 std::uint64_t SeedCount(std::uint64_t seeds_in_ci);
--- a/tests/invariants/site_soak_test.cc
+++ b/tests/invariants/site_soak_test.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <cstdlib>
 #include <sstream>
 
 #include "decisions/fleet/stalled_steps.h"
@@ -362,19 +361,13 @@
   }
 }
 
-// Returns the first seed and the number of seeds, from the environment if set.
-std::pair<std::uint64_t, std::uint64_t> SeedsOfSoak() {
-  const char* first = std::getenv("DAISYARCH_SOAK_FIRST_SEED");
-  return {first == nullptr ? 1 : std::strtoull(first, nullptr, 10),
-          SeedCount(kSeedsInCi)};
-}
-
 }  // namespace
 
 // By hand: DAISYARCH_SOAK_SEEDS=50 failure_tests -# "[#site_soak_test]"
 TEST_CASE("Accepted work ends soon after a day of faults has calmed") {
-  const auto [first, count] = SeedsOfSoak();
-  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+  const std::uint64_t first = FirstSeed();
+  for (std::uint64_t seed = first; seed < first + SeedCount(kSeedsInCi);
+       ++seed) {
     INFO("seed " << seed);
     SoakDay day(seed);
     FakeSite& site = day.m_site;
--- a/tests/invariants/worker_crash_test.cc
+++ b/tests/invariants/worker_crash_test.cc
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::uint64_t kSeeds = 16;
+constexpr std::uint64_t kSeedsInCi = 16;
 constexpr int kWorkers = 8;
 constexpr int kJobs = 30;
 constexpr Duration kSubmissions = seconds(30);
@@ -289,10 +289,13 @@
 
 }  // namespace
 
+// By hand: DAISYARCH_SOAK_SEEDS=100 failure_tests -# "[#worker_crash_test]"
 // Guards against a task that crashes worker after worker, each time with all
 // the runs there.
 TEST_CASE("A task that crashes its workers is given up, and no other is") {
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  const std::uint64_t first = FirstSeed();
+  for (std::uint64_t seed = first; seed < first + SeedCount(kSeedsInCi);
+       ++seed) {
     INFO("seed " << seed);
     CrashSite crash_site(seed);
     FakeSite& site = crash_site.m_site;
