--- a/libraries/decisions/fleet/listing.cc
+++ b/libraries/decisions/fleet/listing.cc
@@ -32,12 +32,16 @@
     listed.insert(entry.m_worker);
     if (is_new) {
       worker.m_listing = entry;
-      worker.m_token = FirstToken(fleet.m_term);
+      // The worker may have been listed before and have seen a token then.
+      worker.m_token = TakeToken(fleet);
       continue;
     }
     // The incarnation that the worker itself reported may be newer than the
-    // listing.
-    const bool is_older = entry.m_incarnation < worker.m_listing.m_incarnation;
+    // listing, also if its clock was set back in between.
+    const Incarnation known = worker.m_listing.m_incarnation;
+    const bool is_older =
+        entry.m_incarnation < known ||
+        (entry.m_incarnation != known && asked_at < worker.m_clock_read_at);
     if (is_older) continue;
     if (!worker.m_is_listed || worker.m_listing.m_is_leaving) {
       fleet.m_needs_placement = true;
@@ -46,6 +50,9 @@
     if (worker.m_listing.m_address != entry.m_address) {
       worker.m_is_in_roster = false;
     }
+    if (!(worker.m_listing.m_capacity == entry.m_capacity)) {
+      worker.m_headrooms.clear();
+    }
     const bool was_leaving = worker.m_listing.m_is_leaving;
     worker.m_listing = entry;
     worker.m_is_listed = true;
--- a/standins/models/fleet_worker_model.cc
+++ b/standins/models/fleet_worker_model.cc
@@ -39,6 +39,14 @@
   }
 }
 
+void ExtendLease(FleetWorkerModel& model, WorkerMilliseconds until,
+                 TimePoint now) {
+  const WorkerMilliseconds longest =
+      ClockOf(model, now) +
+      WorkerMilliseconds(ToMilliseconds(model.m_longest_lease));
+  model.m_lease_until = std::max(model.m_lease_until, std::min(until, longest));
+}
+
 // Returns true if the worker has seen a higher token, and records the token
 // otherwise.
 bool IsFenced(FleetWorkerModel& model, FencingToken token) {
@@ -135,6 +143,25 @@
       Incarnation(model.m_listing.m_incarnation.value() + 1);
 }
 
+void SetCapacity(FleetWorkerModel& model, const Resources& capacity,
+                 TimePoint now) {
+  model.m_earlier_capacities.emplace_back(now, model.m_listing.m_capacity);
+  model.m_listing.m_capacity = capacity;
+}
+
+Resources LargestCapacitySince(const FleetWorkerModel& model, TimePoint since) {
+  Resources largest = model.m_listing.m_capacity;
+  for (const auto& [until, capacity] : model.m_earlier_capacities) {
+    if (until < since) continue;
+    largest.m_processors =
+        std::max(largest.m_processors, capacity.m_processors);
+    largest.m_memory = std::max(largest.m_memory, capacity.m_memory);
+    largest.m_accelerators =
+        std::max(largest.m_accelerators, capacity.m_accelerators);
+  }
+  return largest;
+}
+
 WorkerReport ReportOf(const FleetWorkerModel& model, TimePoint now) {
   WorkerReport report;
   report.m_incarnation = model.m_listing.m_incarnation;
@@ -164,7 +191,7 @@
       now < model.m_unhealthy_until) {
     return StartOutcome::kRefused;
   }
-  model.m_lease_until = std::max(model.m_lease_until, order.m_lease_until);
+  ExtendLease(model, order.m_lease_until, now);
   const auto closed = model.m_closed_runs.find(order.m_task);
   const bool is_outdated =
       closed != model.m_closed_runs.end() && order.m_run <= closed->second;
@@ -216,7 +243,7 @@
   Advance(model, now);
   if (IsFenced(model, order.m_token)) return FencedError(model);
   if (order.m_has_lease) {
-    model.m_lease_until = std::max(model.m_lease_until, order.m_lease_until);
+    ExtendLease(model, order.m_lease_until, now);
   }
   Forget(model, order.m_acknowledged);
   return ReportOf(model, now);
--- a/tests/decisions/fleet/run_once_test.cc
+++ b/tests/decisions/fleet/run_once_test.cc
@@ -48,8 +48,26 @@
   const TimePoint end = fixture.m_now + duration;
   while (fixture.m_now < end) {
     Wait(fixture, milliseconds(100));
-    FailPoll(fixture, id.value());
+    // The fleet forgets a worker that is not listed and runs nothing.
+    if (FindWorker(fixture.m_fleet, id) != nullptr) {
+      FailPoll(fixture, id.value());
+    }
+  }
+}
+
+// Applies a listing without this worker, or with it as `incarnation`, that was
+// asked for `age` ago.
+void List(FleetFixture& fixture, const ListedWorker& worker,
+          Incarnation incarnation, Duration age = Duration{}) {
+  std::vector<ListedWorker> listing;
+  for (const auto& [id, known] : fixture.m_fleet.m_workers) {
+    if (id != worker.m_worker) listing.push_back(known.m_listing);
+  }
+  if (incarnation != Incarnation()) {
+    listing.push_back(worker);
+    listing.back().m_incarnation = incarnation;
   }
+  ApplyListing(fixture.m_fleet, listing, fixture.m_now - age, fixture.m_now);
 }
 
 OutcomeNumber AcknowledgedByNextPoll(FleetFixture& fixture) {
@@ -247,4 +265,104 @@
   CHECK(TaskOf(fixture, adopted.m_task).m_state == RunState::kWaiting);
 }
 
+// Guards against a task that never starts again: its start was answered after
+// the leader had learned of the worker's restart, and the new incarnation never
+// reports.
+TEST_CASE("A start that a restarted worker confirmed ends with that worker") {
+  FleetFixture fixture;
+  const StartOrder start = StartOne(fixture, 2, 1);
+  const ListedWorker listed =
+      FindWorker(fixture.m_fleet, start.m_worker)->m_listing;
+  List(fixture, listed, Incarnation(2));
+  ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                    fixture.m_now);
+  FailPollsFor(fixture, start.m_worker, seconds(20));
+  List(fixture, listed, Incarnation());
+  FailPollsFor(fixture, start.m_worker, seconds(40));
+  CHECK(TaskOf(fixture, start.m_task).m_state == RunState::kWaiting);
+}
+
+// Guards against a task that never starts again: its start was answered after
+// the lease of its worker had expired, and the worker never reports.
+TEST_CASE("A start that was confirmed after a lapse ends with the worker") {
+  FleetFixture fixture;
+  const StartOrder start = StartOne(fixture, 2, 1);
+  FailPollsFor(fixture, start.m_worker, seconds(5));
+  ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                    fixture.m_now);
+  const ListedWorker listed =
+      FindWorker(fixture.m_fleet, start.m_worker)->m_listing;
+  FailPollsFor(fixture, start.m_worker, seconds(20));
+  List(fixture, listed, Incarnation());
+  FailPollsFor(fixture, start.m_worker, seconds(40));
+  CHECK(TaskOf(fixture, start.m_task).m_state == RunState::kWaiting);
+}
+
+// Guards against a late start that takes effect at a new incarnation although
+// that has reported: the worker was listed again under its first token, below
+// that of the start.
+TEST_CASE("A worker that is listed again gets a token above its earlier ones") {
+  FleetFixture fixture;
+  const StartOrder first = StartOne(fixture, 1, 2);
+  const ListedWorker listed =
+      FindWorker(fixture.m_fleet, first.m_worker)->m_listing;
+  ApplyStartOutcome(fixture.m_fleet, first, StartOutcome::kUnanswered,
+                    fixture.m_now);
+  Wait(fixture, milliseconds(100));
+  Report(fixture, "w0", {}, {});
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(!starts.empty());
+  const StartOrder& late = starts.front();
+  ApplyStartOutcome(fixture.m_fleet, late, StartOutcome::kUnanswered,
+                    fixture.m_now);
+  FailPollsFor(fixture, WorkerId("w0"), seconds(5));
+  List(fixture, listed, Incarnation());
+  fixture.m_fleet.m_orders.clear();
+  Wait(fixture, milliseconds(700));
+  List(fixture, listed, Incarnation(2));
+  Wait(fixture, milliseconds(100));
+  const auto polls = TakeOrders<PollOrder>(fixture);
+  REQUIRE(!polls.empty());
+  CHECK(polls.back().m_token > late.m_token);
+}
+
+// Guards against a failed run that is acknowledged without having counted as an
+// attempt: its worker had counted as lapsed, and no later run had started.
+TEST_CASE("A failed run counts although its worker had counted as lapsed") {
+  FleetFixture fixture;
+  const StartOrder start = StartOne(fixture, 1, 2);
+  ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                    fixture.m_now);
+  FailPollsFor(fixture, start.m_worker, seconds(6));
+  REQUIRE(TaskOf(fixture, start.m_task).m_state == RunState::kWaiting);
+  Report(fixture, "w0", {}, {EndedRunOf(start, 1, RunOutcome::kFailed)});
+  CHECK(TaskOf(fixture, start.m_task).m_failed_runs.size() == 1);
+}
+
+// Guards against confirmed runs that count as gone because an outdated listing
+// names the worker's previous incarnation, whose start time is the later one:
+// the clock of the worker's machine was set back in between.
+TEST_CASE("An outdated listing does not restart a worker that has reported") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  ListedWorker listed = FindWorker(fixture.m_fleet, WorkerId("w0"))->m_listing;
+  // The worker restarts with its clock set back, and reports that itself.
+  List(fixture, listed, Incarnation(9));
+  Wait(fixture, milliseconds(10));
+  Report(fixture, "w0", {}, {});
+  Wait(fixture, milliseconds(10));
+  Report(fixture, "w0", {}, {});
+  List(fixture, listed, Incarnation(1));
+  Submit(fixture, MakePlan("job", 1, kCore));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  ApplyStartOutcome(fixture.m_fleet, starts[0], StartOutcome::kStarted,
+                    fixture.m_now);
+  Wait(fixture, seconds(1));
+  Report(fixture, "w0", {ActiveRunOf(starts[0])}, {});
+  List(fixture, listed, Incarnation(9), milliseconds(10));
+  CHECK(TaskOf(fixture, starts[0].m_task).m_state == RunState::kRunning);
+}
+
 }  // namespace daisyarch::fleet
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -64,6 +64,9 @@
   SiteFaults m_faults;
   std::map<WorkerId, std::unique_ptr<FleetWorkerModel>> m_workers;
   std::set<WorkerId> m_unlisted_workers;
+  /// What the workers have written of themselves; an entry in the store holds
+  /// an index into it.
+  std::vector<ListedWorker> m_written_entries;
   std::vector<std::unique_ptr<FakeSiteNode>> m_nodes;
   JobRoutes m_routes;
   std::map<JobKey, JobPlan> m_submitted;
@@ -91,6 +94,10 @@
   std::set<TaskReference> m_acknowledged;
 };
 
+/// Returns how many seeds to play: as many as the environment variable
+/// DAISYARCH_SOAK_SEEDS says, if set.
+std::uint64_t SeedCount(std::uint64_t seeds_in_ci);
+
 /// Returns one queue "batch" in the pool "pool" with three attempts per task.
 JobRoutes MakeTestRoutes();
 
