--- a/tests/invariants/worker_crash_test.cc
+++ b/tests/invariants/worker_crash_test.cc
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <cstdlib>
 #include <sstream>
 
 #include "fakes/fake_site.h"
@@ -10,7 +11,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr std::uint64_t kSeeds = 16;
+constexpr std::uint64_t kSeedsInCi = 16;
 constexpr int kWorkers = 8;
 constexpr int kJobs = 30;
 constexpr Duration kSubmissions = seconds(30);
@@ -287,12 +288,22 @@
   return most;
 }
 
+// Returns the first seed and the number of seeds, from the environment if set.
+std::pair<std::uint64_t, std::uint64_t> SeedsOfTest() {
+  const char* first = std::getenv("DAISYARCH_SOAK_FIRST_SEED");
+  const char* count = std::getenv("DAISYARCH_SOAK_SEEDS");
+  return {first == nullptr ? 1 : std::strtoull(first, nullptr, 10),
+          count == nullptr ? kSeedsInCi : std::strtoull(count, nullptr, 10)};
+}
+
 }  // namespace
 
+// By hand: DAISYARCH_SOAK_SEEDS=100 failure_tests -# "[#worker_crash_test]"
 // Guards against a task that crashes worker after worker, each time with all
 // the runs there.
 TEST_CASE("A task that crashes its workers is given up, and no other is") {
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+  const auto [first, count] = SeedsOfTest();
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
     INFO("seed " << seed);
     CrashSite crash_site(seed);
     FakeSite& site = crash_site.m_site;
