--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -370,9 +370,9 @@
   const bool was_known = worker.m_listing.m_incarnation != Incarnation();
   worker.m_listing.m_incarnation = incarnation;
   if (!was_known) return;
-  RecordRestart(fleet, worker, now);
   // The new process may have another capacity and other labels.
   worker.m_is_listed = false;
+  RecordRestart(fleet, worker, now);
   fleet.m_events.push_back({"worker_restarted", JobKey(),
                             worker.m_listing.m_worker, RunNumber(),
                             worker.m_poll_sent_at - worker.m_clock_read_at});
