fleet: Log what a takeover believes of earlier runs

Cause: no line of a leader could tell why its successor did not wait for a worker: whether the worker had been taken off the stored roster, what of its ends was stored then, how many workers the loaded roster named, and when the wait for inherited runs ended. done_run_ignored named no task, and 47 worker_ready lines of a takeover used up the limit of log lines.

Change: roster_removal with the last applied and stored end, roster_written, worker_listed, inherited_runs_known; lead_loaded tells the roster's size and revision; done_run_ignored tells step, task and the age of the current start. Routine events have a limit of their own. No decision changes.

--- a/libraries/decisions/fleet/listing.cc
+++ b/libraries/decisions/fleet/listing.cc
@@ -34,6 +34,8 @@
       worker.m_listing = entry;
       // The worker may have been listed before and have seen a token then.
       worker.m_token = TakeToken(fleet);
+      fleet.m_events.push_back(
+          {"worker_listed", JobKey(), entry.m_worker, RunNumber(), Duration{}});
       continue;
     }
     // The incarnation that the worker itself reported may be newer than the
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -153,13 +153,14 @@
 // later run is active, that run decides: its worker's lease has expired, so the
 // done run may not be relied on.
 void ApplySupersededDone(Fleet& fleet, Job& job, Task& task,
-                         const Worker& worker, const EndedRun& ended) {
+                         const Worker& worker, const EndedRun& ended,
+                         TimePoint now) {
   if (task.m_state == RunState::kWaiting && ended.m_run <= task.m_run) {
     StepTask(fleet, job, ended.m_task, RunEvent::kCompleted);
   } else if (IsPlaced(task.m_state)) {
     fleet.m_events.push_back({"done_run_ignored", ended.m_task.m_job,
                               worker.m_listing.m_worker, ended.m_run,
-                              Duration{}});
+                              now - task.m_start_sent_at, ended.m_task});
   }
 }
 
@@ -178,12 +179,13 @@
 
 // Applies the end of a run that is not the task's current one.
 void ApplySupersededEnd(Fleet& fleet, Job& job, Task& task,
-                        const Worker& worker, const EndedRun& ended) {
+                        const Worker& worker, const EndedRun& ended,
+                        TimePoint now) {
   if (job.m_plan.m_steps[ended.m_task.m_step].m_kind == StepKind::kService) {
     return;
   }
   if (ended.m_outcome == RunOutcome::kDone) {
-    ApplySupersededDone(fleet, job, task, worker, ended);
+    ApplySupersededDone(fleet, job, task, worker, ended, now);
   } else if (ended.m_outcome == RunOutcome::kFailed) {
     RecordSupersededFailure(fleet, job, task, ended);
   }
@@ -196,7 +198,7 @@
   if (task == nullptr) return;
   if (!IsRunOnWorker(*task, worker, ended.m_run) &&
       !AdoptRun(fleet, *job, *task, worker, ended.m_task, ended.m_run)) {
-    return ApplySupersededEnd(fleet, *job, *task, worker, ended);
+    return ApplySupersededEnd(fleet, *job, *task, worker, ended, now);
   }
   if (!ended.m_checkpoint.empty()) task->m_checkpoint = ended.m_checkpoint;
   UpdateQuarantine(fleet, worker, ended.m_outcome, now);
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -233,6 +233,7 @@
         const LeaderPointer self = weak.lock();
         if (!self) return;
         if (!result) return self->m_on_claim_lost("cannot read the roster");
+        self->m_roster_revision = result.assume_value().m_as_of;
         for (const StoredItem& item : result.assume_value().m_items) {
           const WorkerId worker(item.m_key.substr(kRosterPrefix.size()));
           const TimePoint inherited_runs_until =
@@ -242,6 +243,7 @@
                             inherited_runs_until);
         }
         self->m_is_loaded = true;
+        self->m_loaded_at = Now(*self);
         on_loaded();
         ListWorkers(self);
       });
@@ -358,6 +360,7 @@
   MeasureTickGap(*leader);
   AdaptToLoop(leader->m_fleet, leader->m_tick_gap);
   LogLeaderStatus(*leader);
+  LogWaitEnd(*leader);
   TickWatch(leader->m_jobs_watch, leader->m_runtime.m_store,
             leader->m_runtime.m_clock.m_now);
   leader->m_fleet.m_jobs_known_at = leader->m_jobs_watch->m_known_at;
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -32,6 +32,12 @@
   std::size_t m_transaction_end = 0;  ///< Index past its last job.
 };
 
+/// Counts the log lines of one kind since the start of its period.
+struct LogBudget {
+  TimePoint m_started_at{};
+  std::uint64_t m_line_count = 0;  ///< Written or dropped.
+};
+
 /// What a node needs while it leads: the fleet, and the state of its calls to
 /// the store and the workers.
 struct Leader {
@@ -45,6 +51,9 @@
   /// previous leader, which may not know yet that it has lost its claim.
   TimePoint m_inherits_jobs_until{};
   bool m_is_loaded = false;
+  TimePoint m_loaded_at{};
+  StoreRevision m_roster_revision;  ///< Of the store when the roster was read.
+  bool m_has_logged_wait_end = false;
   PrefixWatchPointer m_jobs_watch;
   /// Unfinished jobs with a stored cancellation, which may be seen before the
   /// job itself.
@@ -72,8 +81,8 @@
   TimePoint m_next_removal_at{};
   bool m_is_pass_requested = false;
   TimePoint m_next_placement_at{};
-  TimePoint m_log_budget_started_at{};  ///< Start of the log budget's period.
-  std::uint64_t m_log_line_count = 0;   ///< Written or dropped since then.
+  LogBudget m_routine_log_budget;
+  LogBudget m_log_budget;  ///< Of all other events.
   TimePoint m_next_status_at{};
   TimePoint m_ticked_at{};
   Duration m_tick_gap{};             ///< Smoothed.
@@ -114,6 +123,9 @@
 /// Writes the fleet's events to the metrics and, at a limited rate, to the
 /// log.
 void LogFleetEvents(Leader& leader);
+/// Logs, once per term, when the leader stops waiting for runs of earlier
+/// leaders.
+void LogWaitEnd(Leader& leader);
 /// Logs the leader's load, the numbers of tasks and workers by state and the
 /// steps that are stalled, at a fixed interval. Called at every tick.
 void LogLeaderStatus(Leader& leader);
--- a/services/daisyarchd/fleet/leader_log.cc
+++ b/services/daisyarchd/fleet/leader_log.cc
@@ -1,3 +1,5 @@
+#include <string_view>
+
 #include "decisions/fleet/stalled_steps.h"
 #include "fleet/leader.h"
 #include "log/log.h"
@@ -15,17 +17,24 @@
 constexpr Duration kStallThreshold = std::chrono::seconds(3);
 constexpr std::size_t kMaximumStalledSteps = 4;
 
+// Events that are frequent on a healthy site. They have a budget of their own,
+// so that they do not displace the others.
+bool IsRoutine(std::string_view name) {
+  return name == "job_started" || name == "run_failed" ||
+         name == "worker_ready" || name == "worker_listed";
+}
+
 // Counts one line against the budget; false if the line has to be dropped.
-bool ConsumeLogBudget(Leader& leader, TimePoint now) {
-  if (now - leader.m_log_budget_started_at >= kBudgetPeriod) {
-    if (leader.m_log_line_count > kLinesPerSecond) {
+bool ConsumeLogBudget(LogBudget& budget, TimePoint now) {
+  if (now - budget.m_started_at >= kBudgetPeriod) {
+    if (budget.m_line_count > kLinesPerSecond) {
       LogEvent(LogLevel::kWarning, "log_lines_dropped",
-               {{"count", leader.m_log_line_count - kLinesPerSecond}});
+               {{"count", budget.m_line_count - kLinesPerSecond}});
     }
-    leader.m_log_budget_started_at = now;
-    leader.m_log_line_count = 0;
+    budget.m_started_at = now;
+    budget.m_line_count = 0;
   }
-  return ++leader.m_log_line_count <= kLinesPerSecond;
+  return ++budget.m_line_count <= kLinesPerSecond;
 }
 
 void LogFleetEvent(const Leader& leader, const FleetEvent& event) {
@@ -112,6 +121,24 @@
   leader.m_pass_count = 0;
 }
 
+void LogWaitEnd(Leader& leader) {
+  const TimePoint now = leader.m_runtime.m_clock.m_now();
+  if (leader.m_has_logged_wait_end ||
+      MayHaveInheritedRuns(leader.m_fleet, now)) {
+    return;
+  }
+  leader.m_has_logged_wait_end = true;
+  std::uint64_t unreported = 0;
+  for (const auto& entry : leader.m_fleet.m_workers) {
+    if (!entry.second.m_has_clock) ++unreported;
+  }
+  LogEvent(LogLevel::kInfo, "inherited_runs_known",
+           {{"term", leader.m_claim.m_term.value()},
+            {"waited_ms", ToMilliseconds(now - leader.m_loaded_at)},
+            {"workers", std::uint64_t{leader.m_fleet.m_workers.size()}},
+            {"unreported", unreported}});
+}
+
 void LogFleetEvents(Leader& leader) {
   const TimePoint now = leader.m_runtime.m_clock.m_now();
   for (const FleetEvent& event : leader.m_fleet.m_events) {
@@ -121,7 +148,9 @@
     if (std::string_view(event.m_name) == "job_started") {
       leader.m_runtime.m_metrics->RecordLatency("start", event.m_age);
     }
-    if (ConsumeLogBudget(leader, now)) LogFleetEvent(leader, event);
+    LogBudget& budget = IsRoutine(event.m_name) ? leader.m_routine_log_budget
+                                                : leader.m_log_budget;
+    if (ConsumeLogBudget(budget, now)) LogFleetEvent(leader, event);
   }
   leader.m_fleet.m_events.clear();
 }
--- a/services/daisyarchd/fleet/leader_writes.cc
+++ b/services/daisyarchd/fleet/leader_writes.cc
@@ -201,6 +201,37 @@
   SendTransaction(leader);
 }
 
+namespace {
+
+// The last applied and the last stored end tell whether the books hold
+// everything that the worker has reported.
+void LogRosterRemoval(Leader& leader, const WorkerId& id) {
+  const Worker* worker = FindWorker(leader.m_fleet, id);
+  LogEvent(
+      LogLevel::kInfo, "roster_removal",
+      {{"worker", id.value()},
+       {"is_leaving",
+        std::int64_t{worker != nullptr && worker->m_listing.m_is_leaving}},
+       {"applied_end", worker == nullptr ? 0 : worker->m_applied_end.value()},
+       {"stored_end", worker == nullptr ? 0 : worker->m_stored_end.value()},
+       {"term", leader.m_claim.m_term.value()}});
+}
+
+void LogRosterWrite(const Leader& leader, std::size_t stored,
+                    std::size_t removed,
+                    const Result<TransactionResult>& result) {
+  if (!result) return LogError("roster_not_written", result.assume_error());
+  const TransactionResult& outcome = result.assume_value();
+  LogEvent(LogLevel::kInfo, "roster_written",
+           {{"stored", std::uint64_t{stored}},
+            {"removed", std::uint64_t{removed}},
+            {"is_applied", std::int64_t{outcome.m_is_applied}},
+            {"store_revision", outcome.m_revision.value()},
+            {"term", leader.m_claim.m_term.value()}});
+}
+
+}  // namespace
+
 void WriteRoster(const LeaderPointer& leader) {
   const TimePoint now = Now(*leader);
   if (leader->m_is_writing_roster || now < leader->m_next_roster_at) return;
@@ -218,6 +249,7 @@
   }
   for (const WorkerId& id : obsolete) {
     transaction.m_removals.push_back(RosterItemKey(id));
+    LogRosterRemoval(*leader, id);
   }
   leader->m_is_writing_roster = true;
   const std::weak_ptr<Leader> weak = leader;
@@ -228,6 +260,7 @@
         if (!self) return;
         self->m_is_writing_roster = false;
         self->m_next_roster_at = Now(*self) + kWriteRetryDelay;
+        LogRosterWrite(*self, missing.size(), obsolete.size(), result);
         if (!result || !result.assume_value().m_is_applied) return;
         self->m_next_roster_at = TimePoint();
         ApplyRosterStored(self->m_fleet, missing);
--- a/services/daisyarchd/fleet/node_leadership.cc
+++ b/services/daisyarchd/fleet/node_leadership.cc
@@ -261,9 +261,12 @@
            Now(node) < node.m_claim_valid_until;
   };
   LoadLeader(node.m_leader, node.m_routes, [&node] {
+    const Leader& leader = *node.m_leader;
     LogEvent(LogLevel::kInfo, "lead_loaded",
              {{"term", node.m_claim.m_term.value()},
-              {"jobs", std::uint64_t{node.m_leader->m_fleet.m_jobs.size()}}});
+              {"jobs", std::uint64_t{leader.m_fleet.m_jobs.size()}},
+              {"roster", std::uint64_t{leader.m_fleet.m_roster.size()}},
+              {"roster_revision", leader.m_roster_revision.value()}});
     StepLeadership(node, LeadershipEvent::kLoaded);
   });
 }
