tests: Reject commits under ended leases in the fake site

Cause: the fake store bound a late leadership claim to a lease that its leader had revoked meanwhile. The key then never expired, and the site had no leader to the end. The users' store answers 404 for such a transaction.

Change: HasLeases in the store's model; the fake site's commits return kNotFound without them.

--- a/standins/models/fleet_store_model.cc
+++ b/standins/models/fleet_store_model.cc
@@ -1,5 +1,7 @@
 #include "models/fleet_store_model.h"
 
+#include <algorithm>
+
 namespace daisyarch {
 
 namespace {
@@ -53,6 +55,15 @@
   for (const StoreLeaseId& id : expired) RevokeLease(store, id);
 }
 
+bool HasLeases(const FleetStoreModel& store,
+               const StoreTransaction& transaction) {
+  return std::all_of(transaction.m_puts.begin(), transaction.m_puts.end(),
+                     [&store](const StorePut& put) {
+                       return put.m_lease == StoreLeaseId() ||
+                              store.m_leases.count(put.m_lease) > 0;
+                     });
+}
+
 TransactionResult Apply(FleetStoreModel& store,
                         const StoreTransaction& transaction) {
   TransactionResult result;
--- a/standins/models/fleet_store_model.h
+++ b/standins/models/fleet_store_model.h
@@ -33,6 +33,10 @@
 /// Removes expired leases and the keys bound to them.
 void ExpireLeases(FleetStoreModel& store, TimePoint now);
 
+/// Returns whether every lease that the transaction binds a key to exists. The
+/// store rejects a transaction without them.
+bool HasLeases(const FleetStoreModel& store,
+               const StoreTransaction& transaction);
 TransactionResult Apply(FleetStoreModel& store,
                         const StoreTransaction& transaction);
 StoreListing List(const FleetStoreModel& store, const std::string& prefix);
--- a/tests/fakes/fake_site_links.cc
+++ b/tests/fakes/fake_site_links.cc
@@ -346,6 +346,10 @@
     CallStore<TransactionResult>(
         site, node, on_answer,
         [&site, transaction]() -> Result<TransactionResult> {
+          if (!HasLeases(site.m_store, transaction)) {
+            return Error{ErrorCode::kNotFound, "commit", "store",
+                         "a lease has ended"};
+          }
           return Apply(site.m_store, transaction);
         });
   };
