--- a/tests/decisions/fleet/roster_test.cc
+++ b/tests/decisions/fleet/roster_test.cc
@@ -67,6 +67,66 @@
   CHECK(MissingFromRoster(fixture.m_fleet).size() == 1);
 }
 
+// Guards against a task that the next leader starts again after its run was
+// done: a leaving worker was removed from the roster before its ended runs were
+// stored, so that the next leader neither knew of them nor waited for it.
+TEST_CASE("A leaving worker stays in the roster until its ends are stored",
+          "[!shouldfail]") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  Submit(fixture, MakePlan("job", 1, kCore));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  const WorkerId id("w0");
+  FindWorker(fixture.m_fleet, id)->m_listing.m_is_leaving = true;
+  Report(fixture, "w0", {}, {EndedRunOf(starts[0], 1, RunOutcome::kDone)});
+  CHECK(ObsoleteInRoster(fixture.m_fleet).empty());
+  const ChangeBatch batch = TakeChanges(fixture.m_fleet);
+  CHECK(ObsoleteInRoster(fixture.m_fleet).empty());
+  ApplyStoredBatch(fixture.m_fleet, batch);
+  CHECK(ObsoleteInRoster(fixture.m_fleet) == std::vector<WorkerId>{id});
+}
+
+// Guards against the same fault through an end that waits for its job to become
+// known.
+TEST_CASE("A leaving worker stays in the roster until its ends are applied",
+          "[!shouldfail]") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  StartOrder unknown;
+  unknown.m_task.m_job = JobKey("job");
+  unknown.m_run = RunNumber(1);
+  const WorkerId id("w0");
+  FindWorker(fixture.m_fleet, id)->m_listing.m_is_leaving = true;
+  Report(fixture, "w0", {}, {EndedRunOf(unknown, 1, RunOutcome::kDone)});
+  CHECK(ObsoleteInRoster(fixture.m_fleet).empty());
+  fixture.m_now += std::chrono::seconds(1);
+  fixture.m_fleet.m_jobs_known_at = fixture.m_now;
+  Report(fixture, "w0", {}, {EndedRunOf(unknown, 1, RunOutcome::kDone)});
+  CHECK(ObsoleteInRoster(fixture.m_fleet) == std::vector<WorkerId>{id});
+}
+
+// Guards against the same fault through a worker that is forgotten because it
+// neither answers nor is listed.
+TEST_CASE("A silent unlisted worker is kept until its ends are stored",
+          "[!shouldfail]") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  Submit(fixture, MakePlan("job", 1, kCore));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  Report(fixture, "w0", {}, {EndedRunOf(starts[0], 1, RunOutcome::kDone)});
+  const ChangeBatch batch = TakeChanges(fixture.m_fleet);
+  Wait(fixture, std::chrono::seconds(1));
+  FailPoll(fixture, "w0");
+  ApplyListing(fixture.m_fleet, {}, fixture.m_now, fixture.m_now);
+  CHECK(ObsoleteInRoster(fixture.m_fleet).empty());
+  ApplyStoredBatch(fixture.m_fleet, batch);
+  ApplyListing(fixture.m_fleet, {}, fixture.m_now, fixture.m_now);
+  CHECK(ObsoleteInRoster(fixture.m_fleet) ==
+        std::vector<WorkerId>{WorkerId("w0")});
+}
+
 TEST_CASE("New jobs do not wait for unresponsive workers") {
   FleetFixture fixture;
   ApplyRosterLoaded(fixture.m_fleet, {WorkerId("lost"), "lost"},
--- a/tests/fakes/fake_site.cc
+++ b/tests/fakes/fake_site.cc
@@ -318,6 +318,23 @@
   site.m_workers[id] = std::move(model);
 }
 
+void DrainSiteWorker(FakeSite& site, FleetWorkerModel& worker,
+                     Duration notice) {
+  worker.m_listing.m_is_leaving = true;
+  WriteWorkerEntry(site, worker.m_listing);
+  RunAfter(site.m_loop, notice, [&site, &worker] {
+    Crash(worker, site.m_loop.m_now);
+    site.m_unlisted_workers.insert(worker.m_listing.m_worker);
+  });
+}
+
+void ReturnSiteWorker(FakeSite& site, FleetWorkerModel& worker) {
+  Restart(worker, site.m_loop.m_now);
+  worker.m_listing.m_is_leaving = false;
+  site.m_unlisted_workers.erase(worker.m_listing.m_worker);
+  WriteWorkerEntry(site, worker.m_listing);
+}
+
 void Configure(FakeSite& site, const JobRoutes& routes) {
   site.m_routes = routes;
   StoreTransaction transaction;
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -19,6 +19,8 @@
   double m_answer_loss_probability = 0;
   /// A store call times out and takes effect 1 to 6 s after it was sent.
   double m_late_effect_probability = 0;
+  /// Writes of keys with this prefix time out and have no effect; "": none do.
+  std::string m_lost_write_prefix;
   /// An order takes effect at the worker, but times out.
   double m_order_answer_loss_probability = 0;
   /// An order times out and arrives 2 to 12 s after it was sent.
@@ -105,6 +107,11 @@
 
 void AddSiteWorker(FakeSite& site, const std::string& name,
                    const Resources& capacity);
+/// Lets the worker announce that it is leaving, and end its process after
+/// `notice`. Its runs end with it, and the platform lists it no more.
+void DrainSiteWorker(FakeSite& site, FleetWorkerModel& worker, Duration notice);
+/// Starts a worker that has left again, under its id.
+void ReturnSiteWorker(FakeSite& site, FleetWorkerModel& worker);
 FakeSiteNode& AddSiteNode(FakeSite& site, const std::string& name);
 /// Kills the node's process.
 void KillSiteNode(FakeSite& site, FakeSiteNode& node);
--- a/tests/fakes/fake_site_links.cc
+++ b/tests/fakes/fake_site_links.cc
@@ -96,6 +96,16 @@
            });
 }
 
+// Returns whether the faults of the site lose this write.
+bool IsWriteLost(const FakeSite& site, const StoreTransaction& transaction) {
+  const std::string& prefix = site.m_faults.m_lost_write_prefix;
+  if (prefix.empty()) return false;
+  return std::any_of(transaction.m_puts.begin(), transaction.m_puts.end(),
+                     [&prefix](const StorePut& put) {
+                       return put.m_key.compare(0, prefix.size(), prefix) == 0;
+                     });
+}
+
 /// Answers a watch once there are changes, or at `until`.
 void WaitForChanges(FakeSite& site, FakeSiteNode& node,
                     const std::string& prefix, StoreRevision after,
@@ -343,6 +353,10 @@
   };
   store.m_commit = [&site, &node](const StoreTransaction& transaction,
                                   auto on_answer) {
+    if (IsWriteLost(site, transaction)) {
+      return DeliverError<Result<TransactionResult>>(
+          site, node, kStoreTimeout, on_answer, NoAnswerError("store"));
+    }
     CallStore<TransactionResult>(
         site, node, on_answer,
         [&site, transaction]() -> Result<TransactionResult> {
