--- a/libraries/decisions/fleet/roster.cc
+++ b/libraries/decisions/fleet/roster.cc
@@ -55,6 +55,13 @@
   return obsolete;
 }
 
+void BeginRosterRemoval(Fleet& fleet, const std::vector<WorkerId>& obsolete) {
+  for (const WorkerId& id : obsolete) {
+    Worker* worker = FindWorker(fleet, id);
+    if (worker != nullptr) worker->m_is_in_roster = false;
+  }
+}
+
 void ApplyRosterStored(Fleet& fleet, const std::vector<RosterEntry>& stored) {
   for (const RosterEntry& entry : stored) {
     fleet.m_roster.insert(entry.m_worker);
--- a/libraries/decisions/fleet/roster.h
+++ b/libraries/decisions/fleet/roster.h
@@ -27,6 +27,11 @@
 bool MayHaveUnstoredEnds(const Fleet& fleet, const Worker& worker,
                          TimePoint now);
 
+/// Records that the removal of these workers is about to be sent. They get no
+/// tasks until they are stored again, as the removal may take effect at any
+/// time from now on.
+void BeginRosterRemoval(Fleet& fleet, const std::vector<WorkerId>& obsolete);
+
 void ApplyRosterStored(Fleet& fleet, const std::vector<RosterEntry>& stored);
 void ApplyRosterRemoved(Fleet& fleet, const std::vector<WorkerId>& removed);
 /// Adds a worker that an earlier leader stored. Until `inherited_runs_until` it
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -236,6 +236,7 @@
         self->m_roster_revision = result.assume_value().m_as_of;
         for (const StoredItem& item : result.assume_value().m_items) {
           const WorkerId worker(item.m_key.substr(kRosterPrefix.size()));
+          self->m_roster_item_revisions[worker] = item.m_revision;
           const TimePoint inherited_runs_until =
               InheritedRunsUntil(self->m_fleet.m_limits, self->m_predecessor,
                                  self->m_claim.m_term, worker, Now(*self));
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -75,6 +75,8 @@
   TimePoint m_next_pending_at{};
   /// The drained term is stored, or its write is in flight.
   bool m_has_sent_drained_term = false;
+  /// Revisions of the workers' items in the stored roster.
+  std::map<WorkerId, StoreRevision> m_roster_item_revisions;
   bool m_is_writing_roster = false;
   TimePoint m_next_roster_at{};
   bool m_is_removing = false;
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -21,6 +21,9 @@
   double m_late_effect_probability = 0;
   /// Writes of keys with this prefix time out and have no effect; "": none do.
   std::string m_lost_write_prefix;
+  /// Removals of keys with this prefix time out and take effect 4 s after they
+  /// were sent; "": none do.
+  std::string m_late_removal_prefix;
   /// An order takes effect at the worker, but times out.
   double m_order_answer_loss_probability = 0;
   /// An order times out and arrives 2 to 12 s after it was sent.
--- a/tests/fakes/fake_site_links.cc
+++ b/tests/fakes/fake_site_links.cc
@@ -9,6 +9,7 @@
 constexpr Duration kStoreTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kOrderTimeout = std::chrono::milliseconds(700);
 constexpr Duration kWatchTimeoutMargin = std::chrono::milliseconds(500);
+constexpr Duration kLateRemovalDelay = std::chrono::seconds(4);
 constexpr Duration kStoreDownAnswerTime = std::chrono::milliseconds(40);
 
 Error StoreDownError() {
@@ -96,16 +97,28 @@
            });
 }
 
+bool HasPrefix(const std::string& key, const std::string& prefix) {
+  return !prefix.empty() && key.compare(0, prefix.size(), prefix) == 0;
+}
+
 // Returns whether the faults of the site lose this write.
 bool IsWriteLost(const FakeSite& site, const StoreTransaction& transaction) {
-  const std::string& prefix = site.m_faults.m_lost_write_prefix;
-  if (prefix.empty()) return false;
   return std::any_of(transaction.m_puts.begin(), transaction.m_puts.end(),
-                     [&prefix](const StorePut& put) {
-                       return put.m_key.compare(0, prefix.size(), prefix) == 0;
+                     [&site](const StorePut& put) {
+                       return HasPrefix(put.m_key,
+                                        site.m_faults.m_lost_write_prefix);
                      });
 }
 
+// Returns whether the faults of the site delay this write.
+bool IsRemovalLate(const FakeSite& site, const StoreTransaction& transaction) {
+  return std::any_of(
+      transaction.m_removals.begin(), transaction.m_removals.end(),
+      [&site](const std::string& key) {
+        return HasPrefix(key, site.m_faults.m_late_removal_prefix);
+      });
+}
+
 /// Answers a watch once there are changes, or at `until`.
 void WaitForChanges(FakeSite& site, FakeSiteNode& node,
                     const std::string& prefix, StoreRevision after,
@@ -353,7 +366,11 @@
   };
   store.m_commit = [&site, &node](const StoreTransaction& transaction,
                                   auto on_answer) {
-    if (IsWriteLost(site, transaction)) {
+    if (IsRemovalLate(site, transaction)) {
+      RunAfter(site.m_loop, kLateRemovalDelay,
+               [&site, transaction] { Apply(site.m_store, transaction); });
+    }
+    if (IsWriteLost(site, transaction) || IsRemovalLate(site, transaction)) {
       return DeliverError<Result<TransactionResult>>(
           site, node, kStoreTimeout, on_answer, NoAnswerError("store"));
     }
--- a/tests/invariants/lost_writes_test.cc
+++ b/tests/invariants/lost_writes_test.cc
@@ -141,7 +141,8 @@
   REQUIRE(leaving != site.m_workers.end());
   DrainSiteWorker(site, *leaving->second, seconds(20));
   RunFor(site.m_loop, seconds(3));
-  KillLeader(site);
+  REQUIRE(FindLeader(site) != nullptr);
+  KillSiteNode(site, *FindLeader(site));
   site.m_faults.m_lost_write_prefix.clear();
   // The next leader hears of it late.
   SetReachable(site, leaving->first, false);
@@ -152,8 +153,36 @@
   CHECK(FindUnfinishedJob(site).empty());
 }
 
-// Guards against the same fault in days of any order of events, and against
-// other ends that the next leader misses because writes are lost.
+// Guards against a task that two workers run: a worker left and came back under
+// its id, and the removal of its roster entry took effect after that, so that
+// the next leader did not wait for its new runs.
+TEST_CASE("A late removal from the roster spares a worker that has come back") {
+  FakeSite site(1);
+  BuildSite(site, 2);
+  const WorkerId id("w0");
+  FleetWorkerModel& worker = *site.m_workers.at(id);
+  site.m_faults.m_late_removal_prefix = kRosterPrefix;
+  DrainSiteWorker(site, worker, milliseconds(1500));
+  RunFor(site.m_loop, milliseconds(1600));
+  site.m_faults.m_late_removal_prefix.clear();
+  ReturnSiteWorker(site, worker);
+  RunFor(site.m_loop, milliseconds(2900));
+  SubmitToSite(site, *site.m_nodes[0], MakeTestJob(0, 8));
+  RunFor(site.m_loop, milliseconds(400));
+  REQUIRE(!worker.m_running.empty());
+  REQUIRE(FindLeader(site) != nullptr);
+  KillSiteNode(site, *FindLeader(site));
+  // The next leader hears of it late, but before its lease expires.
+  SetReachable(site, id, false);
+  RunFor(site.m_loop, seconds(3));
+  SetReachable(site, id, true);
+  RunFor(site.m_loop, seconds(12));
+  CHECK(ViolationOf(site) == "");
+  CHECK(FindUnfinishedJob(site).empty());
+}
+
+// Guards against both faults in days of any order of events, and against other
+// ends that the next leader misses because writes are lost.
 TEST_CASE("No task is run twice when writes are lost while workers leave") {
   for (std::uint64_t seed = FirstSeed();
        seed < FirstSeed() + SeedCount(kSeedsInCi); ++seed) {
