fleet: Move the roster's writes to a file of their own

Change: leader_roster.cc; ClaimExpectation is shared. Only the first of several unanswered roster writes in a row is logged.

--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -78,6 +78,7 @@
   /// Revisions of the workers' items in the stored roster.
   std::map<WorkerId, StoreRevision> m_roster_item_revisions;
   bool m_is_writing_roster = false;
+  bool m_has_roster_write_failed = false;  ///< The last one got no answer.
   TimePoint m_next_roster_at{};
   bool m_is_removing = false;
   TimePoint m_next_removal_at{};
@@ -131,6 +132,8 @@
 /// Logs the leader's load, the numbers of tasks and workers by state and the
 /// steps that are stalled, at a fixed interval. Called at every tick.
 void LogLeaderStatus(Leader& leader);
+/// Returns the condition of every write of this leader: it holds its claim.
+StoreExpectation ClaimExpectation(const Leader& leader);
 /// Stores workers in the roster before they get work, and removes those that
 /// can run nothing.
 void WriteRoster(const LeaderPointer& leader);
