tests: Hand over without an answer

A leader whose handover is stored waits up to 1.5 s for the answer, and extends the leases of its workers meanwhile. The next leader, which takes the handover as the end of that, starts the tasks of a worker that it cannot reach 4.3 s after its load.

--- a/tests/invariants/late_writes_test.cc
+++ b/tests/invariants/late_writes_test.cc
@@ -66,4 +66,40 @@
   CHECK(IsInStoredRoster(site, id.value()));
 }
 
+// Guards against two runs of one task: a leader that has handed over, but has
+// no answer to that, extends leases that the next leader takes as expired.
+TEST_CASE("No lease outlasts the wait after a handover without an answer",
+          "[!shouldfail]") {
+  FakeSite site(1);
+  BuildSite(site, 4);
+  for (auto& entry : site.m_workers) {
+    entry.second->m_plan_run = [&site](const TaskReference&, RunNumber) {
+      ModelRun run;
+      run.m_ends_at = site.m_loop.m_now + seconds(20);
+      return run;
+    };
+  }
+  FakeSiteNode& leader = *FindLeader(site);
+  SubmitToSite(site, leader, MakeTestJob(0, 1));
+  REQUIRE(RunUntilTrue(site.m_loop, seconds(2),
+                       [&site] { return site.m_starts == 1; }));
+  RunFor(site.m_loop, seconds(1));
+  for (const auto& [id, worker] : site.m_workers) {
+    if (worker->m_running.empty()) continue;
+    for (const auto& node : site.m_nodes) {
+      if (node.get() != &leader) node->m_unreachable_workers.insert(id);
+    }
+  }
+  site.m_faults.m_answer_loss_probability = 1;
+  StopFleetNode(*leader.m_node);
+  RunFor(site.m_loop, milliseconds(60));
+  site.m_faults.m_answer_loss_probability = 0;
+  REQUIRE(site.m_store.m_entries.count(kHandoverKey) == 1);
+  site.m_faults.m_is_store_unresponsive = true;
+  leader.m_store_unreachable_until = site.m_loop.m_now + seconds(10);
+  RemoveKey(site.m_store, kClaimKey);
+  RunFor(site.m_loop, seconds(15));
+  CHECK(site.m_violation == "");
+}
+
 }  // namespace daisyarch::fleet
