tests: Remove the progress of a job that runs

A write whose expected progress is missing is rejected without a current item. UpdateProgressRevisions learns nothing from that, and the same write is repeated until the claim ends.

--- a/tests/invariants/late_writes_test.cc
+++ b/tests/invariants/late_writes_test.cc
@@ -66,6 +66,21 @@
   CHECK(IsInStoredRoster(site, id.value()));
 }
 
+// Guards against a leader that stores nothing any more: it expects a revision
+// of progress that was removed.
+TEST_CASE("A leader stores progress again after it was removed",
+          "[!shouldfail]") {
+  FakeSite site(1);
+  BuildSite(site, 1);
+  SubmitToSite(site, *site.m_nodes[0], MakeTestJob(0, 1));
+  REQUIRE(RunUntilTrue(site.m_loop, seconds(5), [&site] {
+    return site.m_store.m_entries.count(ProgressItemKey(JobKey("job-0"))) > 0;
+  }));
+  RemoveKey(site.m_store, ProgressItemKey(JobKey("job-0")));
+  CHECK(RunUntilTrue(site.m_loop, seconds(20),
+                     [&site] { return FindUnfinishedJob(site).empty(); }));
+}
+
 // Guards against two runs of one task: a leader that has handed over, but has
 // no answer to that, extends leases that the next leader takes as expired.
 TEST_CASE("No lease outlasts the wait after a handover without an answer",
