tests: Apply counts of pending jobs late

Writes of the count expect the claim only, so one that the store applies late replaces a newer one. The leader compares with the value that it wrote last, and writes nothing until the count changes.

--- a/tests/invariants/late_writes_test.cc
+++ b/tests/invariants/late_writes_test.cc
@@ -2,6 +2,7 @@
 
 #include "fakes/fake_site.h"
 #include "fleet/store_keys.h"
+#include "wire/fleet_fields.h"
 
 namespace daisyarch::fleet {
 
@@ -27,6 +28,17 @@
   return site.m_store.m_entries.count(RosterItemKey(WorkerId(worker))) > 0;
 }
 
+std::uint64_t StoredPendingCount(const FakeSite& site) {
+  const auto found = site.m_store.m_entries.find(kPendingKey);
+  if (found == site.m_store.m_entries.end()) return 0;
+  using Counts = std::map<QueueId, std::uint64_t>;
+  const auto counts =
+      DecodeCbor<Counts>(found->second.m_value, "read pending", kPendingKey);
+  if (!counts) return 0;
+  const auto count = counts.assume_value().find(QueueId("batch"));
+  return count == counts.assume_value().end() ? 0 : count->second;
+}
+
 }  // namespace
 
 // Guards against a worker with tasks that the next leader does not wait for:
@@ -66,6 +78,31 @@
   CHECK(IsInStoredRoster(site, id.value()));
 }
 
+// Guards against an outdated number of pending jobs: a write that the store
+// applied late replaced a newer one, and nothing was written after it.
+TEST_CASE("A late write does not outlast the newest count of pending jobs",
+          "[!shouldfail]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    FakeSite site(seed);
+    BuildSite(site, 1);
+    for (int number = 0; number < 10; ++number) {
+      SubmitToSite(site, *site.m_nodes[0], MakeTestJob(number, 4));
+    }
+    REQUIRE(RunUntilTrue(site.m_loop, seconds(5),
+                         [&site] { return StoredPendingCount(site) > 2; }));
+    REQUIRE(RunUntilTrue(site.m_loop, seconds(60),
+                         [&site] { return StoredPendingCount(site) <= 2; }));
+    site.m_faults.m_late_effect_probability = 1;
+    RunFor(site.m_loop, milliseconds(1400));
+    site.m_faults.m_late_effect_probability = 0;
+    REQUIRE(RunUntilTrue(site.m_loop, seconds(60),
+                         [&site] { return FindUnfinishedJob(site).empty(); }));
+    RunFor(site.m_loop, seconds(10));
+    CHECK(StoredPendingCount(site) == 0);
+  }
+}
+
 // Guards against a leader that stores nothing any more: it expects a revision
 // of progress that was removed.
 TEST_CASE("A leader stores progress again after it was removed",
