tests: Report the run of a job that is not known yet

A worker reports an active run of an earlier leader before the watch brings its job. The report ends the wait for this worker, and the run counts as unknown. Once the job is known, its task starts on another worker while the run is active, or while its end as done is listed but not applied; that end is then acknowledged.

--- a/tests/decisions/fleet/run_once_test.cc
+++ b/tests/decisions/fleet/run_once_test.cc
@@ -229,6 +229,28 @@
   }
 }
 
+// Guards against two runs of one task: another leader had started the job, and
+// the worker reported the run before this leader knew the job.
+TEST_CASE("An inherited job waits for a run that was reported before it",
+          "[!shouldfail]") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 2, kCore);
+  fixture.m_now += seconds(11);
+  Wait(fixture, milliseconds(10));
+  const StartOrder unknown = StartOrderOf("job", RunNumber(7));
+  Report(fixture, "w0", {ActiveRunOf(unknown)}, {});
+  Report(fixture, "w1", {}, {});
+  SECTION("while the run may be active") {}
+  SECTION("while the end of the run is not applied") {
+    Wait(fixture, milliseconds(400));
+    Report(fixture, "w0", {}, {EndedRunOf(unknown, 1, RunOutcome::kDone)});
+  }
+  AddJob(fixture.m_fleet, MakePlan("job", 1, kCore), {}, fixture.m_now);
+  FindJob(fixture.m_fleet, JobKey("job"))->m_is_inherited = true;
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).empty());
+}
+
 TEST_CASE("An ended run of a job that has ended is acknowledged") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, kCore);
