tests: Report a run that counts as crashed

Only the leader that counted a crash can take it back, by a list in its memory. The next leader loads the count, and keeps it although the worker reports the run as active.

--- a/tests/decisions/fleet/crash_count_test.cc
+++ b/tests/decisions/fleet/crash_count_test.cc
@@ -303,4 +303,23 @@
   CHECK(StateOf(fixture, "job") == JobState::kRunning);
 }
 
+// Guards against a job that is given up without cause: an earlier leader had
+// counted a crash and ended before the worker reported the run.
+TEST_CASE("A crash that an earlier leader counted is taken back",
+          "[!shouldfail]") {
+  FleetFixture fixture;
+  fixture.m_fleet.m_term = Term(2);
+  AddReadyWorkers(fixture, 1, kCore);
+  fixture.m_now += seconds(11);
+  Wait(fixture, milliseconds(10));
+  AddJob(fixture.m_fleet, MakePlan("job", 1, kCore), ProgressWithCrashes(1),
+         fixture.m_now);
+  StartOrder start;
+  start.m_task.m_job = JobKey("job");
+  start.m_run = RunNumber(1);
+  Report(fixture, "w0", {ActiveRunOf(start)}, {});
+  REQUIRE(TaskOf(fixture, start.m_task).m_state == RunState::kRunning);
+  CHECK(CrashesOf(fixture, start.m_task) == 0);
+}
+
 }  // namespace daisyarch::fleet
