fleet: Let inherited jobs wait for runs of unknown jobs

Callers would see two runs of one task at a time, or a start after a done run whose end is acknowledged later (TWICE).

Cause: a worker's first report ended the wait for its inherited runs, also when it listed a run of a job that the watch had not brought yet. An earlier leader that did not know of the takeover may have started it. Once known, the job was placed on another worker, while that run was active or its end not applied.

Change: while a worker's last report lists runs of jobs that may become known, active or ended, it counts as one that may hold inherited runs, until a lease that it had then has expired.

--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -124,6 +124,9 @@
   /// Its last report listed ended runs that are not applied yet, or may have
   /// omitted some.
   bool m_has_unapplied_ends = false;
+  /// Its last report listed runs, active or ended, of jobs that are not known
+  /// but may become known.
+  bool m_awaits_jobs = false;
   /// The first ended run whose job is not known, and since when it is listed.
   OutcomeNumber m_unknown_end;
   TimePoint m_unknown_end_since{};
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -218,18 +218,19 @@
   }
 }
 
-// Returns whether the ended run may belong to a job that was stored but has not
-// reached this leader yet. An earlier leader that does not know of this one may
-// have started it.
+// Returns whether the job may be stored but not have reached this leader yet.
+// An earlier leader that does not know of this one may have started it.
+bool MayBecomeKnown(const Fleet& fleet, const JobKey& key) {
+  return fleet.m_jobs.count(key.value()) == 0 &&
+         fleet.m_ended_jobs.count(key) == 0;
+}
+
+// Returns whether the ended run may belong to a job that may become known.
 bool AwaitsJob(const Fleet& fleet, Worker& worker, const EndedRun& ended,
                TimePoint now) {
   const bool is_counted = ended.m_outcome == RunOutcome::kDone ||
                           ended.m_outcome == RunOutcome::kFailed;
-  const JobKey& key = ended.m_task.m_job;
-  if (!is_counted || fleet.m_jobs.count(key.value()) > 0 ||
-      fleet.m_ended_jobs.count(key) > 0) {
-    return false;
-  }
+  if (!is_counted || !MayBecomeKnown(fleet, ended.m_task.m_job)) return false;
   if (worker.m_unknown_end != ended.m_number) {
     worker.m_unknown_end = ended.m_number;
     worker.m_unknown_end_since = now;
@@ -242,12 +243,20 @@
 // poll carried.
 bool ApplyEndedRuns(Fleet& fleet, Worker& worker, const WorkerReport& report,
                     TimePoint now) {
+  worker.m_awaits_jobs =
+      std::any_of(report.m_running.begin(), report.m_running.end(),
+                  [&fleet](const ActiveRun& active) {
+                    return MayBecomeKnown(fleet, active.m_task.m_job);
+                  });
   worker.m_first_listed_end = report.m_ended.empty()
                                   ? OutcomeNumber()
                                   : report.m_ended.front().m_number;
   for (const EndedRun& ended : report.m_ended) {
     if (ended.m_number <= worker.m_applied_end) continue;
-    if (AwaitsJob(fleet, worker, ended, now)) return false;
+    if (AwaitsJob(fleet, worker, ended, now)) {
+      worker.m_awaits_jobs = true;
+      return false;
+    }
     ApplyEndedRun(fleet, worker, ended, now);
     worker.m_applied_end = ended.m_number;
   }
@@ -384,7 +393,7 @@
   worker.m_unknown_end = OutcomeNumber();
   worker.m_clock = worker.m_lease_until = WorkerMilliseconds();
   worker.m_unknown_runs = 0;
-  worker.m_has_unapplied_ends = false;
+  worker.m_has_unapplied_ends = worker.m_awaits_jobs = false;
   worker.m_consecutive_failures = 0;
   StepWorker(fleet, worker, WorkerEvent::kRestarted);
   for (const TaskReference& reference : worker.m_runs) {
@@ -407,7 +416,9 @@
   const Incarnation before = worker->m_listing.m_incarnation;
   UpdateIncarnation(fleet, *worker, report.m_incarnation, now);
   RecordAnswer(fleet, *worker);
+  const bool awaited_jobs = worker->m_awaits_jobs;
   const bool has_all_ends = ApplyEndedRuns(fleet, *worker, report, now);
+  if (awaited_jobs && !worker->m_awaits_jobs) fleet.m_needs_placement = true;
   worker->m_has_unapplied_ends = !has_all_ends;
   worker->m_is_incarnation_confirmed = true;
   // A new incarnation is polled again under its new token.
--- a/libraries/decisions/fleet/roster.cc
+++ b/libraries/decisions/fleet/roster.cc
@@ -8,6 +8,12 @@
 // Covers a worker's clock that runs 2% slow over the longest lease.
 constexpr Duration kClockDriftSlack = std::chrono::milliseconds(300);
 
+// Returns whether a lease that the worker had at its last answer may last.
+bool MayHoldLease(const Fleet& fleet, const Worker& worker, TimePoint now) {
+  return now < worker.m_clock_read_at + fleet.m_limits.m_longest_lease +
+                   kClockDriftSlack;
+}
+
 bool HasUnstoredEnds(const Worker& worker) {
   return worker.m_applied_end != worker.m_stored_end ||
          worker.m_has_unapplied_ends;
@@ -29,10 +35,7 @@
 bool MayHaveUnstoredEnds(const Fleet& fleet, const Worker& worker,
                          TimePoint now) {
   if (worker.m_applied_end != worker.m_stored_end) return true;
-  const Duration longest_lease =
-      fleet.m_limits.m_longest_lease + kClockDriftSlack;
-  return worker.m_has_unapplied_ends &&
-         now < worker.m_clock_read_at + longest_lease;
+  return worker.m_has_unapplied_ends && MayHoldLease(fleet, worker, now);
 }
 
 std::vector<RosterEntry> MissingFromRoster(const Fleet& fleet) {
@@ -142,10 +145,13 @@
 }
 
 bool MayHaveInheritedRuns(const Fleet& fleet, TimePoint now) {
-  return std::any_of(fleet.m_workers.begin(), fleet.m_workers.end(),
-                     [now](const auto& entry) {
-                       return now < entry.second.m_inherited_runs_until;
-                     });
+  return std::any_of(
+      fleet.m_workers.begin(), fleet.m_workers.end(),
+      [&fleet, now](const auto& entry) {
+        const Worker& worker = entry.second;
+        return now < worker.m_inherited_runs_until ||
+               (worker.m_awaits_jobs && MayHoldLease(fleet, worker, now));
+      });
 }
 
 void ApplyPredecessorEnded(Fleet& fleet, const Predecessor& predecessor) {
--- a/libraries/decisions/fleet/roster.h
+++ b/libraries/decisions/fleet/roster.h
@@ -66,8 +66,9 @@
                              const Predecessor& predecessor, Term term,
                              const WorkerId& worker, TimePoint now);
 
-/// Returns whether a worker that has not reported yet may run tasks that an
-/// earlier leader started.
+/// Returns whether a worker may hold runs that an earlier leader started and
+/// that are not assigned to their tasks: it has not reported yet, or their jobs
+/// are not known yet.
 bool MayHaveInheritedRuns(const Fleet& fleet, TimePoint now);
 
 /// Shortens the wait for workers that have not reported, once the process of
--- a/tests/decisions/fleet/run_once_test.cc
+++ b/tests/decisions/fleet/run_once_test.cc
@@ -231,8 +231,7 @@
 
 // Guards against two runs of one task: another leader had started the job, and
 // the worker reported the run before this leader knew the job.
-TEST_CASE("An inherited job waits for a run that was reported before it",
-          "[!shouldfail]") {
+TEST_CASE("An inherited job waits for a run that was reported before it") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 2, kCore);
   fixture.m_now += seconds(11);
