leadership: Grant no lease beyond the handover's wait

Callers would see two runs of one task at a time (TWICE).

Cause: a leader whose handover was stored, but not answered, polled its workers for up to 1.5 s more, or longer when frozen, and extended their leases. The next leader takes the handover as the end of that and waits for one lease from its load.

Change: from the handover's write on, no lease ends later than one lease after that write.

--- a/services/daisyarchd/fleet/leader_writes.cc
+++ b/services/daisyarchd/fleet/leader_writes.cc
@@ -203,11 +203,15 @@
 
 void WriteHandover(const LeaderPointer& leader,
                    std::function<void()> on_written) {
+  // The handover may take effect long before its answer arrives, and the next
+  // leader then waits for one lease only.
+  Fleet& fleet = leader->m_fleet;
+  fleet.m_lease_limit =
+      std::min(fleet.m_lease_limit, Now(*leader) + fleet.m_limits.m_lease);
   StoreTransaction transaction;
   transaction.m_expectations.push_back(ClaimExpectation(*leader));
   transaction.m_puts.push_back(
-      {kHandoverKey,
-       WriteCbor(Encode(HandoverOf(leader->m_fleet, Now(*leader)))),
+      {kHandoverKey, WriteCbor(Encode(HandoverOf(fleet, Now(*leader)))),
        StoreLeaseId()});
   leader->m_runtime.m_store.m_commit(
       transaction, [on_written = std::move(on_written)](
--- a/services/daisyarchd/fleet/node_leadership.cc
+++ b/services/daisyarchd/fleet/node_leadership.cc
@@ -307,7 +307,7 @@
     node.m_next_renewal_at = now + kRenewalInterval;
     RenewClaim(node);
   }
-  if (node.m_leader) {
+  if (node.m_leader && !node.m_is_writing_handover) {
     node.m_leader->m_fleet.m_lease_limit =
         node.m_claim_valid_until + kIsolationLimit;
   }
--- a/tests/invariants/late_writes_test.cc
+++ b/tests/invariants/late_writes_test.cc
@@ -119,8 +119,7 @@
 
 // Guards against two runs of one task: a leader that has handed over, but has
 // no answer to that, extends leases that the next leader takes as expired.
-TEST_CASE("No lease outlasts the wait after a handover without an answer",
-          "[!shouldfail]") {
+TEST_CASE("No lease outlasts the wait after a handover without an answer") {
   FakeSite site(1);
   BuildSite(site, 4);
   for (auto& entry : site.m_workers) {
