--- a/libraries/decisions/fleet/roster.h
+++ b/libraries/decisions/fleet/roster.h
@@ -27,6 +27,11 @@
 bool MayHaveUnstoredEnds(const Fleet& fleet, const Worker& worker,
                          TimePoint now);
 
+/// Records that the removal of these workers is about to be sent. They get no
+/// tasks until they are stored again, as the removal may take effect at any
+/// time from now on.
+void BeginRosterRemoval(Fleet& fleet, const std::vector<WorkerId>& obsolete);
+
 void ApplyRosterStored(Fleet& fleet, const std::vector<RosterEntry>& stored);
 void ApplyRosterRemoved(Fleet& fleet, const std::vector<WorkerId>& removed);
 /// Adds a worker that an earlier leader stored. Until `inherited_runs_until` it
@@ -61,8 +66,9 @@
                              const Predecessor& predecessor, Term term,
                              const WorkerId& worker, TimePoint now);
 
-/// Returns whether a worker that has not reported yet may run tasks that an
-/// earlier leader started.
+/// Returns whether a worker may hold runs that an earlier leader started and
+/// that are not assigned to their tasks: it has not reported yet, or their jobs
+/// are not known yet.
 bool MayHaveInheritedRuns(const Fleet& fleet, TimePoint now);
 
 /// Shortens the wait for workers that have not reported, once the process of
--- a/services/daisyarchd/fleet/leader_writes.cc
+++ b/services/daisyarchd/fleet/leader_writes.cc
@@ -22,10 +22,6 @@
 
 TimePoint Now(const Leader& leader) { return leader.m_runtime.m_clock.m_now(); }
 
-StoreExpectation ClaimExpectation(const Leader& leader) {
-  return {kClaimKey, leader.m_claim.m_revision};
-}
-
 StoreRevision ProgressRevision(const Leader& leader, const JobKey& key) {
   const auto found = leader.m_progress_revisions.find(key);
   return found == leader.m_progress_revisions.end() ? StoreRevision()
@@ -115,11 +111,17 @@
   return false;
 }
 
+// Takes over the revisions that the rejected transaction found. Progress that
+// it expected and that is absent has none.
 void UpdateProgressRevisions(Leader& leader, const TransactionResult& result) {
+  for (const StoreExpectation& row :
+       leader.m_writer.m_transaction.m_expectations) {
+    if (row.m_key == kClaimKey) continue;
+    leader.m_progress_revisions.erase(
+        JobKey(row.m_key.substr(kProgressPrefix.size())));
+  }
   for (const StoredItem& item : result.m_current_items) {
-    if (item.m_key.compare(0, kProgressPrefix.size(), kProgressPrefix) != 0) {
-      continue;
-    }
+    if (item.m_key == kClaimKey) continue;
     leader.m_progress_revisions[JobKey(
         item.m_key.substr(kProgressPrefix.size()))] = item.m_revision;
   }
@@ -179,6 +181,10 @@
 
 }  // namespace
 
+StoreExpectation ClaimExpectation(const Leader& leader) {
+  return {kClaimKey, leader.m_claim.m_revision};
+}
+
 void WriteChanges(const LeaderPointer& leader) {
   Fleet& fleet = leader->m_fleet;
   BatchWriter& writer = leader->m_writer;
@@ -201,81 +207,17 @@
   SendTransaction(leader);
 }
 
-namespace {
-
-// The last applied and the last stored end tell whether the books hold
-// everything that the worker has reported.
-void LogRosterRemoval(Leader& leader, const WorkerId& id) {
-  const Worker* worker = FindWorker(leader.m_fleet, id);
-  LogEvent(
-      LogLevel::kInfo, "roster_removal",
-      {{"worker", id.value()},
-       {"is_leaving",
-        std::int64_t{worker != nullptr && worker->m_listing.m_is_leaving}},
-       {"applied_end", worker == nullptr ? 0 : worker->m_applied_end.value()},
-       {"stored_end", worker == nullptr ? 0 : worker->m_stored_end.value()},
-       {"term", leader.m_claim.m_term.value()}});
-}
-
-void LogRosterWrite(const Leader& leader, std::size_t stored,
-                    std::size_t removed,
-                    const Result<TransactionResult>& result) {
-  if (!result) return LogError("roster_not_written", result.assume_error());
-  const TransactionResult& outcome = result.assume_value();
-  LogEvent(LogLevel::kInfo, "roster_written",
-           {{"stored", std::uint64_t{stored}},
-            {"removed", std::uint64_t{removed}},
-            {"is_applied", std::int64_t{outcome.m_is_applied}},
-            {"store_revision", outcome.m_revision.value()},
-            {"term", leader.m_claim.m_term.value()}});
-}
-
-}  // namespace
-
-void WriteRoster(const LeaderPointer& leader) {
-  const TimePoint now = Now(*leader);
-  if (leader->m_is_writing_roster || now < leader->m_next_roster_at) return;
-  auto missing = MissingFromRoster(leader->m_fleet);
-  auto obsolete = ObsoleteInRoster(leader->m_fleet);
-  if (missing.empty() && obsolete.empty()) return;
-  missing.resize(std::min(missing.size(), kMaximumEntriesPerWrite));
-  obsolete.resize(
-      std::min(obsolete.size(), kMaximumEntriesPerWrite - missing.size()));
-  StoreTransaction transaction;
-  transaction.m_expectations.push_back(ClaimExpectation(*leader));
-  for (const RosterEntry& entry : missing) {
-    transaction.m_puts.push_back(
-        {RosterItemKey(entry.m_worker), entry.m_address, StoreLeaseId()});
-  }
-  for (const WorkerId& id : obsolete) {
-    transaction.m_removals.push_back(RosterItemKey(id));
-    LogRosterRemoval(*leader, id);
-  }
-  leader->m_is_writing_roster = true;
-  const std::weak_ptr<Leader> weak = leader;
-  leader->m_runtime.m_store.m_commit(
-      transaction,
-      [weak, missing, obsolete](const Result<TransactionResult>& result) {
-        const LeaderPointer self = weak.lock();
-        if (!self) return;
-        self->m_is_writing_roster = false;
-        self->m_next_roster_at = Now(*self) + kWriteRetryDelay;
-        LogRosterWrite(*self, missing.size(), obsolete.size(), result);
-        if (!result || !result.assume_value().m_is_applied) return;
-        self->m_next_roster_at = TimePoint();
-        ApplyRosterStored(self->m_fleet, missing);
-        ApplyRosterRemoved(self->m_fleet, obsolete);
-        RequestSchedulingPass(self);
-      });
-}
-
 void WriteHandover(const LeaderPointer& leader,
                    std::function<void()> on_written) {
+  // The handover may take effect long before its answer arrives, and the next
+  // leader then waits for one lease only.
+  Fleet& fleet = leader->m_fleet;
+  fleet.m_lease_limit =
+      std::min(fleet.m_lease_limit, Now(*leader) + fleet.m_limits.m_lease);
   StoreTransaction transaction;
   transaction.m_expectations.push_back(ClaimExpectation(*leader));
   transaction.m_puts.push_back(
-      {kHandoverKey,
-       WriteCbor(Encode(HandoverOf(leader->m_fleet, Now(*leader)))),
+      {kHandoverKey, WriteCbor(Encode(HandoverOf(fleet, Now(*leader)))),
        StoreLeaseId()});
   leader->m_runtime.m_store.m_commit(
       transaction, [on_written = std::move(on_written)](
