--- a/tests/platform/ingress_test.cc
+++ b/tests/platform/ingress_test.cc
@@ -1,6 +1,8 @@
 #include "ingress.h"
 
 #include <catch2/catch.hpp>
+#include <iostream>
+#include <sstream>
 
 #include "fakes/fake_site.h"
 
@@ -27,6 +29,25 @@
   return status;
 }
 
+// Keeps what is logged until it is destroyed.
+struct LogCapture {
+  LogCapture() : m_output(std::cout.rdbuf(m_text.rdbuf())) {}
+  ~LogCapture() { std::cout.rdbuf(m_output); }
+  LogCapture(const LogCapture&) = delete;
+  LogCapture& operator=(const LogCapture&) = delete;
+
+  std::ostringstream m_text;
+  std::streambuf* m_output;
+};
+
+HttpRequest MakeSubmission() {
+  HttpRequest request = MakeGetRequest("/batch/0123456789abcdef");
+  request.m_method = "POST";
+  request.m_body =
+      R"({"spec":"x","steps":[{"count":1,"cpu":500,"mem_mb":256,"est_ms":9}]})";
+  return request;
+}
+
 }  // namespace
 
 // A node whose configuration watch is on a dead connection does not know a
@@ -72,10 +93,7 @@
       site.m_loop.m_now + std::chrono::minutes(1);
   site.m_faults.m_is_store_unresponsive = true;
   RunFor(site.m_loop, std::chrono::milliseconds(3500));
-  HttpRequest request = MakeGetRequest("/batch/0123456789abcdef");
-  request.m_method = "POST";
-  request.m_body =
-      R"({"spec":"x","steps":[{"count":1,"cpu":500,"mem_mb":256,"est_ms":9}]})";
+  const HttpRequest request = MakeSubmission();
   HttpResponse answer;
   HandleJobRequest(*site.m_nodes.front()->m_node, request,
                    [&answer](const HttpResponse& given) { answer = given; });
@@ -91,4 +109,20 @@
   CHECK(answer.m_status == 200);
 }
 
+// The line of a request that was under way while the configuration changed gave
+// the new version, so a log could not tell which version had decided.
+TEST_CASE("A request's log line states the configuration that routed it") {
+  fleet::FakeSite site(1);
+  site.m_routes = fleet::MakeTestRoutes();
+  fleet::FleetNode& node = *fleet::AddSiteNode(site, "n0").m_node;
+  RunFor(site.m_loop, std::chrono::seconds(2));
+  const LogCapture log;
+  HandleJobRequest(node, MakeSubmission(), [](const HttpResponse&) {});
+  node.m_routes.m_version = ConfigurationVersion(2);
+  RunFor(site.m_loop, std::chrono::seconds(1));
+  CHECK_THAT(log.m_text.str(),
+             Catch::Contains("event=job_submitted") &&
+                 Catch::Contains("configuration=1 status=200"));
+}
+
 }  // namespace daisyarch::adapter
