--- a/tests/platform/ingress_test.cc
+++ b/tests/platform/ingress_test.cc
@@ -125,4 +125,21 @@
                  Catch::Contains("configuration=1 status=200"));
 }
 
+// Counts and unknown queues left no line, so a log could not tell which
+// configuration a request that tests the routes had been answered from.
+TEST_CASE("Counts and unknown queues are logged with their configuration") {
+  fleet::FakeSite site(1);
+  site.m_routes = fleet::MakeTestRoutes();
+  fleet::AddSiteNode(site, "n0");
+  RunFor(site.m_loop, std::chrono::seconds(2));
+  const LogCapture log;
+  CHECK(StatusOf(site, "/batch/") == 200);
+  CHECK(StatusOf(site, "/unknown/") == 404);
+  CHECK_THAT(log.m_text.str(),
+             Catch::Contains("event=pending_counted host=host prefix=/batch/ "
+                             "configuration=1 status=200") &&
+                 Catch::Contains("event=queue_not_found host=host "
+                                 "path=/unknown/ configuration=1"));
+}
+
 }  // namespace daisyarch::adapter
