fleet: Test that a stale answer rolls no configuration back

Cause: nodes take no configuration that is older than theirs, and no test would have noticed the loss of that check.

The code is as it was.

--- a/tests/platform/ingress_test.cc
+++ b/tests/platform/ingress_test.cc
@@ -70,6 +70,26 @@
   CHECK(StatusOf(site, "/added/") == 200);
 }
 
+// The store's stale reads may give an older configuration than the one in
+// force. A node that took it would refuse requests for queues that it has
+// served.
+TEST_CASE("A stale answer does not roll the configuration back") {
+  fleet::FakeSite site(1);
+  site.m_routes = fleet::MakeTestRoutes();
+  fleet::FleetNode& node = *fleet::AddSiteNode(site, "n0").m_node;
+  const fleet::JobRoutes older = site.m_routes;
+  fleet::JobRoutes newer = older;
+  newer.m_version = ConfigurationVersion(2);
+  newer.m_routes.push_back({"host", "/added/", {}});
+  Configure(site, newer);
+  RunFor(site.m_loop, std::chrono::seconds(2));
+  CHECK(StatusOf(site, "/added/") == 200);
+  Configure(site, older);
+  CHECK(StatusOf(site, "/unknown/") == 404);
+  CHECK(StatusOf(site, "/added/") == 200);
+  CHECK(node.m_routes.m_version == ConfigurationVersion(2));
+}
+
 // The read that confirms the configuration fails while the store is down; the
 // request still has to be answered.
 TEST_CASE("An unknown queue is refused with 404 while the store is down") {
