fleet: Count jobs as pending until a start is known

A job counted as started as soon as its first task was placed, and stayed so when the start order had no answer, was refused or was interrupted.

m_was_placed now ranks jobs as before. m_has_started is set by an answer to a start order or by a report that lists a run as active or ended, also a run that had been given up; the count and the state running follow it. A new leader takes it from the stored state. A failed job is no longer pending.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -75,7 +75,7 @@
       StepRunIndex(job, reference.m_occurrence, reference.m_step);
   StepRun& step_run = job.m_steps[step_run_index];
   const StepPlan& step = job.m_plan.m_steps[reference.m_step];
-  job.m_has_started = job.m_has_started || IsPlaced(after);
+  job.m_was_placed = job.m_was_placed || IsPlaced(after);
   if (IsPlaced(after) || (after == RunState::kCancelled && !IsPlaced(before))) {
     return;
   }
@@ -138,8 +138,8 @@
       job.m_accepted_at + job.m_objective * kObjectivesUntilExpiry;
   const bool is_expired = end > last;
   // A service has no deadline, and is unavailable until it runs.
-  if (IsService(job.m_plan) || (job.m_has_started && !is_expired)) {
-    rank.m_tier = QueueTier::kStarted;
+  if (IsService(job.m_plan) || (job.m_was_placed && !is_expired)) {
+    rank.m_tier = QueueTier::kPlaced;
   } else if (is_expired) {
     rank.m_tier = QueueTier::kExpired;
   } else {
@@ -157,7 +157,7 @@
   task.m_failed_runs = stored.m_failed_runs;
   task.m_crashed_runs = stored.m_crashed_runs;
   task.m_checkpoint = stored.m_checkpoint;
-  job.m_has_started = true;
+  job.m_was_placed = true;
   job.m_is_inherited = true;
   if (!stored.m_is_done) {
     // The earlier leader ended before it gave up the task, or before it stored
@@ -175,6 +175,7 @@
   auto job = std::make_unique<Job>();
   job->m_plan = std::move(plan);
   job->m_state = progress.m_state;
+  job->m_has_started = progress.m_state != JobState::kQueued;
   for (std::uint32_t occurrence = 0; occurrence < job->m_plan.m_occurrences;
        ++occurrence) {
     for (const StepPlan& step : job->m_plan.m_steps) {
@@ -414,7 +415,7 @@
 std::map<QueueId, std::uint64_t> CountPending(const Fleet& fleet) {
   std::map<QueueId, std::uint64_t> pending;
   for (const auto& [key, job] : fleet.m_jobs) {
-    if (!job->m_has_started && !job->m_is_cancelled) {
+    if (!job->m_has_started && !job->m_is_cancelled && !job->m_has_failed) {
       ++pending[job->m_plan.m_queue.m_id];
     }
   }
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -316,7 +316,8 @@
 void EvacuateRuns(Fleet& fleet, Worker& worker, TimePoint now);
 /// Returns the time from the worker's last report to its next poll.
 Duration PollSpacing(const Fleet& fleet, const Worker& worker);
-/// Counts the jobs per queue that have not started and are not cancelled.
+/// Counts the jobs per queue that have neither failed nor been cancelled and of
+/// which no task is known to have started.
 std::map<QueueId, std::uint64_t> CountPending(const Fleet& fleet);
 
 }  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -91,10 +91,10 @@
   kCancelled,
 };
 
-/// Tiers of the jobs of one priority, in the order of placement. Started jobs
+/// Tiers of the jobs of one priority, in the order of placement. Placed jobs
 /// come first, since a job has value only once all of it is done.
 enum class QueueTier : std::uint8_t {
-  kStarted,  ///< Has started and has not expired, or is a service.
+  kPlaced,   ///< Was placed and has not expired, or is a service.
   kOnTime,   ///< Can still meet its objective.
   kLate,     ///< Misses its objective, but its result still has value.
   kExpired,  ///< Its result will have no value; placed last.
@@ -128,6 +128,8 @@
   std::uint64_t m_unfinished = 0;  ///< Tasks that are not done.
   bool m_is_cancelled = false;
   bool m_has_failed = false;  ///< A task has used all its attempts.
+  bool m_was_placed = false;  ///< A task was, though it may not have started.
+  /// A start of one of its tasks is known to have taken effect.
   bool m_has_started = false;
   /// An earlier leader may have started it, so that a worker that has not
   /// reported yet may run its tasks.
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -23,7 +23,7 @@
   Task& task =
       job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)]
           .m_tasks[reference.m_index];
-  if (!job.m_has_started) {
+  if (!job.m_was_placed) {
     pass.m_fleet.m_events.push_back({"job_started", job.m_plan.m_key,
                                      worker.m_listing.m_worker, run,
                                      pass.m_now - job.m_accepted_at});
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -119,6 +119,7 @@
   Job* job = nullptr;
   Task* task = FindTask(fleet, active.m_task, job);
   if (task == nullptr) return StopUnknownRun(fleet, worker, active);
+  job->m_has_started = true;
   if (!IsRunOnWorker(*task, worker, active.m_run)) {
     if (!AdoptRun(fleet, *job, *task, worker, active.m_task, active.m_run)) {
       return StopUnknownRun(fleet, worker, active);
@@ -194,6 +195,7 @@
   Job* job = nullptr;
   Task* task = FindTask(fleet, ended.m_task, job);
   if (task == nullptr) return;
+  job->m_has_started = true;
   if (!IsRunOnWorker(*task, worker, ended.m_run) &&
       !AdoptRun(fleet, *job, *task, worker, ended.m_task, ended.m_run)) {
     return ApplySupersededEnd(fleet, *job, *task, worker, ended);
@@ -464,6 +466,10 @@
                        StartOutcome outcome, TimePoint now) {
   Job* job = nullptr;
   Task* task = FindTask(fleet, order.m_task, job);
+  // Also an answer for a run that has been given up.
+  if (task != nullptr && outcome == StartOutcome::kStarted) {
+    job->m_has_started = true;
+  }
   Worker* worker = FindWorker(fleet, order.m_worker);
   const bool is_current = task != nullptr && worker != nullptr &&
                           IsRunOnWorker(*task, *worker, order.m_run);
