fleet: Write the pending counts again after a lost answer

A write of the counts that had no answer may have taken effect. The leader went on comparing with the counts of the write before, so that a count which returned to that value stayed wrong in the store until it changed. A new leader took the stored counts as empty, and left those of its predecessor in place while it had none itself.

The stored counts are now unknown until a write is answered. The test "A count of pending jobs whose write had no answer is corrected" failed before (0 told, 1 waiting) and passes now.

--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -2,6 +2,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -60,7 +61,8 @@
   /// Workers whose last answer to a poll was malformed.
   std::set<WorkerId> m_malformed_reporters;
   TimePoint m_next_listing_at{};
-  std::map<QueueId, std::uint64_t> m_stored_pending_counts;
+  /// Empty before the first write and while the outcome of a write is unknown.
+  std::optional<std::map<QueueId, std::uint64_t>> m_stored_pending_counts;
   StoreRevision m_pending_revision;
   bool m_is_writing_pending = false;
   TimePoint m_next_pending_at{};
--- a/services/daisyarchd/fleet/leader_writes.cc
+++ b/services/daisyarchd/fleet/leader_writes.cc
@@ -277,6 +277,8 @@
   const auto pending = CountPending(leader->m_fleet);
   if (pending == leader->m_stored_pending_counts) return;
   leader->m_is_writing_pending = true;
+  // Without an answer, the write may have taken effect or not.
+  leader->m_stored_pending_counts.reset();
   StoreTransaction transaction;
   transaction.m_expectations.push_back(ClaimExpectation(*leader));
   transaction.m_puts.push_back(
--- a/tests/invariants/pending_count_test.cc
+++ b/tests/invariants/pending_count_test.cc
@@ -131,4 +131,30 @@
   }
 }
 
+// Guards against an outdated count that stays in the store: the answer to its
+// write was lost, and meanwhile the count had returned to its earlier value.
+TEST_CASE("A count of pending jobs whose write had no answer is corrected") {
+  FakeSite site(1);
+  site.m_routes = MakeTestRoutes();
+  FakeSiteNode& node = AddSiteNode(site, "n0");
+  RunFor(site.m_loop, seconds(5));
+  SubmitToSite(site, node, MakeTestJob(0, 1));
+  RunFor(site.m_loop, seconds(3));
+  REQUIRE(ReadStoredCount(site) == 1);
+  const JobKey cancelled = MakeTestJob(0, 1).m_key;
+  CancelAtSite(site, cancelled);
+  REQUIRE(RunUntilTrue(site.m_loop, seconds(1), [&] {
+    return ReadStoredState(site, cancelled) == JobState::kCancelled;
+  }));
+  REQUIRE(ReadStoredCount(site) == 1);
+  site.m_faults.m_answer_loss_probability = 1;
+  REQUIRE(RunUntilTrue(site.m_loop, seconds(2),
+                       [&site] { return ReadStoredCount(site) == 0; }));
+  SubmitToSite(site, node, MakeTestJob(1, 1));
+  RunFor(site.m_loop, milliseconds(500));
+  site.m_faults.m_answer_loss_probability = 0;
+  RunFor(site.m_loop, seconds(4));
+  CHECK(ReadStoredCount(site) == 1);
+}
+
 }  // namespace daisyarch::fleet
