--- a/libraries/decisions/fleet/crash_count.cc
+++ b/libraries/decisions/fleet/crash_count.cc
@@ -78,8 +78,12 @@
     Task* task = FindTask(fleet, reference, job);
     if (task == nullptr || !is_wrong(*task)) continue;
     auto& crashed = task->m_crashed_runs;
-    crashed.erase(std::remove(crashed.begin(), crashed.end(), run),
-                  crashed.end());
+    const auto found = std::find(crashed.begin(), crashed.end(), run);
+    if (found == crashed.end()) continue;
+    crashed.erase(found);
+    fleet.m_events.push_back({"run_crash_withdrawn", reference.m_job,
+                              worker.m_listing.m_worker, run, Duration{},
+                              reference});
     MarkChanged(fleet, *job);
   }
 }
