fleet: Count crashes whatever else crashes beside them

Cause: crashes of four workers, or an eighth of the fleet, within half a second were taken for a loss of power, and took back the counts of all isolated tasks.

Change: a crash under an isolated task always counts. It is doubtful if a worker without unproven runs crashes within half a second, or if runs of other jobs may be to blame. Doubtful crashes are counted and stored apart; with them, a task is given up after one crash more (five; four for an inherited job).

Doubt needs no four crashes any more, so an inherited task of which two counts were lost and one is doubtful starts a sixth time.

--- a/libraries/decisions/fleet/crash_count.cc
+++ b/libraries/decisions/fleet/crash_count.cc
@@ -13,6 +13,9 @@
 constexpr std::size_t kCrashesBeforeGivingUp = 4;
 // An earlier leader may have ended before it stored a count.
 constexpr std::size_t kCrashesOfInheritedJob = 3;
+// Doubtful crashes suffice once they are this many more, so that no task is
+// started without end because something else crashes workers as well.
+constexpr std::size_t kMoreCrashesInDoubt = 1;
 // A task that crashes its worker does so within this time after its start.
 constexpr Duration kProofTime = std::chrono::seconds(1);
 // A single poll is closed when only its connection is reset.
@@ -20,25 +23,27 @@
 // An answer may be lost just before the crash. A host that has lost power
 // leaves more polls unanswered until it is back and refuses connections.
 constexpr std::uint32_t kMaximumUnansweredPolls = 1;
-// Tasks in isolation crash one worker at a time, so a loss of this many workers
-// within the window has another cause.
-constexpr Duration kMassLossWindow = std::chrono::milliseconds(500);
-constexpr std::size_t kMinimumMassLoss = 4;
-constexpr std::size_t kMassLossDivisor = 8;
+// What crashes workers by itself may crash several within this time.
+constexpr Duration kCommonCauseWindow = std::chrono::milliseconds(500);
 
-bool IsMassLoss(const Fleet& fleet) {
-  return fleet.m_recent_crashes.size() >=
-         std::max(kMinimumMassLoss, fleet.m_workers.size() / kMassLossDivisor);
-}
-
-void AddRecentCrash(Fleet& fleet, const Worker& worker, TimePoint now) {
+void RecordWorkerCrash(Fleet& fleet, const WorkerCrash& latest) {
   auto& crashes = fleet.m_recent_crashes;
   crashes.erase(std::remove_if(crashes.begin(), crashes.end(),
-                               [now](const auto& crash) {
-                                 return now - crash.first > kMassLossWindow;
+                               [&latest](const WorkerCrash& crash) {
+                                 return latest.m_at - crash.m_at >
+                                        kCommonCauseWindow;
                                }),
                 crashes.end());
-  crashes.emplace_back(now, worker.m_listing.m_worker);
+  crashes.push_back(latest);
+}
+
+// A crash that no run can have caused shows that something else crashes workers
+// as well. The number of crashes does not: several tasks that crash their
+// workers start again together once the leases of these have expired.
+bool HasOtherCause(const Fleet& fleet) {
+  return std::any_of(
+      fleet.m_recent_crashes.begin(), fleet.m_recent_crashes.end(),
+      [](const WorkerCrash& crash) { return !crash.m_has_suspect; });
 }
 
 // Only runs of one job are on the worker as far as it may have been crashed by
@@ -49,38 +54,53 @@
   });
 }
 
-void CountCrash(Fleet& fleet, Worker& worker, const TaskReference& reference) {
+bool Contains(const std::vector<RunNumber>& runs, RunNumber run) {
+  return std::find(runs.begin(), runs.end(), run) != runs.end();
+}
+
+bool Remove(std::vector<RunNumber>& runs, RunNumber run) {
+  const auto found = std::find(runs.begin(), runs.end(), run);
+  if (found == runs.end()) return false;
+  runs.erase(found);
+  return true;
+}
+
+// A leader that ends before a count is stored takes it with it.
+void MarkCountChanged(Fleet& fleet, Job& job) {
+  MarkChanged(fleet, job);
+  fleet.m_has_urgent_change = true;
+}
+
+void CountCrash(Fleet& fleet, Worker& worker, const TaskReference& reference,
+                bool is_doubtful) {
   Job* job = nullptr;
   Task* task = FindTask(fleet, reference, job);
-  auto& crashed = task->m_crashed_runs;
-  if (std::find(crashed.begin(), crashed.end(), task->m_run) != crashed.end()) {
-    return;
-  }
-  crashed.push_back(task->m_run);
+  if (Contains(task->m_crashed_runs, task->m_run)) return;
+  if (Contains(task->m_doubtful_runs, task->m_run)) return;
+  auto& runs = is_doubtful ? task->m_doubtful_runs : task->m_crashed_runs;
+  runs.push_back(task->m_run);
   worker.m_crashed_runs.emplace_back(reference, task->m_run);
   const bool is_confirmed =
       task->m_start_confirmation == StartConfirmation::kConfirmed;
   fleet.m_events.push_back(
-      {"run_crashed", reference.m_job, worker.m_listing.m_worker, task->m_run,
+      {is_doubtful ? "run_crash_doubted" : "run_crashed", reference.m_job,
+       worker.m_listing.m_worker, task->m_run,
        is_confirmed ? worker.m_poll_sent_at - task->m_started_at : Duration{},
        reference});
   AddIsolation(fleet, reference);
-  MarkChanged(fleet, *job);
-  // A leader that ends before the count is stored takes it with it.
-  fleet.m_has_urgent_change = true;
+  MarkCountChanged(fleet, *job);
 }
 
-// Removes the crash from those tasks of the worker that `is_wrong` selects.
-template <typename Predicate>
-void TakeBackCrashes(Fleet& fleet, Worker& worker, Predicate is_wrong) {
+// The worker's runs have not crashed it.
+void WithdrawCrashes(Fleet& fleet, const Worker& worker) {
   for (const auto& [reference, run] : worker.m_crashed_runs) {
     Job* job = nullptr;
     Task* task = FindTask(fleet, reference, job);
-    if (task == nullptr || !is_wrong(*task)) continue;
-    auto& crashed = task->m_crashed_runs;
-    const auto found = std::find(crashed.begin(), crashed.end(), run);
-    if (found == crashed.end()) continue;
-    crashed.erase(found);
+    if (task == nullptr) continue;
+    if (!Remove(task->m_crashed_runs, run) &&
+        !Remove(task->m_doubtful_runs, run)) {
+      continue;
+    }
     fleet.m_events.push_back({"run_crash_withdrawn", reference.m_job,
                               worker.m_listing.m_worker, run, Duration{},
                               reference});
@@ -88,35 +108,50 @@
   }
 }
 
-bool HasCrashedAlone(const Task& task) {
-  return task.m_crashed_runs.size() > kCrashesBeforeIsolation;
+// Only isolated tasks need the doubt, as the others are not given up yet.
+void DoubtCrashes(Fleet& fleet, const Worker& worker) {
+  for (const auto& [reference, run] : worker.m_crashed_runs) {
+    Job* job = nullptr;
+    Task* task = FindTask(fleet, reference, job);
+    if (task == nullptr) continue;
+    if (task->m_crashed_runs.size() <= kCrashesBeforeIsolation) continue;
+    if (!Remove(task->m_crashed_runs, run)) continue;
+    task->m_doubtful_runs.push_back(run);
+    fleet.m_events.push_back({"run_crash_doubted", reference.m_job,
+                              worker.m_listing.m_worker, run, Duration{},
+                              reference});
+    MarkCountChanged(fleet, *job);
+  }
 }
 
-// In a mass loss, the tasks in isolation are not to blame.
-void TakeBackMassLoss(Fleet& fleet) {
-  for (const auto& crash : fleet.m_recent_crashes) {
-    Worker* worker = FindWorker(fleet, crash.second);
-    if (worker != nullptr) TakeBackCrashes(fleet, *worker, HasCrashedAlone);
+void DoubtRecentCrashes(Fleet& fleet) {
+  for (const WorkerCrash& crash : fleet.m_recent_crashes) {
+    const Worker* worker = FindWorker(fleet, crash.m_worker);
+    if (worker != nullptr) DoubtCrashes(fleet, *worker);
   }
 }
 
+bool MayRunUnknownTasks(const Worker& worker) {
+  return worker.m_inherited_runs_until > TimePoint() ||
+         worker.m_unknown_runs > 0;
+}
+
 void RecordCrash(Fleet& fleet, Worker& worker, TimePoint now) {
   // Its runs end with it as planned.
   if (worker.m_listing.m_is_leaving) return;
   fleet.m_events.push_back({"worker_crashed", JobKey(),
                             worker.m_listing.m_worker, RunNumber(),
                             worker.m_poll_sent_at - worker.m_clock_read_at});
-  AddRecentCrash(fleet, worker, now);
-  const bool is_mass_loss = IsMassLoss(fleet);
-  if (is_mass_loss) TakeBackMassLoss(fleet);
   const std::vector<TaskReference> suspects = FindUnprovenRuns(fleet, worker);
-  const bool is_certain = !is_mass_loss && IsOneJob(suspects);
+  const bool has_suspect = !suspects.empty() || MayRunUnknownTasks(worker);
+  RecordWorkerCrash(fleet, {now, worker.m_listing.m_worker, has_suspect});
+  const bool has_other_cause = HasOtherCause(fleet);
+  if (has_other_cause) DoubtRecentCrashes(fleet);
+  const bool is_doubtful = has_other_cause || !IsOneJob(suspects);
   for (const TaskReference& reference : suspects) {
     Job* job = nullptr;
     const Task* task = FindTask(fleet, reference, job);
-    if (is_certain || !NeedsIsolation(*task)) {
-      CountCrash(fleet, worker, reference);
-    }
+    CountCrash(fleet, worker, reference, is_doubtful && NeedsIsolation(*task));
   }
 }
 
@@ -133,8 +168,11 @@
 }
 
 bool HasCrashedTooOften(const Job& job, const Task& task) {
-  return task.m_crashed_runs.size() >=
-         (job.m_is_inherited ? kCrashesOfInheritedJob : kCrashesBeforeGivingUp);
+  const std::size_t limit =
+      job.m_is_inherited ? kCrashesOfInheritedJob : kCrashesBeforeGivingUp;
+  const std::size_t crashes = task.m_crashed_runs.size();
+  return crashes >= limit ||
+         crashes + task.m_doubtful_runs.size() >= limit + kMoreCrashesInDoubt;
 }
 
 bool IsProven(const Worker& worker, const Task& task) {
@@ -167,7 +205,7 @@
 }
 
 void RecordAnswer(Fleet& fleet, Worker& worker) {
-  TakeBackCrashes(fleet, worker, [](const Task&) { return true; });
+  WithdrawCrashes(fleet, worker);
   Forget(worker);
 }
 
--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -156,6 +156,7 @@
   task.m_run = stored.m_run;
   task.m_failed_runs = stored.m_failed_runs;
   task.m_crashed_runs = stored.m_crashed_runs;
+  task.m_doubtful_runs = stored.m_doubtful_runs;
   task.m_checkpoint = stored.m_checkpoint;
   job.m_has_started = true;
   job.m_is_inherited = true;
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -121,6 +121,14 @@
   TimePoint m_since{};
 };
 
+/// A worker's process has crashed.
+struct WorkerCrash {
+  TimePoint m_at{};
+  WorkerId m_worker;
+  /// A run that was active there may have caused it.
+  bool m_has_suspect = false;
+};
+
 struct FleetStateMachines;
 
 /// Steps with waiting tasks, the most urgent first: the rank and the key of
@@ -161,7 +169,7 @@
   /// The unfinished tasks that need isolation.
   std::map<TaskReference, Isolation> m_isolations;
   /// The latest crashes of workers, the oldest first.
-  std::vector<std::pair<TimePoint, WorkerId>> m_recent_crashes;
+  std::vector<WorkerCrash> m_recent_crashes;
   /// Occurrences of timed jobs that are not due yet: the Unix time in ms, the
   /// job and the occurrence.
   std::set<std::tuple<std::int64_t, JobKey, std::uint32_t>>
--- a/libraries/decisions/fleet/fleet_job.cc
+++ b/libraries/decisions/fleet/fleet_job.cc
@@ -20,6 +20,7 @@
       row.m_is_done = task.m_state == RunState::kDone;
       row.m_failed_runs = task.m_failed_runs;
       row.m_crashed_runs = task.m_crashed_runs;
+      row.m_doubtful_runs = task.m_doubtful_runs;
       row.m_run = task.m_run;
       if (!row.m_is_done) row.m_checkpoint = task.m_checkpoint;
       progress.m_tasks.push_back(std::move(row));
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -57,6 +57,9 @@
   /// Runs during which the worker crashed and that may have caused it; without
   /// duplicates. See crash_count.h.
   std::vector<RunNumber> m_crashed_runs;
+  /// The same for runs in isolation, where the crash may have had another
+  /// cause; none of them is in m_crashed_runs.
+  std::vector<RunNumber> m_doubtful_runs;
   /// As last reported: the tail latency of a serving task in milliseconds, or
   /// the processor use of any other task in thousandths of a core.
   std::int64_t m_load = 0;
@@ -179,6 +182,7 @@
   bool m_is_done = false;
   std::vector<RunNumber> m_failed_runs;
   std::vector<RunNumber> m_crashed_runs;
+  std::vector<RunNumber> m_doubtful_runs;
   RunNumber m_run;
   std::string m_checkpoint;
 };
--- a/libraries/wire/fleet_fields.h
+++ b/libraries/wire/fleet_fields.h
@@ -74,6 +74,7 @@
   visit("done", task.m_is_done);
   visit("failed_runs", task.m_failed_runs);
   visit.Optional("crashed_runs", task.m_crashed_runs);
+  visit.Optional("doubtful_runs", task.m_doubtful_runs);
   visit("run", task.m_run);
   visit("checkpoint", task.m_checkpoint);
 }
--- a/tests/decisions/fleet/crash_count_test.cc
+++ b/tests/decisions/fleet/crash_count_test.cc
@@ -38,15 +38,22 @@
   return Place(fixture);
 }
 
-// Fails polls of the worker until its lease has expired.
-void Lose(FleetFixture& fixture, const std::string& worker,
+// Fails polls of the workers until their leases have expired.
+void Lose(FleetFixture& fixture, const std::vector<std::string>& workers,
           PollFailure failure) {
   for (int poll = 0; poll < 60; ++poll) {
     Wait(fixture, kPollInterval);
-    FailPoll(fixture, worker, failure);
+    for (const std::string& worker : workers) {
+      FailPoll(fixture, worker, failure);
+    }
   }
 }
 
+void Lose(FleetFixture& fixture, const std::string& worker,
+          PollFailure failure) {
+  Lose(fixture, std::vector<std::string>{worker}, failure);
+}
+
 void Lose(FleetFixture& fixture, const WorkerId& worker, PollFailure failure) {
   Lose(fixture, worker.value(), failure);
 }
@@ -63,6 +70,14 @@
   return progress;
 }
 
+// Loses the worker of the start and, at the same time, an idle one: that with
+// the number or the next.
+void LoseBoth(FleetFixture& fixture, const StartOrder& start, int idle) {
+  std::string other = "w" + std::to_string(idle);
+  if (start.m_worker == WorkerId(other)) other = "w" + std::to_string(idle + 1);
+  Lose(fixture, {start.m_worker.value(), other}, PollFailure::kClosed);
+}
+
 std::size_t CrashesOf(FleetFixture& fixture, const TaskReference& reference) {
   return TaskOf(fixture, reference).m_crashed_runs.size();
 }
@@ -303,4 +318,85 @@
   CHECK(StateOf(fixture, "job") == JobState::kRunning);
 }
 
+// Guards against tasks that are started without end because their workers crash
+// at the same time, which was taken for a mass loss.
+TEST_CASE("Tasks that crash their workers at the same time are given up") {
+  FleetFixture fixture;
+  constexpr int kTasks = 8;
+  AddReadyWorkers(fixture, 64, kCore);
+  for (int number = 0; number < kTasks; ++number) {
+    AddJob(fixture.m_fleet, MakePlan("job" + std::to_string(number), 1, kCore),
+           {}, fixture.m_now);
+  }
+  for (int crash = 0; crash < 4; ++crash) {
+    INFO("crash " << crash);
+    std::vector<std::string> workers;
+    for (const StartOrder& start : Place(fixture)) {
+      workers.push_back(start.m_worker.value());
+    }
+    REQUIRE(workers.size() == kTasks);
+    Lose(fixture, workers, PollFailure::kClosed);
+  }
+  for (int number = 0; number < kTasks; ++number) {
+    CHECK(StateOf(fixture, "job" + std::to_string(number)) ==
+          JobState::kFailed);
+  }
+  CHECK(Place(fixture).empty());
+}
+
+// Guards against a task that is started without end because each time another
+// worker crashes beside its own.
+TEST_CASE("A task is given up after five crashes in any doubt") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 30, kCore);
+  AddJob(fixture.m_fleet, MakePlan("job", 1, kCore), {}, fixture.m_now);
+  for (int crash = 0; crash < 5; ++crash) {
+    INFO("crash " << crash);
+    CHECK(StateOf(fixture, "job") != JobState::kFailed);
+    LoseBoth(fixture, PlaceOne(fixture), 20 + 2 * crash);
+  }
+  CHECK(StateOf(fixture, "job") == JobState::kFailed);
+  CHECK(Place(fixture).empty());
+}
+
+// Guards against doubtful crashes that start anew with each leader.
+TEST_CASE("A crash in doubt outlives the leader") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 30, kCore);
+  AddJob(fixture.m_fleet, MakePlan("job", 1, kCore), ProgressWithCrashes(2),
+         fixture.m_now);
+  LoseBoth(fixture, PlaceOne(fixture), 20);
+  CHECK(StateOf(fixture, "job") == JobState::kRunning);
+  const ChangeBatch batch = TakeChanges(fixture.m_fleet);
+  REQUIRE(batch.m_jobs.size() == 1);
+  const JobProgress& progress = batch.m_jobs.front().m_progress;
+  REQUIRE(progress.m_tasks.front().m_doubtful_runs.size() == 1);
+  FleetFixture next;
+  AddReadyWorkers(next, 3, kCore);
+  AddJob(next.m_fleet, MakePlan("job", 1, kCore), progress, next.m_now);
+  const StartOrder start = PlaceOne(next);
+  Lose(next, start.m_worker, PollFailure::kClosed);
+  CHECK(StateOf(next, "job") == JobState::kFailed);
+}
+
+// Guards against a job that fails because its worker was cut off in doubt.
+TEST_CASE("A doubtful crash is withdrawn when the worker answers again") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 8, kCore);
+  AddJob(fixture.m_fleet, MakePlan("job", 1, kCore), ProgressWithCrashes(2),
+         fixture.m_now);
+  const StartOrder start = PlaceOne(fixture);
+  const std::string idle = start.m_worker == WorkerId("w7") ? "w6" : "w7";
+  for (int poll = 0; poll < 2; ++poll) {
+    Wait(fixture, kPollInterval);
+    FailPoll(fixture, start.m_worker.value(), PollFailure::kClosed);
+    FailPoll(fixture, idle, PollFailure::kClosed);
+  }
+  CHECK(TaskOf(fixture, start.m_task).m_doubtful_runs.size() == 1);
+  Wait(fixture, kPollInterval);
+  Report(fixture, start.m_worker.value(), {ActiveRunOf(start)}, {});
+  CHECK(TaskOf(fixture, start.m_task).m_doubtful_runs.empty());
+  CHECK(CrashesOf(fixture, start.m_task) == 2);
+}
+
 }  // namespace daisyarch::fleet
--- a/tests/invariants/worker_crash_test.cc
+++ b/tests/invariants/worker_crash_test.cc
@@ -13,6 +13,11 @@
 constexpr std::uint64_t kSeedsInCi = 16;
 constexpr int kWorkers = 8;
 constexpr int kJobs = 30;
+constexpr std::uint64_t kSeedsOfBurst = 4;
+constexpr int kWorkersOfBurst = 32;
+constexpr int kJobsOfBurst = 40;
+constexpr int kCrashingJobsOfBurst = 32;
+constexpr Duration kBurst = seconds(8);
 constexpr Duration kSubmissions = seconds(30);
 constexpr Duration kMaximumCompletionTime = seconds(150);
 constexpr Duration kCheckInterval = seconds(1);
@@ -178,10 +183,10 @@
   }
 }
 
-void BuildSite(CrashSite& crash_site) {
+void BuildSite(CrashSite& crash_site, int workers) {
   FakeSite& site = crash_site.m_site;
   site.m_routes = MakeTestRoutes();
-  for (int number = 0; number < kWorkers; ++number) AddWorker(crash_site);
+  for (int number = 0; number < workers; ++number) AddWorker(crash_site);
   EndIncompleteGangs(site);
   for (int number = 0; number < 3; ++number) {
     AddSiteNode(site, "n" + std::to_string(number));
@@ -287,8 +292,70 @@
   return most;
 }
 
+// The first jobs crash their workers, and each takes a whole one.
+JobPlan MakeJobOfBurst(int number) {
+  JobPlan plan = MakeTestJob(number, 1);
+  plan.m_steps.resize(1);
+  if (number < kCrashingJobsOfBurst) {
+    plan.m_steps.front().m_demand.m_processors = kCapacity.m_processors;
+  }
+  return plan;
+}
+
+void SubmitBurst(CrashSite& crash_site) {
+  FakeSite& site = crash_site.m_site;
+  for (int number = 0; number < kJobsOfBurst; ++number) {
+    const JobPlan plan = MakeJobOfBurst(number);
+    if (number < kCrashingJobsOfBurst) {
+      crash_site.m_crashing_tasks.insert(TaskReference{plan.m_key});
+    }
+    RunAfter(site.m_loop, DelayBetween(site.m_loop, seconds(1), kBurst),
+             [&site, number, plan] {
+               SubmitToSite(site, *site.m_nodes[number % 3], plan);
+             });
+  }
+}
+
+// Returns what is wrong after a burst, or "".
+std::string FindUnwantedOfBurst(const CrashSite& crash_site) {
+  std::ostringstream out;
+  for (int number = 0; number < kJobsOfBurst; ++number) {
+    const JobKey key = MakeJobOfBurst(number).m_key;
+    const JobState state = ReadStoredState(crash_site.m_site, key);
+    const JobState wanted = number < kCrashingJobsOfBurst
+                                ? JobState::kFailed
+                                : JobState::kCompleted;
+    if (state == wanted) continue;
+    out << " " << key.value() << " is in state " << static_cast<int>(state);
+  }
+  return out.str();
+}
+
 }  // namespace
 
+// Guards against tasks that are started without end because so many others
+// crash their workers at the same time.
+TEST_CASE("Many tasks that crash their workers are given up") {
+  const std::uint64_t first = FirstSeed();
+  for (std::uint64_t seed = first; seed < first + SeedCount(kSeedsOfBurst);
+       ++seed) {
+    INFO("seed " << seed);
+    CrashSite crash_site(seed);
+    FakeSite& site = crash_site.m_site;
+    BuildSite(crash_site, kWorkersOfBurst);
+    SubmitBurst(crash_site);
+    Duration waited{};
+    while (waited < kMaximumCompletionTime &&
+           FindUnwantedOfBurst(crash_site) != "") {
+      RunFor(site.m_loop, kCheckInterval);
+      waited += kCheckInterval;
+    }
+    CHECK(site.m_violation == "");
+    CHECK(MaximumStarts(crash_site) <= kMaximumStarts);
+    CHECK(FindUnwantedOfBurst(crash_site) == "");
+  }
+}
+
 // By hand: DAISYARCH_SOAK_SEEDS=100 failure_tests -# "[#worker_crash_test]"
 // Guards against a task that crashes worker after worker, each time with all
 // the runs there.
@@ -299,7 +366,7 @@
     INFO("seed " << seed);
     CrashSite crash_site(seed);
     FakeSite& site = crash_site.m_site;
-    BuildSite(crash_site);
+    BuildSite(crash_site, kWorkers);
     SubmitJobs(crash_site);
     PlanFaults(crash_site, seed);
     RunFor(site.m_loop, kSubmissions);
