--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -121,6 +121,14 @@
   TimePoint m_since{};
 };
 
+/// A worker's process has crashed.
+struct WorkerCrash {
+  TimePoint m_at{};
+  WorkerId m_worker;
+  /// A run that was active there may have caused it.
+  bool m_has_suspect = false;
+};
+
 struct FleetStateMachines;
 
 /// Steps with waiting tasks, the most urgent first: the rank and the key of
@@ -161,7 +169,7 @@
   /// The unfinished tasks that need isolation.
   std::map<TaskReference, Isolation> m_isolations;
   /// The latest crashes of workers, the oldest first.
-  std::vector<std::pair<TimePoint, WorkerId>> m_recent_crashes;
+  std::vector<WorkerCrash> m_recent_crashes;
   /// Occurrences of timed jobs that are not due yet: the Unix time in ms, the
   /// job and the occurrence.
   std::set<std::tuple<std::int64_t, JobKey, std::uint32_t>>
@@ -316,7 +324,8 @@
 void EvacuateRuns(Fleet& fleet, Worker& worker, TimePoint now);
 /// Returns the time from the worker's last report to its next poll.
 Duration PollSpacing(const Fleet& fleet, const Worker& worker);
-/// Counts the jobs per queue that have not started and are not cancelled.
+/// Counts the jobs per queue that have neither failed nor been cancelled and of
+/// which no task is known to have started.
 std::map<QueueId, std::uint64_t> CountPending(const Fleet& fleet);
 
 }  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -57,6 +57,9 @@
   /// Runs during which the worker crashed and that may have caused it; without
   /// duplicates. See crash_count.h.
   std::vector<RunNumber> m_crashed_runs;
+  /// The same for runs in isolation, where the crash may have had another
+  /// cause; none of them is in m_crashed_runs.
+  std::vector<RunNumber> m_doubtful_runs;
   /// As last reported: the tail latency of a serving task in milliseconds, or
   /// the processor use of any other task in thousandths of a core.
   std::int64_t m_load = 0;
@@ -91,10 +94,10 @@
   kCancelled,
 };
 
-/// Tiers of the jobs of one priority, in the order of placement. Started jobs
+/// Tiers of the jobs of one priority, in the order of placement. Placed jobs
 /// come first, since a job has value only once all of it is done.
 enum class QueueTier : std::uint8_t {
-  kStarted,  ///< Has started and has not expired, or is a service.
+  kPlaced,   ///< Was placed and has not expired, or is a service.
   kOnTime,   ///< Can still meet its objective.
   kLate,     ///< Misses its objective, but its result still has value.
   kExpired,  ///< Its result will have no value; placed last.
@@ -128,6 +131,8 @@
   std::uint64_t m_unfinished = 0;  ///< Tasks that are not done.
   bool m_is_cancelled = false;
   bool m_has_failed = false;  ///< A task has used all its attempts.
+  bool m_was_placed = false;  ///< A task was, though it may not have started.
+  /// A start of one of its tasks is known to have taken effect.
   bool m_has_started = false;
   /// An earlier leader may have started it, so that a worker that has not
   /// reported yet may run its tasks.
@@ -179,6 +184,7 @@
   bool m_is_done = false;
   std::vector<RunNumber> m_failed_runs;
   std::vector<RunNumber> m_crashed_runs;
+  std::vector<RunNumber> m_doubtful_runs;
   RunNumber m_run;
   std::string m_checkpoint;
 };
