fleet: Hold a worker for isolated tasks of a job for one time

Callers would see jobs that never end (LOST), after several workers had crashed.

Cause: a worker that is held for an isolated task which cannot start is given up after 8 s. Tasks of one job share a held worker, and each began its own 8 s; when one had to give the worker up, it found it held by the other and joined again. A worker full of service tasks was held so for 160 s, while four workers were idle and all other isolated tasks waited for their turn.

Change: tasks that share a worker hold it since the first of them.

--- a/libraries/decisions/fleet/isolation.cc
+++ b/libraries/decisions/fleet/isolation.cc
@@ -125,6 +125,21 @@
   return nullptr;
 }
 
+// Returns since when waiting tasks have held the worker; now if none do. Tasks
+// that share a worker hold it for the same time, since each of them would
+// otherwise keep it for the others without end.
+TimePoint HeldSince(Fleet& fleet, const WorkerId& worker, TimePoint now) {
+  TimePoint since = now;
+  for (const auto& [reference, isolation] : fleet.m_isolations) {
+    if (isolation.m_worker != worker) continue;
+    Job* job = nullptr;
+    const Task* task = FindTask(fleet, reference, job);
+    if (task == nullptr || !IsWaiting(*job, *task, reference)) continue;
+    since = std::min(since, isolation.m_since);
+  }
+  return since;
+}
+
 // Prefers a worker where the task can start at once, then one with room, and
 // among these the one with the fewest runs, which a crash would end.
 Worker* ChooseHeldWorker(Fleet& fleet, const Job& job,
@@ -183,7 +198,8 @@
     if (worker == nullptr) continue;
     holding.insert(reference.m_job);
     worker->m_isolated_for = reference.m_job;
-    isolation = {worker->m_listing.m_worker, now};
+    const WorkerId& id = worker->m_listing.m_worker;
+    isolation = {id, HeldSince(fleet, id, now)};
     fleet.m_events.push_back({"task_isolated", reference.m_job,
                               isolation.m_worker, task->m_run, Duration{},
                               reference});
--- a/tests/decisions/fleet/crash_count_test.cc
+++ b/tests/decisions/fleet/crash_count_test.cc
@@ -1,8 +1,10 @@
 #include "decisions/fleet/crash_count.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "decisions/fleet/fleet_fixture.h"
+#include "decisions/fleet/isolation.h"
 
 namespace daisyarch::fleet {
 
@@ -417,4 +419,39 @@
   CHECK(CrashesOf(fixture, start.m_task) == 2);
 }
 
+// Guards against jobs that never end: tasks of one job kept a worker without
+// room for each other, and all other isolated tasks waited behind them.
+TEST_CASE("Tasks that share a worker without room are given another") {
+  FleetFixture fixture;
+  constexpr int kWorkers = 8;
+  AddReadyWorkers(fixture, kWorkers, kCore * 2);
+  const auto full = SubmitAndPlace(fixture, MakePlan("full", 8, kCore * 2));
+  REQUIRE(full.size() == kWorkers);
+  AddJob(fixture.m_fleet, MakePlan("job", 2, kCore), ProgressWithCrashes(2),
+         fixture.m_now);
+  REQUIRE(Place(fixture).empty());
+  // The second task begins to hold a worker when half of the first one's time
+  // is over.
+  fixture.m_now += seconds(4);
+  TaskReference second{JobKey("job")};
+  second.m_index = 1;
+  TaskOf(fixture, second).m_crashed_runs = {RunNumber(1), RunNumber(2)};
+  TaskOf(fixture, second).m_run = RunNumber(2);
+  AddIsolation(fixture.m_fleet, second);
+  REQUIRE(Place(fixture).empty());
+  const WorkerId held = fixture.m_fleet.m_isolations.at(second).m_worker;
+  REQUIRE(held != WorkerId());
+  const auto other = std::find_if(
+      full.begin(), full.end(),
+      [&held](const StartOrder& start) { return start.m_worker != held; });
+  Report(fixture, other->m_worker.value(), {},
+         {EndedRunOf(*other, 1, RunOutcome::kDone)});
+  std::size_t starts = 0;
+  for (int second_of_wait = 0; second_of_wait < 10; ++second_of_wait) {
+    fixture.m_now += seconds(1);
+    starts += Place(fixture).size();
+  }
+  CHECK(starts == 2);
+}
+
 }  // namespace daisyarch::fleet
