leader: Watch the platform's list of workers instead of reading it

Cause: the leader read the whole list every 700 ms, which at 1,100 workers is some 400 kB of base64 and JSON each time, in turns of its loop.

Change: a watch on the list, at most ten calls a second; each answer, also one without changes, renews the age of the listing. After a failed call the list is read whole.

--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -12,15 +12,13 @@
 
 namespace {
 
-constexpr Duration kListingInterval = std::chrono::milliseconds(700);
-// A call on a dead connection times out early, so that two attempts fit into
-// the maximum age of a listing.
+// The age of the listing is limited, so calls are short, and one on a dead
+// connection times out early enough for another.
+constexpr Duration kListingWait = std::chrono::milliseconds(300);
+constexpr Duration kListingInterval = std::chrono::milliseconds(100);
 constexpr Duration kListingTimeout = std::chrono::milliseconds(700);
 // A page can be 1 MB, whose transfer alone takes 0.8 s at 10 Mbit/s.
 constexpr Duration kLoadTimeout = std::chrono::seconds(3);
-// Short, because a failed attempt has used up most of the maximum age of a
-// listing.
-constexpr Duration kListingRetryDelay = std::chrono::milliseconds(100);
 // The gap between ticks is averaged over about this many.
 constexpr int kGapSamples = 4;
 constexpr std::size_t kLoadedItemsPerTurn = 32;
@@ -72,8 +70,9 @@
   Job* job = FindJob(leader.m_fleet, key);
   if (job == nullptr) return;
   // A late watch may bring a job long after it was stored.
-  job->m_is_inherited =
-      leader.m_jobs_watch->m_known_at < leader.m_inherits_jobs_until;
+  if (leader.m_jobs_watch->m_known_at < leader.m_inherits_jobs_until) {
+    MarkInherited(leader.m_fleet, *job);
+  }
 }
 
 // Makes up for changes that the watch missed. Known jobs stay as they are.
@@ -114,63 +113,120 @@
 }
 
 // Logs one line when listings start to fail and one when they work again.
-void RecordListingResult(Leader& leader, const Result<StoreListing>& result) {
-  if (leader.m_last_listing_succeeded == result.has_value()) return;
-  leader.m_last_listing_succeeded = result.has_value();
-  if (!result) {
-    return LogError("worker_listing_lost", result.assume_error());
-  }
+void RecordListingFailure(Leader& leader, const Error& error) {
+  if (!leader.m_last_listing_succeeded) return;
+  leader.m_last_listing_succeeded = false;
+  LogError("worker_listing_lost", error);
+}
+
+void RecordListingSuccess(Leader& leader) {
+  if (leader.m_last_listing_succeeded) return;
+  leader.m_last_listing_succeeded = true;
   LogEvent(
       LogLevel::kInfo, "worker_listing_regained",
       {{"age_ms", ToMilliseconds(Now(leader) - leader.m_fleet.m_listed_at)},
-       {"store_revision", result.assume_value().m_as_of.value()}});
+       {"store_revision", leader.m_workers_watch->m_as_of.value()}});
 }
 
 // Logs one line when the number of entries that name no worker changes.
-void RecordUnreadableEntries(Leader& leader,
-                             const std::vector<StoredItem>& items,
-                             const std::vector<ListedWorker>& workers) {
-  const std::size_t count =
-      items.size() - std::min(items.size(), workers.size());
-  if (leader.m_unreadable_entries == count) return;
-  leader.m_unreadable_entries = count;
-  if (count == 0)
+void LogUnreadableEntries(const Leader& leader, std::size_t before) {
+  const std::set<std::string>& entries = leader.m_unreadable_entries;
+  if (entries.size() == before) return;
+  if (entries.empty())
     return LogEvent(LogLevel::kInfo, "worker_entries_readable", {});
-  const std::string& prefix = leader.m_runtime.m_codec.m_worker_prefix;
+  LogEvent(
+      LogLevel::kWarning, "worker_entries_unreadable",
+      {{"count", std::uint64_t{entries.size()}}, {"first", *entries.begin()}});
+}
+
+// Reads the entries and records which of them name no worker.
+std::vector<ListedWorker> ReadEntries(Leader& leader,
+                                      const std::vector<StoredItem>& items) {
+  const auto& codec = leader.m_runtime.m_codec;
+  std::vector<ListedWorker> workers = codec.m_read_workers(items);
   // The workers are in the order of their entries.
-  std::size_t first = 0;
-  while (first < workers.size() &&
-         items[first].m_key == prefix + workers[first].m_worker.value()) {
-    ++first;
+  auto next = workers.begin();
+  for (const StoredItem& item : items) {
+    const bool is_read =
+        next != workers.end() &&
+        item.m_key == codec.m_worker_prefix + next->m_worker.value();
+    if (is_read) {
+      ++next;
+      leader.m_unreadable_entries.erase(item.m_key);
+    } else {
+      leader.m_unreadable_entries.insert(item.m_key);
+    }
   }
-  LogEvent(LogLevel::kWarning, "worker_entries_unreadable",
-           {{"count", std::uint64_t{count}}, {"first", items[first].m_key}});
+  return workers;
+}
+
+void ApplyWorkerListing(Leader& leader, const std::vector<StoredItem>& items) {
+  const std::size_t unreadable = leader.m_unreadable_entries.size();
+  leader.m_unreadable_entries.clear();
+  const auto workers = ReadEntries(leader, items);
+  LogUnreadableEntries(leader, unreadable);
+  ApplyListing(leader.m_fleet, workers, leader.m_workers_watch->m_sent_at,
+               Now(leader));
+  leader.m_has_worker_listing = true;
+}
+
+// An entry that names no worker counts as removed.
+void ApplyWorkerChanges(Leader& leader,
+                        const std::vector<StoreChange>& changes) {
+  const std::string& prefix = leader.m_runtime.m_codec.m_worker_prefix;
+  const std::size_t unreadable = leader.m_unreadable_entries.size();
+  for (const StoreChange& change : changes) {
+    if (change.m_key.size() <= prefix.size()) continue;
+    ListedChange listed{WorkerId(change.m_key.substr(prefix.size())),
+                        std::nullopt};
+    if (change.m_value) {
+      auto entries = ReadEntries(
+          leader, {{change.m_key, *change.m_value, change.m_revision}});
+      if (!entries.empty()) listed.m_entry = std::move(entries.front());
+    } else {
+      leader.m_unreadable_entries.erase(change.m_key);
+    }
+    leader.m_worker_changes.push_back(std::move(listed));
+  }
+  LogUnreadableEntries(leader, unreadable);
+}
+
+void FinishWorkerCall(const LeaderPointer& leader) {
+  RecordListingSuccess(*leader);
+  const auto changes = std::move(leader->m_worker_changes);
+  leader->m_worker_changes.clear();
+  ApplyListingChanges(leader->m_fleet, changes,
+                      leader->m_workers_watch->m_sent_at, Now(*leader));
+  RequestSchedulingPass(leader);
 }
 
-void ListWorkers(const LeaderPointer& leader) {
-  if (leader->m_is_listing) return;
-  leader->m_is_listing = true;
-  const TimePoint sent_at = Now(*leader);
+void StartWorkersWatch(const LeaderPointer& leader) {
+  auto watch = std::make_shared<PrefixWatch>();
+  watch->m_prefix = leader->m_runtime.m_codec.m_worker_prefix;
+  watch->m_wait = kListingWait;
+  watch->m_interval = kListingInterval;
+  watch->m_list_timeout = kListingTimeout;
   const std::weak_ptr<Leader> weak = leader;
-  leader->m_runtime.m_store.m_list(
-      leader->m_runtime.m_codec.m_worker_prefix, kListingTimeout,
-      [weak, sent_at](Result<StoreListing> result) {
-        const LeaderPointer self = weak.lock();
-        if (!self) return;
-        self->m_is_listing = false;
-        if (!result) {
-          self->m_next_listing_at = Now(*self) + kListingRetryDelay;
-          return RecordListingResult(*self, result);
-        }
-        RecordListingResult(*self, result);
-        self->m_next_listing_at = sent_at + kListingInterval;
-        self->m_has_worker_listing = true;
-        const auto& items = result.assume_value().m_items;
-        const auto workers = self->m_runtime.m_codec.m_read_workers(items);
-        RecordUnreadableEntries(*self, items, workers);
-        ApplyListing(self->m_fleet, workers, sent_at, Now(*self));
-        RequestSchedulingPass(self);
-      });
+  watch->m_on_listing = [weak](const std::vector<StoredItem>& items) {
+    const LeaderPointer self = weak.lock();
+    if (self) ApplyWorkerListing(*self, items);
+  };
+  watch->m_on_changes = [weak](const std::vector<StoreChange>& changes) {
+    const LeaderPointer self = weak.lock();
+    if (self) ApplyWorkerChanges(*self, changes);
+  };
+  watch->m_on_answer = [weak] {
+    const LeaderPointer self = weak.lock();
+    if (self) FinishWorkerCall(self);
+  };
+  watch->m_on_failure = [weak](const Error& error) {
+    const LeaderPointer self = weak.lock();
+    if (!self) return;
+    RecordListingFailure(*self, error);
+    // Watches may fail where a listing does not.
+    self->m_workers_watch->m_has_listing = false;
+  };
+  leader->m_workers_watch = std::move(watch);
 }
 
 // What the store holds of the jobs, while it is added to the fleet in parts.
@@ -206,7 +262,7 @@
       leader, item.m_key, item.m_value,
       progress == loaded.m_progress.end() ? JobProgress() : progress->second);
   Job* job = FindJob(leader.m_fleet, key);
-  if (job != nullptr) job->m_is_inherited = true;
+  if (job != nullptr) MarkInherited(leader.m_fleet, *job);
 }
 
 // Adds the next part of the state; returns whether all of it is added.
@@ -245,8 +301,10 @@
         }
         self->m_is_loaded = true;
         self->m_loaded_at = Now(*self);
+        StartWorkersWatch(self);
         on_loaded();
-        ListWorkers(self);
+        TickWatch(self->m_workers_watch, self->m_runtime.m_store,
+                  self->m_runtime.m_clock.m_now);
       });
 }
 
@@ -365,7 +423,8 @@
   TickWatch(leader->m_jobs_watch, leader->m_runtime.m_store,
             leader->m_runtime.m_clock.m_now);
   leader->m_fleet.m_jobs_known_at = leader->m_jobs_watch->m_known_at;
-  if (Now(*leader) >= leader->m_next_listing_at) ListWorkers(leader);
+  TickWatch(leader->m_workers_watch, leader->m_runtime.m_store,
+            leader->m_runtime.m_clock.m_now);
   WritePendingCounts(leader);
   WriteDrainedTerm(leader);
   RemoveOldProgress(leader);
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -62,14 +62,15 @@
   std::map<JobKey, StoreRevision> m_progress_revisions;
   BatchWriter m_writer;
   TimePoint m_next_write_at{};
-  bool m_is_listing = false;  ///< A listing of workers is in flight.
+  PrefixWatchPointer m_workers_watch;
+  /// Changes of the listing from the answer that is being handled.
+  std::vector<ListedChange> m_worker_changes;
   bool m_has_worker_listing = false;
   bool m_last_listing_succeeded = true;
-  /// Entries of the last worker listing that name no worker.
-  std::size_t m_unreadable_entries = 0;
+  /// Keys of the listing whose entries name no worker.
+  std::set<std::string> m_unreadable_entries;
   /// Workers whose last answer to a poll was malformed.
   std::set<WorkerId> m_malformed_reporters;
-  TimePoint m_next_listing_at{};
   /// Empty before the first write and while the outcome of a write is unknown.
   std::optional<std::map<QueueId, std::uint64_t>> m_stored_pending_counts;
   StoreRevision m_pending_revision;
--- a/services/daisyarchd/fleet/prefix_watch.cc
+++ b/services/daisyarchd/fleet/prefix_watch.cc
@@ -7,8 +7,6 @@
 namespace {
 
 constexpr Duration kRetryDelay = std::chrono::milliseconds(200);
-// A page can be 1 MB, whose transfer alone takes 0.8 s at 10 Mbit/s.
-constexpr Duration kListTimeout = std::chrono::milliseconds(1500);
 
 using Pointer = PrefixWatchPointer;
 using ClockFunction = std::function<TimePoint()>;
@@ -22,10 +20,18 @@
   watch.m_on_failure(error);
 }
 
+void FinishCall(const Pointer& watch, const Store& store,
+                const ClockFunction& clock) {
+  watch->m_known_at = watch->m_sent_at;
+  watch->m_next_call_at = watch->m_sent_at + watch->m_interval;
+  watch->m_on_answer();
+  TickWatch(watch, store, clock);
+}
+
 void ListPrefix(const Pointer& watch, const Store& store,
                 const ClockFunction& clock) {
   const std::weak_ptr<PrefixWatch> weak = watch;
-  store.m_list(watch->m_prefix, kListTimeout,
+  store.m_list(watch->m_prefix, watch->m_list_timeout,
                [weak, store, clock](Result<StoreListing> result) {
                  const Pointer self = weak.lock();
                  if (!self) return;
@@ -43,8 +49,7 @@
                  self->m_as_of = listing.m_as_of;
                  self->m_has_listing = true;
                  self->m_on_listing(listing.m_items);
-                 self->m_known_at = self->m_sent_at;
-                 TickWatch(self, store, clock);
+                 FinishCall(self, store, clock);
                });
 }
 
@@ -71,8 +76,7 @@
                   if (!changes.m_changes.empty()) {
                     self->m_on_changes(changes.m_changes);
                   }
-                  self->m_known_at = self->m_sent_at;
-                  TickWatch(self, store, clock);
+                  FinishCall(self, store, clock);
                 });
 }
 
