leader: Store what has been learned of interference for the next leader

Cause: a new leader knew no pair of images, so best-effort tasks were tried on two workers at a time until every pair had samples again.

Change: the leader stores its estimates every 2 s if there are new samples, under its claim; the next one reads them and keeps its own where it has any. Figures out of range are ignored.

--- a/libraries/decisions/fleet/interference.cc
+++ b/libraries/decisions/fleet/interference.cc
@@ -100,16 +100,6 @@
   }
 }
 
-void CountIncompatible(Interference& interference, const ImageId& serving) {
-  std::uint32_t& count = interference.m_incompatible_counts[serving];
-  count = 0;
-  for (auto pair = interference.m_pairs.lower_bound({serving, ImageId()});
-       pair != interference.m_pairs.end() && pair->first.first == serving;
-       ++pair) {
-    if (pair->second.m_mean >= kIncompatibleEffect) ++count;
-  }
-}
-
 void AddServingImageSample(Interference& interference, const ImageId& image,
                            ServingImage& serving,
                            const BestEffortImages& best_effort,
@@ -148,12 +138,23 @@
 
 }  // namespace
 
+void CountIncompatible(Interference& interference, const ImageId& serving) {
+  std::uint32_t& count = interference.m_incompatible_counts[serving];
+  count = 0;
+  for (auto pair = interference.m_pairs.lower_bound({serving, ImageId()});
+       pair != interference.m_pairs.end() && pair->first.first == serving;
+       ++pair) {
+    if (pair->second.m_mean >= kIncompatibleEffect) ++count;
+  }
+}
+
 void AddInterferenceSample(Interference& interference, ServingImages& serving,
                            const BestEffortImages& best_effort,
                            Millicores capacity) {
   if (IsUseBeyond(best_effort, capacity)) return;
   for (auto& [image, serving_image] : serving) {
     if (serving_image.m_mean_tail_latency_ms <= 0) continue;
+    ++interference.m_sample_count;
     AddServingImageSample(interference, image, serving_image, best_effort,
                           capacity);
   }
--- a/libraries/decisions/fleet/interference.h
+++ b/libraries/decisions/fleet/interference.h
@@ -49,6 +49,7 @@
   std::map<ImageId, std::uint32_t> m_incompatible_counts;
   std::set<ImageId> m_best_effort_images;  ///< Images that have run.
   std::map<ImageId, ServingNumber> m_serving_numbers;  ///< Never reused.
+  std::uint64_t m_sample_count = 0;
 };
 
 /// The tasks of one serving image on one worker.
@@ -95,6 +96,9 @@
                            const BestEffortImages& best_effort,
                            Millicores capacity);
 
+/// Counts anew how many images the serving image cannot share a worker with.
+void CountIncompatible(Interference& interference, const ImageId& serving);
+
 /// Returns the headroom that the serving image loses to best-effort tasks of
 /// one image that use `processors` of `capacity`.
 double HeadroomLoss(const Interference& interference, const ImageId& serving,
--- a/libraries/wire/fleet_fields.h
+++ b/libraries/wire/fleet_fields.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "decisions/fleet/fleet_job.h"
+#include "decisions/fleet/learned_effects.h"
 #include "decisions/fleet/roster.h"
 #include "wire/placement_fields.h"
 
@@ -85,6 +86,31 @@
   visit("unseen_ms", handover.m_inherited_runs_ms);
 }
 
+template <typename Visitor>
+void VisitFields(Visitor& visit, Estimate& estimate) {
+  visit("mean", estimate.m_mean);
+  visit("variance", estimate.m_variance);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, LearnedPair& pair) {
+  visit("serving", pair.m_serving);
+  visit("best_effort", pair.m_best_effort);
+  visit("effect", pair.m_effect);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, LearnedBaseline& baseline) {
+  visit("serving", baseline.m_serving);
+  visit("headroom", baseline.m_headroom);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, LearnedEffects& learned) {
+  visit("pairs", learned.m_pairs);
+  visit("baselines", learned.m_baselines);
+}
+
 template <typename Visitor>
 void VisitFields(Visitor& visit, JobProgress& progress) {
   visit("state", progress.m_state);
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -302,6 +302,7 @@
         self->m_is_loaded = true;
         self->m_loaded_at = Now(*self);
         StartWorkersWatch(self);
+        LoadEffects(self);
         on_loaded();
         TickWatch(self->m_workers_watch, self->m_runtime.m_store,
                   self->m_runtime.m_clock.m_now);
@@ -427,6 +428,7 @@
             leader->m_runtime.m_clock.m_now);
   WritePendingCounts(leader);
   WriteDrainedTerm(leader);
+  WriteEffects(leader);
   RemoveOldProgress(leader);
   RequestSchedulingPass(leader);
 }
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -76,6 +76,10 @@
   StoreRevision m_pending_revision;
   bool m_is_writing_pending = false;
   TimePoint m_next_pending_at{};
+  bool m_is_writing_effects = false;
+  TimePoint m_next_effects_at{};
+  /// Interference::m_sample_count at the last write of the effects.
+  std::uint64_t m_stored_sample_count = 0;
   /// The drained term is stored, or its write is in flight.
   bool m_has_sent_drained_term = false;
   /// Revisions of the workers' items in the stored roster.
@@ -142,6 +146,10 @@
 void WriteRoster(const LeaderPointer& leader);
 /// Stores the number of jobs per queue that have not started, if it changed.
 void WritePendingCounts(const LeaderPointer& leader);
+/// Reads the effects that earlier leaders have learned.
+void LoadEffects(const LeaderPointer& leader);
+/// Stores the learned effects at a fixed interval, if there are new samples.
+void WriteEffects(const LeaderPointer& leader);
 /// Stores, once per term, that the term is drained; see kDrainedTermKey.
 void WriteDrainedTerm(const LeaderPointer& leader);
 
--- a/services/daisyarchd/fleet/store_keys.h
+++ b/services/daisyarchd/fleet/store_keys.h
@@ -27,6 +27,8 @@
 inline const std::string kProgressPrefix = "daisyarch/progress/";
 /// How many jobs of each queue have not started, as counted by the leader.
 inline const std::string kPendingKey = "daisyarch/pending";
+/// What the leaders have learned of the effects of images on each other.
+inline const std::string kEffectsKey = "daisyarch/effects";
 /// The roster: the address of each worker that may run tasks.
 inline const std::string kRosterPrefix = "daisyarch/workers/";
 
--- a/tests/decisions/fleet/interference_test.cc
+++ b/tests/decisions/fleet/interference_test.cc
@@ -1,8 +1,10 @@
 #include "decisions/fleet/interference.h"
 
 #include <catch2/catch.hpp>
+#include <limits>
 
 #include "base/random.h"
+#include "decisions/fleet/learned_effects.h"
 
 namespace daisyarch::fleet {
 
@@ -141,4 +143,45 @@
         Compatibility::kCompatible);
 }
 
+// Guards against best-effort work that waits after each change of leader until
+// every pair of images has been tried again.
+TEST_CASE("The next leader takes over what the one before has learned") {
+  Interference earlier;
+  Random random{12};
+  Train(earlier, random, 300);
+  Interference next;
+  CHECK(CompatibilityFor(next, kHarmless, 0.3) == Compatibility::kUncertain);
+  ApplyLearnedEffects(next, LearnedEffectsOf(earlier));
+  CHECK(CompatibilityFor(next, kHarmless, 0.3) == Compatibility::kCompatible);
+  CHECK(CompatibilityFor(next, kHarmful, 0.15) == Compatibility::kIncompatible);
+  CHECK(IncompatibleShare(next, ServingShop(kBaselineHeadroom)) == 0.5);
+}
+
+TEST_CASE("Learned effects give way to a leader's own samples") {
+  Interference own;
+  Random random{13};
+  Train(own, random, 300);
+  const double loss =
+      HeadroomLoss(own, kShop, kHarmful, ShareOfWorker(0.1), kCapacity);
+  ApplyLearnedEffects(own, {{{kShop, kHarmful, {0.1, 1.0}}}, {}});
+  CHECK(HeadroomLoss(own, kShop, kHarmful, ShareOfWorker(0.1), kCapacity) ==
+        loss);
+}
+
+TEST_CASE("Learned effects out of range are ignored") {
+  constexpr double kInfinity = std::numeric_limits<double>::infinity();
+  const double not_a_number = std::numeric_limits<double>::quiet_NaN();
+  for (const Estimate& estimate :
+       {Estimate{not_a_number, 1}, Estimate{1, not_a_number},
+        Estimate{kInfinity, 1}, Estimate{1, kInfinity}, Estimate{-1, 1},
+        Estimate{1, 0}, Estimate{1, -1}, Estimate{1e300, 1}}) {
+    INFO(estimate.m_mean << " " << estimate.m_variance);
+    Interference interference;
+    ApplyLearnedEffects(interference,
+                        {{{kShop, kHarmful, estimate}}, {{kShop, estimate}}});
+    CHECK(interference.m_pairs.empty());
+    CHECK(interference.m_baselines.empty());
+  }
+}
+
 }  // namespace daisyarch::fleet
--- a/tests/invariants/take_over_test.cc
+++ b/tests/invariants/take_over_test.cc
@@ -106,6 +106,30 @@
   CHECK(FindUnfinishedJob(site).empty());
 }
 
+TEST_CASE("A leader's learned effects are stored for the next one") {
+  FakeSite site(1);
+  BuildSite(site);
+  FakeSiteNode* leader = FindLeader(site);
+  REQUIRE(leader != nullptr);
+  const ImageId serving("serving");
+  const ImageId best_effort("best-effort");
+  Interference& learned = leader->m_node->m_leader->m_fleet.m_interference;
+  learned.m_pairs[{serving, best_effort}] = {3.0, 1.0};
+  learned.m_baselines[serving] = {2.0, 0.1};
+  ++learned.m_sample_count;
+  RunFor(site.m_loop, std::chrono::seconds(3));
+  KillSiteNode(site, *leader);
+  const bool has_leader = RunUntilTrue(site.m_loop, std::chrono::seconds(7),
+                                       [&site] { return FindLeader(site); });
+  REQUIRE(has_leader);
+  RunFor(site.m_loop, std::chrono::milliseconds(100));
+  const Interference& next =
+      FindLeader(site)->m_node->m_leader->m_fleet.m_interference;
+  REQUIRE(next.m_pairs.count({serving, best_effort}) == 1);
+  CHECK(next.m_pairs.at({serving, best_effort}).m_mean == 3.0);
+  CHECK(next.m_baselines.at(serving).m_mean == 2.0);
+}
+
 TEST_CASE("A leader on a slow link loads long lists") {
   FakeSite site(1);
   BuildSite(site);
