fleet: Plan for the swing of serving load, and skip workers without headroom

Change: the mean square of each serving image's deviations is learned, and placement plans for one standard deviation below the mean. Limits are lowered below a headroom of 1.2 (1.05 before) and raised above 1.5 (1.35). Workers whose headrooms are known to be too low leave the index of idle processors until they report. The sets of the worker index keep flags, missing runs are found without copies of sets, and an idle connection keeps one timer.

--- a/libraries/decisions/fleet/choose_worker.cc
+++ b/libraries/decisions/fleet/choose_worker.cc
@@ -181,7 +181,10 @@
   choice.m_has_room = false;
   if (choice.m_pool.m_index == nullptr) return;
   const IndexedPool& pool = *choice.m_pool.m_index;
-  if (choice.m_step.m_processor_use == ProcessorUse::kBestEffort) {
+  const bool may_wait =
+      choice.m_step.m_processor_use == ProcessorUse::kBestEffort &&
+      !pass.m_must_start_job;
+  if (may_wait) {
     const auto first =
         pool.m_by_idle.lower_bound({choice.m_need.m_idle.value(), nullptr});
     AddCandidates(pass, choice, pool.m_by_idle, first, task);
@@ -192,6 +195,7 @@
   }
   std::make_heap(choice.m_candidates.begin(), choice.m_candidates.end(),
                  IsWorse);
+  IndexComputedWorkers(pass);
 }
 
 Worker& TakeBestCandidate(StepChoice& choice) {
@@ -301,6 +305,13 @@
   return Millicores(idle.value() * kPercent / kMinimumIdlePercentOfDemand);
 }
 
+void IndexComputedWorkers(PlacementPass& pass) {
+  for (Worker* worker : pass.m_computed_workers) {
+    UpdateWorkerIndex(pass.m_fleet, *worker);
+  }
+  pass.m_computed_workers.clear();
+}
+
 bool IsUnavailable(const PoolInPass& pool, const Room& needed) {
   return std::any_of(
       pool.m_unavailable.begin(), pool.m_unavailable.end(),
--- a/libraries/decisions/fleet/choose_worker.h
+++ b/libraries/decisions/fleet/choose_worker.h
@@ -58,6 +58,8 @@
   std::map<ImageId, ImageInPass> m_images;  ///< Best-effort images.
   bool m_has_trials = false;  ///< The trials are counted on first use.
   std::unordered_map<const Worker*, SharedWorker> m_shared_workers;
+  /// Workers whose headrooms were computed and are not in the index yet.
+  std::vector<Worker*> m_computed_workers;
 };
 
 /// A worker that can take a task; the best has the lowest score, and among
@@ -119,6 +121,9 @@
 Worker* ChooseNextWorker(PlacementPass& pass, StepChoice& choice,
                          const TaskReference& task);
 
+/// Updates the index of the workers whose headrooms the pass has computed.
+void IndexComputedWorkers(PlacementPass& pass);
+
 /// Returns whether the tasks reserve so few processors that a job without
 /// placed tasks need not wait for a better worker.
 bool HasAmpleCapacity(const Fleet& fleet);
--- a/libraries/decisions/fleet/interference.cc
+++ b/libraries/decisions/fleet/interference.cc
@@ -30,6 +30,13 @@
 // image.
 constexpr double kIncompatibleEffect = 4.0;
 
+// Weight of a sample in the mean square of the deviations.
+constexpr double kSwingGain = 0.02;
+// Variance of the headroom's measurement alone.
+constexpr double kNoiseVariance = 0.05;
+// Standard deviations of the headroom that placement plans for.
+constexpr double kPlannedDeviations = 1.0;
+
 constexpr double kMicrosecondsPerMillisecond = 1000.0;
 
 double ShareOf(Millicores processors, Millicores capacity) {
@@ -117,6 +124,9 @@
     expected += contribution.m_estimate.m_mean * contribution.m_factor;
   }
   serving.m_deviation = headroom - expected;
+  double& swing =
+      interference.m_swings.emplace(image, kHeadroomVariance).first->second;
+  swing += kSwingGain * (serving.m_deviation * serving.m_deviation - swing);
   UpdateEstimates(contributions, serving.m_deviation);
   CountIncompatible(interference, image);
 }
@@ -136,6 +146,16 @@
                                                  : found->second.m_mean;
 }
 
+// Returns how far the headroom falls below its mean when the load that the
+// image serves is high.
+double SwingOf(const Interference& interference, const ImageId& serving) {
+  const auto found = interference.m_swings.find(serving);
+  return found == interference.m_swings.end()
+             ? 0.0
+             : kPlannedDeviations *
+                   std::sqrt(std::max(0.0, found->second - kNoiseVariance));
+}
+
 }  // namespace
 
 void CountIncompatible(Interference& interference, const ImageId& serving) {
@@ -174,8 +194,9 @@
     const BestEffortImages& best_effort, Millicores capacity) {
   std::vector<ServingHeadroom> headrooms;
   for (const auto& [image, serving_image] : serving) {
-    double headroom = BaselineHeadroomOf(interference, image) +
-                      std::min(0.0, serving_image.m_deviation);
+    double headroom =
+        BaselineHeadroomOf(interference, image) +
+        std::min(serving_image.m_deviation, -SwingOf(interference, image));
     for (const auto& [best_effort_image, use] : best_effort) {
       headroom -=
           ConservativeEffect(EffectOf(interference, image, best_effort_image)) *
@@ -186,9 +207,11 @@
   return headrooms;
 }
 
+bool IsHeadroomTooLow(double headroom) { return headroom < kPlannedHeadroom; }
+
 Compatibility CompatibilityOf(double headroom, const PlannedEffect& effect,
                               Millicores demand, Millicores capacity) {
-  if (headroom < kPlannedHeadroom) return Compatibility::kIncompatible;
+  if (IsHeadroomTooLow(headroom)) return Compatibility::kIncompatible;
   if (!effect.m_is_known) return Compatibility::kUncertain;
   const double left =
       headroom - effect.m_headroom_loss * ShareOf(demand, capacity);
--- a/libraries/decisions/fleet/interference.h
+++ b/libraries/decisions/fleet/interference.h
@@ -44,6 +44,9 @@
   std::map<std::pair<ImageId, ImageId>, Estimate, ImagePairOrder> m_pairs;
   /// Headroom of serving images without best-effort tasks on the worker.
   std::map<ImageId, Estimate> m_baselines;
+  /// Mean square of the deviations of each serving image's headroom from what
+  /// is expected; the load that it serves swings.
+  std::map<ImageId, double> m_swings;
   /// Number of best-effort images that each serving image cannot share a worker
   /// with.
   std::map<ImageId, std::uint32_t> m_incompatible_counts;
@@ -112,6 +115,10 @@
   kIncompatible,  ///< The headroom would be less than placement plans for.
 };
 
+/// Returns whether a serving image with this headroom tolerates no best-effort
+/// task more, whatever its image.
+bool IsHeadroomTooLow(double headroom);
+
 /// Returns the expected headroom of each serving image on a worker.
 std::vector<ServingHeadroom> ExpectedHeadrooms(
     const Interference& interference, const ServingImages& serving,
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -236,6 +236,7 @@
       is_finished = false;
     }
   }
+  IndexComputedWorkers(pass);
   fleet.m_needs_placement = !is_finished;
   return fleet.m_needs_placement;
 }
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -288,11 +288,25 @@
 // lists neither as active nor as ended, is gone.
 void InterruptMissingRuns(Fleet& fleet, Worker& worker,
                           const WorkerReport& report) {
-  std::set<TaskReference> listed;
-  for (const ActiveRun& active : report.m_running) listed.insert(active.m_task);
-  const std::set<TaskReference> runs = worker.m_runs;
-  for (const TaskReference& reference : runs) {
-    if (listed.count(reference) > 0) continue;
+  std::vector<const TaskReference*> listed;
+  listed.reserve(report.m_running.size());
+  for (const ActiveRun& active : report.m_running) {
+    listed.push_back(&active.m_task);
+  }
+  const auto is_before = [](const TaskReference* left,
+                            const TaskReference* right) {
+    return *left < *right;
+  };
+  std::sort(listed.begin(), listed.end(), is_before);
+  std::vector<TaskReference> missing;
+  for (const TaskReference& reference : worker.m_runs) {
+    if (std::binary_search(listed.begin(), listed.end(), &reference,
+                           is_before)) {
+      continue;
+    }
+    missing.push_back(reference);
+  }
+  for (const TaskReference& reference : missing) {
     Job* job = nullptr;
     const Task* task = FindTask(fleet, reference, job);
     if (task == nullptr ||
--- a/libraries/decisions/fleet/share_worker.cc
+++ b/libraries/decisions/fleet/share_worker.cc
@@ -53,8 +53,11 @@
                       });
 }
 
-const std::vector<ServingHeadroom>& HeadroomsOf(Fleet& fleet, Worker& worker) {
+const std::vector<ServingHeadroom>& HeadroomsOf(PlacementPass& pass,
+                                                Worker& worker) {
+  Fleet& fleet = pass.m_fleet;
   if (worker.m_headrooms.empty()) {
+    pass.m_computed_workers.push_back(&worker);
     worker.m_headrooms = ExpectedHeadrooms(
         fleet.m_interference, worker.m_serving, worker.m_best_effort_images,
         worker.m_listing.m_capacity.m_processors);
@@ -84,7 +87,7 @@
                     Worker& worker) {
   if (worker.m_serving.empty()) return true;
   bool is_certain = true;
-  for (const ServingHeadroom& serving : HeadroomsOf(pass.m_fleet, worker)) {
+  for (const ServingHeadroom& serving : HeadroomsOf(pass, worker)) {
     const Compatibility compatibility = CompatibilityOf(
         serving.m_headroom, EffectOn(pass.m_fleet, choice, serving),
         choice.m_step.m_demand.m_processors,
--- a/libraries/decisions/fleet/stalled_steps.cc
+++ b/libraries/decisions/fleet/stalled_steps.cc
@@ -142,6 +142,7 @@
                          FirstWorkerOf(step_run)});
     }
   }
+  IndexComputedWorkers(pass);
   return stalled;
 }
 
--- a/libraries/decisions/fleet/throttle_best_effort.cc
+++ b/libraries/decisions/fleet/throttle_best_effort.cc
@@ -8,10 +8,10 @@
 
 // Headroom is the latency target divided by the tail latency. Hysteresis:
 // limits are lowered below the first value and raised above the second.
-constexpr double kLowerLimitHeadroom = 1.05;
-constexpr double kRaiseLimitHeadroom = 1.35;
+constexpr double kLowerLimitHeadroom = 1.2;
+constexpr double kRaiseLimitHeadroom = 1.5;
 // Headroom that lowering a limit aims at.
-constexpr double kTargetHeadroom = 1.3;
+constexpr double kTargetHeadroom = 1.5;
 // A best-effort image that takes less headroom is not throttled.
 constexpr double kNegligibleHeadroomLoss = 0.05;
 // A limit is raised by this much at a time.
--- a/libraries/decisions/fleet/worker_index.cc
+++ b/libraries/decisions/fleet/worker_index.cc
@@ -48,24 +48,27 @@
   set_at = at;
 }
 
-void SetMember(WorkerSet& set, Worker& worker, bool is_member) {
+void SetMember(WorkerSet& set, Worker& worker, bool& was_member,
+               bool is_member) {
+  if (was_member == is_member) return;
+  was_member = is_member;
   if (is_member) {
     set.insert(&worker);
-  } else if (!set.empty()) {
+  } else {
     set.erase(&worker);
   }
 }
 
 void SetRoom(IndexedPool& pool, Worker& worker, const RoomFigures& room) {
   pool.m_by_free.emplace(room.m_free, &worker);
-  pool.m_by_idle.emplace(room.m_idle, &worker);
+  if (!room.m_is_closed) pool.m_by_idle.emplace(room.m_idle, &worker);
   pool.m_by_fit.emplace(room.m_fit, &worker);
 }
 
 void RemoveRoom(IndexedPool& pool, Worker& worker) {
   const RoomFigures& room = worker.m_indexed.m_room;
   pool.m_by_free.erase({room.m_free, &worker});
-  pool.m_by_idle.erase({room.m_idle, &worker});
+  if (!room.m_is_closed) pool.m_by_idle.erase({room.m_idle, &worker});
   pool.m_by_fit.erase({room.m_fit, &worker});
 }
 
@@ -77,7 +80,8 @@
     pool = &index.m_pools[worker.m_listing.m_pool];
     const Millicores capacity = worker.m_listing.m_capacity.m_processors;
     room = {(capacity - worker.m_used.m_processors).value(),
-            AssumedIdleProcessors(worker), FitScore(worker)};
+            AssumedIdleProcessors(worker), FitScore(worker),
+            IsClosedToBestEffort(worker)};
     pool->m_largest = std::max(pool->m_largest, capacity.value());
   }
   if (pool == indexed.m_pool && room == indexed.m_room) return;
@@ -123,6 +127,13 @@
          worker.m_unknown_runs == 0 && !worker.m_listing.m_is_leaving;
 }
 
+bool IsClosedToBestEffort(const Worker& worker) {
+  return std::any_of(worker.m_headrooms.begin(), worker.m_headrooms.end(),
+                     [](const ServingHeadroom& serving) {
+                       return IsHeadroomTooLow(serving.m_headroom);
+                     });
+}
+
 // Reservations are sized for peaks, so part of them is idle as well.
 std::int64_t AssumedIdleProcessors(const Worker& worker) {
   const std::int64_t busy =
@@ -157,15 +168,17 @@
   SetTimer(index, worker,
            std::min({NextPollAt(worker), LeaseCheckAt(worker),
                      StartCheckAt(fleet, worker)}));
-  SetMember(index.m_roster_candidates, worker,
+  IndexedWorker& indexed = worker.m_indexed;
+  SetMember(index.m_roster_candidates, worker, indexed.m_is_roster_candidate,
             !worker.m_is_in_roster || worker.m_listing.m_is_leaving);
-  SetMember(index.m_unstored_ends, worker,
+  SetMember(index.m_unstored_ends, worker, indexed.m_has_unstored_ends,
             worker.m_applied_end != worker.m_stored_end);
   SetMember(
-      index.m_inherited_runs, worker,
+      index.m_inherited_runs, worker, indexed.m_has_inherited_runs,
       worker.m_inherited_runs_until != TimePoint() || worker.m_awaits_jobs);
-  SetMember(index.m_without_entry, worker, !worker.m_has_entry);
-  SetMember(index.m_mixed, worker,
+  SetMember(index.m_without_entry, worker, indexed.m_is_without_entry,
+            !worker.m_has_entry);
+  SetMember(index.m_mixed, worker, indexed.m_is_mixed,
             !worker.m_serving.empty() && !worker.m_best_effort_images.empty());
   SetPool(index, worker);
   if (worker.m_is_listed) {
--- a/libraries/decisions/fleet/worker_index.h
+++ b/libraries/decisions/fleet/worker_index.h
@@ -41,19 +41,21 @@
 
 /// Figures of a worker that placement looks for.
 struct RoomFigures {
-  std::int64_t m_free = 0;  ///< Processors that are not reserved.
-  std::int64_t m_idle = 0;  ///< Processors that are assumed idle.
-  std::int64_t m_fit = 0;   ///< See FitScore().
+  std::int64_t m_free = 0;   ///< Processors that are not reserved.
+  std::int64_t m_idle = 0;   ///< Processors that are assumed idle.
+  std::int64_t m_fit = 0;    ///< See FitScore().
+  bool m_is_closed = false;  ///< See IsClosedToBestEffort().
 
   friend bool operator==(const RoomFigures& left, const RoomFigures& right) {
     return left.m_free == right.m_free && left.m_idle == right.m_idle &&
-           left.m_fit == right.m_fit;
+           left.m_fit == right.m_fit && left.m_is_closed == right.m_is_closed;
   }
 };
 
 /// The workers of a pool that may get tasks, unless they are in quarantine.
 struct IndexedPool {
   WorkersByFigure m_by_free;
+  /// Without those that are closed to best-effort tasks.
   WorkersByFigure m_by_idle;
   WorkersByFigure m_by_fit;
   /// The most processors that a worker of the pool has had.
@@ -65,6 +67,12 @@
   TimePoint m_timer_at = TimePoint::max();  ///< max(): none is set.
   Millicores m_capacity;  ///< Counted in WorkerIndex::m_listed_capacity.
   Millicores m_reserved;  ///< Counted in WorkerIndex::m_listed_reserved.
+  /// In WorkerIndex::m_roster_candidates and the sets after it.
+  bool m_is_roster_candidate = false;
+  bool m_has_unstored_ends = false;
+  bool m_has_inherited_runs = false;
+  bool m_is_without_entry = false;
+  bool m_is_mixed = false;
   IndexedPool* m_pool = nullptr;  ///< Null: it may get no tasks.
   RoomFigures m_room;             ///< In that pool.
 };
@@ -104,6 +112,10 @@
 /// thousandths.
 std::int64_t FitScore(const Worker& worker);
 
+/// Returns whether the worker's serving tasks are known to tolerate no further
+/// best-effort task.
+bool IsClosedToBestEffort(const Worker& worker);
+
 /// Takes over the worker's present state.
 void UpdateWorkerIndex(Fleet& fleet, Worker& worker);
 
--- a/libraries/http/http_client.cc
+++ b/libraries/http/http_client.cc
@@ -44,13 +44,16 @@
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   explicit Connection(std::shared_ptr<HttpClient::State> state)
-      : m_stream(state->m_loop), m_state(std::move(state)) {
+      : m_stream(state->m_loop),
+        m_state(std::move(state)),
+        m_idle_timer(m_state->m_loop) {
     // Without a reserve, a response is read in parts of 512 bytes.
     m_buffer.reserve(m_state->m_limits.m_read_bytes);
   }
 
   void Run(HttpRequest request, Duration timeout,
            HttpResponseCallback on_answer) {
+    m_is_idle = false;
     m_state->m_busy.insert(shared_from_this());
     m_request = std::move(request);
     m_timeout = timeout;
@@ -61,6 +64,8 @@
 
   void Close() {
     m_is_connected = false;
+    m_is_idle = false;
+    m_idle_timer.cancel();
     beast::error_code code;
     m_stream.socket().close(code);
   }
@@ -149,17 +154,32 @@
         [self = shared_from_this(), use_count](beast::error_code code) {
           if (!code && self->m_use_count == use_count) self->CloseIdle();
         });
-    ScheduleIdleTimeout(use_count);
+    m_is_idle = true;
+    m_idle_since = std::chrono::steady_clock::now();
+    ScheduleIdleTimeout();
   }
 
-  void ScheduleIdleTimeout(std::uint64_t use_count) {
-    m_idle_timer.emplace(m_state->m_loop, m_state->m_limits.m_idle_timeout);
-    m_idle_timer->async_wait(
-        [self = shared_from_this(), use_count](beast::error_code code) {
-          if (!code && self->m_use_count == use_count) self->CloseIdle();
+  // One timer runs on while the connection is used again and again, and is set
+  // anew only when it expires.
+  void ScheduleIdleTimeout() {
+    if (m_is_idle_timer_set) return;
+    m_is_idle_timer_set = true;
+    m_idle_timer.expires_at(m_idle_since + m_state->m_limits.m_idle_timeout);
+    m_idle_timer.async_wait(
+        [self = shared_from_this()](beast::error_code code) {
+          self->m_is_idle_timer_set = false;
+          if (!code && self->m_is_idle) self->CheckIdleTimeout();
         });
   }
 
+  void CheckIdleTimeout() {
+    const auto idle_until = m_idle_since + m_state->m_limits.m_idle_timeout;
+    if (std::chrono::steady_clock::now() < idle_until) {
+      return ScheduleIdleTimeout();
+    }
+    CloseIdle();
+  }
+
   void CloseIdle() {
     auto& idle = m_state->m_idle;
     for (auto position = idle.begin(); position != idle.end(); ++position) {
@@ -194,7 +214,10 @@
   beast::http::request<beast::http::string_body> m_message;
   std::optional<beast::http::response_parser<beast::http::string_body>>
       m_parser;
-  std::optional<asio::steady_timer> m_idle_timer;
+  asio::steady_timer m_idle_timer;
+  bool m_is_idle_timer_set = false;
+  bool m_is_idle = false;
+  std::chrono::steady_clock::time_point m_idle_since;
 };
 
 }  // namespace
--- a/tests/decisions/fleet/interference_test.cc
+++ b/tests/decisions/fleet/interference_test.cc
@@ -143,6 +143,29 @@
         Compatibility::kCompatible);
 }
 
+// Guards against best-effort tasks that are placed while the load of the
+// serving tasks is low and harm them once it is high.
+TEST_CASE("Placement plans for the swing of what serving tasks bear") {
+  Interference steady;
+  Interference swinging;
+  for (int sample = 0; sample < 300; ++sample) {
+    ServingImages even = ServingShop(kBaselineHeadroom);
+    AddInterferenceSample(steady, even, {{kHarmless, BestEffortUse(0.1)}},
+                          kCapacity);
+    const double swing = sample % 10 < 5 ? 0.8 : -0.8;
+    ServingImages uneven = ServingShop(kBaselineHeadroom + swing);
+    AddInterferenceSample(swinging, uneven, {{kHarmless, BestEffortUse(0.1)}},
+                          kCapacity);
+  }
+  const auto headroom_in = [](const Interference& interference) {
+    return ExpectedHeadrooms(interference, ServingShop(kBaselineHeadroom), {},
+                             kCapacity)
+        .front()
+        .m_headroom;
+  };
+  CHECK(headroom_in(steady) - headroom_in(swinging) > 0.5);
+}
+
 // Guards against best-effort work that waits after each change of leader until
 // every pair of images has been tried again.
 TEST_CASE("The next leader takes over what the one before has learned") {
