--- a/tests/platform/malformed_messages_test.cc
+++ b/tests/platform/malformed_messages_test.cc
@@ -40,120 +40,120 @@
     R"("est_ms":900,"affinity":"r1-3"},{"count":20,"cpu":2000,"mem_mb":1024,)"
     R"("est_ms":7000,"after":[0],"saves_progress":true}]})";
 
-  // What a field or an element of a list is replaced by.
-  const char* const kOddValues[] = {"null",
-                                    "true",
-                                    "-1",
-                                    "0",
-                                    "1.5",
-                                    "1e400",
-                                    "-1e300",
-                                    "9223372036854775807",
-                                    "9223372036854775808",
-                                    "18446744073709551615",
-                                    "18446744073709551616",
-                                    "\"\"",
-                                    "\"\\u0000\"",
-                                    "\"\\ud800\"",
-                                    "\"\xff\xfe\"",
-                                    "[]",
-                                    "{}",
-                                    "[[[[]]]]",
-                                    "{\"a\":{\"a\":{}}}"};
-
-  std::string PickOddValue(Random & random) {
-    return kOddValues[NextBelow(random, std::size(kOddValues))];
-  }
+// What a field or an element of a list is replaced by.
+const char* const kOddValues[] = {"null",
+                                  "true",
+                                  "-1",
+                                  "0",
+                                  "1.5",
+                                  "1e400",
+                                  "-1e300",
+                                  "9223372036854775807",
+                                  "9223372036854775808",
+                                  "18446744073709551615",
+                                  "18446744073709551616",
+                                  "\"\"",
+                                  "\"\\u0000\"",
+                                  "\"\\ud800\"",
+                                  "\"\xff\xfe\"",
+                                  "[]",
+                                  "{}",
+                                  "[[[[]]]]",
+                                  "{\"a\":{\"a\":{}}}"};
+
+std::string PickOddValue(Random& random) {
+  return kOddValues[NextBelow(random, std::size(kOddValues))];
+}
 
-  // Returns the end of the value that begins at `begin`, as far as it is
-  // simple.
-  std::size_t EndOfValue(const std::string& text, std::size_t begin) {
-    if (begin < text.size() && text[begin] == '"') {
-      const std::size_t end = text.find('"', begin + 1);
-      return end == std::string::npos ? text.size() : end + 1;
-    }
-    return std::min(text.size(), text.find_first_of(",]}", begin));
+// Returns the end of the value that begins at `begin`, as far as it is
+// simple.
+std::size_t EndOfValue(const std::string& text, std::size_t begin) {
+  if (begin < text.size() && text[begin] == '"') {
+    const std::size_t end = text.find('"', begin + 1);
+    return end == std::string::npos ? text.size() : end + 1;
   }
+  return std::min(text.size(), text.find_first_of(",]}", begin));
+}
 
-  // Replaces one value after a colon, a comma or a bracket.
-  std::string ReplaceValue(std::string text, Random & random) {
-    const std::size_t from = NextBelow(random, text.size());
-    const std::size_t before = text.find_first_of(":,[", from);
-    if (before == std::string::npos) return text;
-    const std::size_t end = EndOfValue(text, before + 1);
-    return text.replace(before + 1, end - before - 1, PickOddValue(random));
-  }
+// Replaces one value after a colon, a comma or a bracket.
+std::string ReplaceValue(std::string text, Random& random) {
+  const std::size_t from = NextBelow(random, text.size());
+  const std::size_t before = text.find_first_of(":,[", from);
+  if (before == std::string::npos) return text;
+  const std::size_t end = EndOfValue(text, before + 1);
+  return text.replace(before + 1, end - before - 1, PickOddValue(random));
+}
 
-  std::string RepeatPart(const std::string& text, Random& random) {
-    const std::size_t begin = NextBelow(random, text.size());
-    const std::size_t length = NextBelow(random, text.size() - begin) + 1;
-    return text.substr(0, begin + length) + text.substr(begin);
-  }
+std::string RepeatPart(const std::string& text, Random& random) {
+  const std::size_t begin = NextBelow(random, text.size());
+  const std::size_t length = NextBelow(random, text.size() - begin) + 1;
+  return text.substr(0, begin + length) + text.substr(begin);
+}
 
-  std::string RemovePart(std::string text, Random & random) {
-    const std::size_t begin = NextBelow(random, text.size());
-    return text.erase(begin, NextBelow(random, 40) + 1);
-  }
+std::string RemovePart(std::string text, Random& random) {
+  const std::size_t begin = NextBelow(random, text.size());
+  return text.erase(begin, NextBelow(random, 40) + 1);
+}
 
-  std::string ChangeByte(std::string text, Random & random) {
-    text[NextBelow(random, text.size())] =
-        static_cast<char>(NextBelow(random, 256));
-    return text;
-  }
+std::string ChangeByte(std::string text, Random& random) {
+  text[NextBelow(random, text.size())] =
+      static_cast<char>(NextBelow(random, 256));
+  return text;
+}
 
-  std::string NestDeeply(const std::string& text, Random& random) {
-    const std::size_t depth = NextBelow(random, 200000) + 1;
-    const char open = NextBelow(random, 2) == 0 ? '[' : '{';
-    const std::size_t at = NextBelow(random, text.size());
-    std::string nested = text;
-    std::string opening;
-    for (std::size_t level = 0; level < depth; ++level) {
-      opening += open == '[' ? "[" : "{\"a\":";
-    }
-    return nested.insert(at, opening);
+std::string NestDeeply(const std::string& text, Random& random) {
+  const std::size_t depth = NextBelow(random, 200000) + 1;
+  const char open = NextBelow(random, 2) == 0 ? '[' : '{';
+  const std::size_t at = NextBelow(random, text.size());
+  std::string nested = text;
+  std::string opening;
+  for (std::size_t level = 0; level < depth; ++level) {
+    opening += open == '[' ? "[" : "{\"a\":";
   }
+  return nested.insert(at, opening);
+}
 
-  std::string Distort(const std::string& text, Random& random) {
-    if (text.empty()) return text;
-    switch (NextBelow(random, 6)) {
-      case 0:
-        return text.substr(0, NextBelow(random, text.size()));
-      case 1:
-        return RepeatPart(text, random);
-      case 2:
-        return RemovePart(text, random);
-      case 3:
-        return ChangeByte(text, random);
-      case 4:
-        return NestDeeply(text, random);
-      default:
-        return ReplaceValue(text, random);
-    }
+std::string Distort(const std::string& text, Random& random) {
+  if (text.empty()) return text;
+  switch (NextBelow(random, 6)) {
+    case 0:
+      return text.substr(0, NextBelow(random, text.size()));
+    case 1:
+      return RepeatPart(text, random);
+    case 2:
+      return RemovePart(text, random);
+    case 3:
+      return ChangeByte(text, random);
+    case 4:
+      return NestDeeply(text, random);
+    default:
+      return ReplaceValue(text, random);
   }
+}
 
-  // Calls `read` with the text distorted in one to three ways, for each seed.
-  void ReadDistorted(const std::string& text,
-                     const std::function<void(const std::string&)>& read) {
-    const std::uint64_t first = fleet::FirstSeed();
-    const std::uint64_t count = fleet::SeedCount(kSeedsInCi);
-    for (std::uint64_t seed = first; seed < first + count; ++seed) {
-      Random random{seed};
-      std::string distorted = text;
-      const std::uint64_t ways = 1 + NextBelow(random, 3);
-      for (std::uint64_t way = 0; way < ways; ++way) {
-        distorted = Distort(distorted, random);
-      }
-      INFO("seed " << seed << ": " << distorted.substr(0, 400));
-      CHECK_NOTHROW(read(distorted));
+// Calls `read` with the text distorted in one to three ways, for each seed.
+void ReadDistorted(const std::string& text,
+                   const std::function<void(const std::string&)>& read) {
+  const std::uint64_t first = fleet::FirstSeed();
+  const std::uint64_t count = fleet::SeedCount(kSeedsInCi);
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    Random random{seed};
+    std::string distorted = text;
+    const std::uint64_t ways = 1 + NextBelow(random, 3);
+    for (std::uint64_t way = 0; way < ways; ++way) {
+      distorted = Distort(distorted, random);
     }
+    INFO("seed " << seed << ": " << distorted.substr(0, 400));
+    CHECK_NOTHROW(read(distorted));
   }
+}
 
-  template <typename Value>
-  void CheckError(const Result<Value>& result) {
-    if (result) return;
-    CHECK(result.assume_error().m_code == ErrorCode::kInvalidArgument);
-    CHECK_FALSE(result.assume_error().m_detail.empty());
-  }
+template <typename Value>
+void CheckError(const Result<Value>& result) {
+  if (result) return;
+  CHECK(result.assume_error().m_code == ErrorCode::kInvalidArgument);
+  CHECK_FALSE(result.assume_error().m_detail.empty());
+}
 
 }  // namespace
 
