fleet: Log a run that the leader did not expect

A second run of a task ends up as a run that its worker reports and the leader does not know. Each such report now logs run_unexpected with task, run and worker.

--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -95,6 +95,9 @@
 
 void StopUnknownRun(Fleet& fleet, Worker& worker, const ActiveRun& active) {
   ++worker.m_unknown_runs;
+  fleet.m_events.push_back({"run_unexpected", active.m_task.m_job,
+                            worker.m_listing.m_worker, active.m_run, Duration{},
+                            active.m_task});
   fleet.m_orders.push_back(
       StopOrder{worker.m_listing.m_worker, worker.m_listing.m_incarnation,
                 active.m_task, active.m_run, worker.m_token});
--- a/tests/decisions/fleet/reports_test.cc
+++ b/tests/decisions/fleet/reports_test.cc
@@ -81,6 +81,28 @@
   }
 }
 
+// Guards against a second run of a task that leaves no trace in the log.
+TEST_CASE("A run that the leader did not expect is stopped and logged") {
+  FleetFixture fixture;
+  const StartOrder start = StartOne(fixture);
+  ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                    fixture.m_now);
+  Wait(fixture, std::chrono::milliseconds(10));
+  fixture.m_fleet.m_events.clear();
+  ActiveRun other = ActiveRunOf(start);
+  other.m_run = Next(start.m_run);
+  Report(fixture, "w0", {ActiveRunOf(start), other}, {});
+  const auto stops = TakeOrders<StopOrder>(fixture);
+  REQUIRE(stops.size() == 1);
+  CHECK(stops.front().m_run == other.m_run);
+  REQUIRE(fixture.m_fleet.m_events.size() == 1);
+  const FleetEvent& event = fixture.m_fleet.m_events.front();
+  CHECK(event.m_name == std::string("run_unexpected"));
+  CHECK(event.m_run == other.m_run);
+  REQUIRE(event.m_task);
+  CHECK(*event.m_task == start.m_task);
+}
+
 TEST_CASE("A failure reported late uses the last attempt") {
   FleetFixture fixture;
   const StartOrder start = StartOne(fixture);
