fleet: Wait for the longest lease after a restart of a worker

A poll or start of an earlier incarnation that comes late grants the next one a lease by a deadline on another clock, up to the longest lease. The leader counted its own grants only, unless the first report listed a run. When the worker fell silent, its runs counted as ended 4 s later, while they went on.

The lease of a restarted worker is now taken as the longest one at its first report, whatever runs then. The new unit test fails without the change.

--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -161,6 +161,8 @@
   WorkerMilliseconds m_clock;  ///< As last reported.
   TimePoint m_clock_read_at{};
   WorkerMilliseconds m_lease_until;  ///< The latest deadline sent.
+  /// An order to an earlier incarnation may have granted this one a lease.
+  bool m_may_hold_earlier_lease = false;
 
   /// Until then the worker may run tasks that an earlier leader started; 0 once
   /// it has reported its runs to this leader.
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -266,12 +266,14 @@
   return report.m_lists_all_ends;
 }
 
-// Another leader, or a deadline on the clock of an earlier incarnation, may
-// have granted the lease of runs that the worker reports before this leader has
-// granted any.
+// Another leader may have granted the lease of runs that the worker reports
+// before this leader has granted any. A deadline on the clock of an earlier
+// incarnation may have granted the longest lease, whatever runs by now.
 void ExtendUnknownLease(const Fleet& fleet, Worker& worker,
                         const WorkerReport& report) {
-  if (report.m_running.empty()) return;
+  const bool has_earlier_lease = worker.m_may_hold_earlier_lease;
+  worker.m_may_hold_earlier_lease = false;
+  if (report.m_running.empty() && !has_earlier_lease) return;
   if (worker.m_lease_until != WorkerMilliseconds()) return;
   worker.m_lease_until =
       report.m_clock +
@@ -431,6 +433,7 @@
   worker.m_has_clock = false;
   worker.m_unknown_end = OutcomeNumber();
   worker.m_clock = worker.m_lease_until = WorkerMilliseconds();
+  worker.m_may_hold_earlier_lease = true;
   worker.m_unknown_runs = 0;
   worker.m_has_unapplied_ends = worker.m_awaits_jobs = false;
   worker.m_consecutive_failures = 0;
--- a/tests/decisions/fleet/late_start_test.cc
+++ b/tests/decisions/fleet/late_start_test.cc
@@ -271,6 +271,27 @@
   CHECK(TakeOrders<StartOrder>(fixture).empty() != has_room);
 }
 
+// Guards against a run that counts as ended while it goes on: a poll of an
+// earlier incarnation came late and granted the next one a longer lease.
+TEST_CASE("A restarted worker may hold the longest lease from the start") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  const WorkerId id("w0");
+  ReportAsRestarted(fixture, id, {});
+  ReportAsRestarted(fixture, id, {});
+  ListAsRestarted(fixture, id);
+  Submit(fixture, MakePlan("job", 1, kCore));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  ApplyStartOutcome(fixture.m_fleet, starts.front(), StartOutcome::kStarted,
+                    fixture.m_now);
+  for (int poll = 0; poll < 95; ++poll) {
+    Wait(fixture, milliseconds(100));
+    FailPoll(fixture, id.value());
+  }
+  CHECK(TaskOf(fixture, starts.front().m_task).m_state == RunState::kRunning);
+}
+
 TEST_CASE("A cancelled task does not wait for a late start") {
   FleetFixture fixture;
   const StartOrder first = SendUnanswered(fixture);
