leader: Store unanswered starts for the next leader

Cause: only the leader that sent a start knew that it had no answer. The next one started the task elsewhere once all workers had reported, while the order could still reach the next incarnation of its worker.

The progress of a job now names the worker of an unanswered start and the time until which it may take effect. The next leader does not start the task before, and acknowledges no ends of that worker. A leader that ends before it has stored a start, or before the start has timed out, still leaves no trace of it.

The new unit test fails without the stored fields.

--- a/libraries/decisions/fleet/change_batch.cc
+++ b/libraries/decisions/fleet/change_batch.cc
@@ -7,7 +7,8 @@
   for (const JobKey& key : fleet.m_changed_jobs) {
     const Job* job = FindJob(fleet, key);
     if (job == nullptr) continue;
-    batch.m_jobs.push_back(JobChange{key, ProgressOf(*job), HasEnded(*job)});
+    batch.m_jobs.push_back(JobChange{
+        key, ProgressOf(*job, fleet.m_unix_offset_ms), HasEnded(*job)});
   }
   for (const Worker* worker : fleet.m_worker_index.m_unstored_ends) {
     batch.m_ends[worker->m_listing.m_worker] = {worker->m_listing.m_incarnation,
--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -4,6 +4,7 @@
 
 #include "decisions/fleet/crash_count.h"
 #include "decisions/fleet/isolation.h"
+#include "decisions/fleet/late_start.h"
 
 namespace daisyarch::fleet {
 
@@ -187,7 +188,7 @@
                      });
 }
 
-void RestoreTask(Job& job, const TaskProgress& stored) {
+void RestoreTask(Fleet& fleet, Job& job, const TaskProgress& stored) {
   if (stored.m_step_run >= job.m_steps.size()) return;
   StepRun& step_run = job.m_steps[stored.m_step_run];
   if (stored.m_index >= step_run.m_tasks.size()) return;
@@ -197,6 +198,7 @@
   task.m_crashed_runs = stored.m_crashed_runs;
   task.m_doubtful_runs = stored.m_doubtful_runs;
   task.m_checkpoint = stored.m_checkpoint;
+  RestoreLateStart(fleet, stored, task);
   job.m_was_placed = true;
   job.m_is_inherited = true;
   if (!stored.m_is_done) {
@@ -211,7 +213,8 @@
   --job.m_unfinished;
 }
 
-std::unique_ptr<Job> MakeJob(JobPlan plan, const JobProgress& progress) {
+std::unique_ptr<Job> MakeJob(Fleet& fleet, JobPlan plan,
+                             const JobProgress& progress) {
   auto job = std::make_unique<Job>();
   job->m_plan = std::move(plan);
   job->m_state = progress.m_state;
@@ -228,7 +231,9 @@
   }
   // Its other tasks may still run: they are stopped and not restarted.
   job->m_has_failed = progress.m_state == JobState::kFailed;
-  for (const TaskProgress& stored : progress.m_tasks) RestoreTask(*job, stored);
+  for (const TaskProgress& stored : progress.m_tasks) {
+    RestoreTask(fleet, *job, stored);
+  }
   return job;
 }
 
@@ -395,7 +400,7 @@
   const JobKey key = plan.m_key;
   if (fleet.m_jobs.count(key.value()) > 0) return;
   std::unique_ptr<Job>& job = fleet.m_jobs[key.value()];
-  job = MakeJob(std::move(plan), progress);
+  job = MakeJob(fleet, std::move(plan), progress);
   job->m_accepted_at = accepted_at;
   UpdateObjective(fleet, *job);
   UpdatePendingCount(fleet, *job);
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -203,7 +203,12 @@
   /// The last call of TickFleet ended because it had sent enough polls.
   bool m_has_due_polls = false;
   TimePoint m_next_ranking_at{};
-  TimePoint m_ticked_at{};  ///< When TickFleet was last called.
+  TimePoint m_ticked_at{};  ///< When SetTime was last called.
+  /// Unix time less the loop's, in ms.
+  std::int64_t m_unix_offset_ms = 0;
+  /// Until when a start that got no answer may take effect at the next
+  /// incarnation of each worker; see late_start.h.
+  std::map<WorkerId, TimePoint> m_late_starts;
   /// Jobs whose rank may have changed since RefreshRanks was last called.
   std::set<JobKey> m_unranked_jobs;
   /// When the ranks of jobs with waiting tasks change by the passage of time.
@@ -297,6 +302,8 @@
 /// can take effect.
 void ApplyOrderFailure(Fleet& fleet, const WorkerId& worker,
                        FencingToken token);
+/// Sets the time that the fleet's functions use where they are given none.
+void SetTime(Fleet& fleet, TimePoint now, std::int64_t unix_ms);
 /// Releases due occurrences, refreshes ranks, handles expired leases, and
 /// sends polls that are due and stops that have to be repeated.
 void TickFleet(Fleet& fleet, TimePoint now, std::int64_t unix_ms);
--- a/libraries/decisions/fleet/fleet_job.cc
+++ b/libraries/decisions/fleet/fleet_job.cc
@@ -4,7 +4,7 @@
 
 namespace daisyarch::fleet {
 
-JobProgress ProgressOf(const Job& job) {
+JobProgress ProgressOf(const Job& job, std::int64_t unix_offset_ms) {
   JobProgress progress;
   progress.m_state = job.m_state;
   // Only the final state of an ended job is stored.
@@ -23,6 +23,12 @@
       row.m_doubtful_runs = task.m_doubtful_runs;
       row.m_run = task.m_run;
       if (!row.m_is_done) row.m_checkpoint = task.m_checkpoint;
+      if (task.m_late_start_until != TimePoint()) {
+        row.m_late_start_until_unix_ms =
+            ToMilliseconds(task.m_late_start_until.time_since_epoch()) +
+            unix_offset_ms;
+        row.m_late_start_worker = task.m_late_start_worker;
+      }
       progress.m_tasks.push_back(std::move(row));
     }
   }
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -78,6 +78,7 @@
   /// Until then an order that got no answer may start the task; see
   /// late_start.h.
   TimePoint m_late_start_until{};
+  WorkerId m_late_start_worker;     ///< The worker that it was sent to.
   TimePoint m_over_target_since{};  ///< 0: tail latency is within its target.
   TimePoint m_limit_changed_at{};
   TimePoint m_stop_sent_at{};
@@ -204,6 +205,10 @@
   std::vector<RunNumber> m_doubtful_runs;
   RunNumber m_run;
   std::string m_checkpoint;
+  /// Until then an order that got no answer may start the task at the worker;
+  /// 0: there is none.
+  std::int64_t m_late_start_until_unix_ms = 0;
+  WorkerId m_late_start_worker;
 };
 
 /// Stored state of one job, so that it outlives the leader.
@@ -213,8 +218,9 @@
   std::vector<TaskProgress> m_tasks;  ///< Only tasks that were started.
 };
 
-/// Returns the job's state in the form that is stored.
-JobProgress ProgressOf(const Job& job);
+/// Returns the job's state in the form that is stored. `unix_offset_ms` is the
+/// Unix time less the loop's.
+JobProgress ProgressOf(const Job& job, std::int64_t unix_offset_ms);
 
 /// Records a failed run; returns false if it is recorded already.
 bool RecordFailedRun(Task& task, RunNumber run);
--- a/libraries/decisions/fleet/fleet_timers.cc
+++ b/libraries/decisions/fleet/fleet_timers.cc
@@ -13,10 +13,11 @@
 
 // A worker that has restarted numbers its ended runs anew, so it would forget
 // ended runs that it has not reported.
-OutcomeNumber EndToAcknowledge(const Worker& worker, TimePoint now) {
+OutcomeNumber EndToAcknowledge(const Fleet& fleet, const Worker& worker,
+                               TimePoint now) {
   if (!worker.m_is_incarnation_confirmed) return {};
   if (worker.m_first_listed_end == OutcomeNumber()) return {};
-  const OutcomeNumber end = AcknowledgeableEnd(worker, now);
+  const OutcomeNumber end = AcknowledgeableEnd(fleet, worker, now);
   return worker.m_first_listed_end <= end ? end : OutcomeNumber();
 }
 
@@ -25,7 +26,7 @@
   poll.m_worker = worker.m_listing.m_worker;
   poll.m_poll_number = ++worker.m_poll_number;
   poll.m_token = worker.m_token;
-  poll.m_acknowledged = EndToAcknowledge(worker, now);
+  poll.m_acknowledged = EndToAcknowledge(fleet, worker, now);
   worker.m_poll_acknowledged = poll.m_acknowledged;
   // The lease of a worker that does not answer is not extended: an unanswered
   // poll may still have reached it, so the leader could never be sure that the
@@ -121,8 +122,13 @@
 
 }  // namespace
 
-void TickFleet(Fleet& fleet, TimePoint now, std::int64_t unix_ms) {
+void SetTime(Fleet& fleet, TimePoint now, std::int64_t unix_ms) {
   fleet.m_ticked_at = now;
+  fleet.m_unix_offset_ms = unix_ms - ToMilliseconds(now.time_since_epoch());
+}
+
+void TickFleet(Fleet& fleet, TimePoint now, std::int64_t unix_ms) {
+  SetTime(fleet, now, unix_ms);
   while (!fleet.m_pending_occurrences.empty() &&
          std::get<0>(*fleet.m_pending_occurrences.begin()) <= unix_ms) {
     const auto [due, key, occurrence] = *fleet.m_pending_occurrences.begin();
@@ -134,6 +140,7 @@
   if (now >= fleet.m_next_ranking_at) {
     fleet.m_next_ranking_at = now + kRankingInterval;
     RefreshRanks(fleet, now);
+    ForgetLateStarts(fleet, now);
     // No event marks the end of some obstacles, such as a quarantine.
     if (HasSteps(fleet.m_waiting_reserved) || !fleet.m_resends.empty()) {
       fleet.m_needs_placement = true;
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -150,9 +150,6 @@
   TimePoint m_unknown_end_since{};
   OutcomeNumber m_first_listed_end;  ///< In its last report; 0: none.
   std::size_t m_listed_ends = 0;     ///< In its last report.
-  /// Until then a start that got no answer may take effect at the worker's next
-  /// incarnation, and no end is acknowledged; see late_start.h.
-  TimePoint m_late_start_until{};
   /// The latest answer to a poll came from this incarnation, and every order
   /// since then was answered.
   bool m_is_incarnation_confirmed = false;
--- a/libraries/decisions/fleet/late_start.cc
+++ b/libraries/decisions/fleet/late_start.cc
@@ -1,6 +1,7 @@
 #include "decisions/fleet/late_start.h"
 
 #include <algorithm>
+#include <iterator>
 
 #include "decisions/fleet/crash_count.h"
 
@@ -17,6 +18,14 @@
   return task.m_start_sent_at + limits.m_longest_order_delay + kTransitSlack;
 }
 
+void RecordUntil(Fleet& fleet, Task& task, const WorkerId& worker,
+                 TimePoint until) {
+  task.m_late_start_until = std::max(task.m_late_start_until, until);
+  task.m_late_start_worker = worker;
+  TimePoint& at_worker = fleet.m_late_starts[worker];
+  at_worker = std::max(at_worker, until);
+}
+
 bool Contains(const std::vector<RunNumber>& runs, RunNumber run) {
   return std::find(runs.begin(), runs.end(), run) != runs.end();
 }
@@ -34,11 +43,7 @@
 }
 
 void RecordLateStart(Fleet& fleet, Task& task) {
-  const TimePoint until = LatestEffectOf(fleet.m_limits, task);
-  task.m_late_start_until = std::max(task.m_late_start_until, until);
-  Worker* worker = FindWorker(fleet, task.m_worker);
-  if (worker == nullptr) return;
-  worker->m_late_start_until = std::max(worker->m_late_start_until, until);
+  RecordUntil(fleet, task, task.m_worker, LatestEffectOf(fleet.m_limits, task));
 }
 
 void RecordPendingStart(Fleet& fleet, Task& task) {
@@ -71,9 +76,34 @@
          !Contains(task.m_failed_runs, task.m_run);
 }
 
-OutcomeNumber AcknowledgeableEnd(const Worker& worker, TimePoint now) {
-  return now < worker.m_late_start_until ? OutcomeNumber()
-                                         : worker.m_stored_end;
+bool MayTakeOrderLate(const Fleet& fleet, const WorkerId& worker,
+                      TimePoint now) {
+  const auto found = fleet.m_late_starts.find(worker);
+  return found != fleet.m_late_starts.end() && now < found->second;
+}
+
+OutcomeNumber AcknowledgeableEnd(const Fleet& fleet, const Worker& worker,
+                                 TimePoint now) {
+  return MayTakeOrderLate(fleet, worker.m_listing.m_worker, now)
+             ? OutcomeNumber()
+             : worker.m_stored_end;
+}
+
+// The clock of the node that stored the time may differ from this one's.
+void RestoreLateStart(Fleet& fleet, const TaskProgress& stored, Task& task) {
+  const TimePoint until(FromMilliseconds(stored.m_late_start_until_unix_ms -
+                                         fleet.m_unix_offset_ms));
+  const TimePoint latest =
+      fleet.m_ticked_at + fleet.m_limits.m_longest_order_delay + kTransitSlack;
+  if (until <= fleet.m_ticked_at) return;
+  RecordUntil(fleet, task, stored.m_late_start_worker, std::min(until, latest));
+}
+
+void ForgetLateStarts(Fleet& fleet, TimePoint now) {
+  auto& starts = fleet.m_late_starts;
+  for (auto next = starts.begin(); next != starts.end();) {
+    next = next->second <= now ? starts.erase(next) : std::next(next);
+  }
 }
 
 }  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/late_start.h
+++ b/libraries/decisions/fleet/late_start.h
@@ -30,8 +30,17 @@
 /// the run has not been seen to end and is not suspected of a crash.
 bool MayResend(const Fleet& fleet, const StepPlan& step, const Task& task);
 
+/// Returns whether an order that got no answer may take effect at the worker's
+/// next incarnation.
+bool MayTakeOrderLate(const Fleet& fleet, const WorkerId& worker,
+                      TimePoint now);
 /// Returns the last ended run that may be acknowledged to the worker; 0 if none
 /// may be.
-OutcomeNumber AcknowledgeableEnd(const Worker& worker, TimePoint now);
+OutcomeNumber AcknowledgeableEnd(const Fleet& fleet, const Worker& worker,
+                                 TimePoint now);
+/// Takes over what an earlier leader has stored of a late start.
+void RestoreLateStart(Fleet& fleet, const TaskProgress& stored, Task& task);
+/// Forgets the late starts that can take effect no more.
+void ForgetLateStarts(Fleet& fleet, TimePoint now);
 
 }  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -108,6 +108,7 @@
   for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
     Task& task = step_run.m_tasks[index];
     if (task.m_state != RunState::kWaiting || NeedsIsolation(task)) continue;
+    if (pass.m_now < task.m_late_start_until) continue;
     if (pass.m_starts_left == 0) return;
     const TaskReference reference = ReferenceOf(job, step_run_index, index);
     pass.m_must_start_job = MustStartJob(pass, job, step);
@@ -131,6 +132,12 @@
                const PoolId& pool) {
   StepRun& step_run = job.m_steps[step_run_index];
   if (step_run.m_waiting != step_run.m_tasks.size()) return;
+  const bool may_start_late =
+      std::any_of(step_run.m_tasks.begin(), step_run.m_tasks.end(),
+                  [&pass](const Task& task) {
+                    return pass.m_now < task.m_late_start_until;
+                  });
+  if (may_start_late) return;
   pass.m_must_start_job = false;
   const StepPlan& step = job.m_plan.m_steps[step_run_index % job.StepCount()];
   std::vector<WorkerId> chosen;
@@ -173,6 +180,7 @@
     Job* job = nullptr;
     const Task* task = FindTask(fleet, reference, job);
     if (task == nullptr || task->m_state != RunState::kWaiting) continue;
+    if (pass.m_now < task->m_late_start_until) continue;
     if (pass.m_may_have_inherited_runs && job->m_is_inherited) continue;
     const StepPlan& step = job->m_plan.m_steps[reference.m_step];
     if (step.m_is_gang) continue;
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -360,13 +360,13 @@
 
 // A worker answers at once while it has unacknowledged ended runs, so the next
 // poll waits until these can be acknowledged.
-Duration UnacknowledgedPollInterval(const Worker& worker,
+Duration UnacknowledgedPollInterval(const Fleet& fleet, const Worker& worker,
                                     const WorkerReport& report, TimePoint now) {
   if (report.m_ended.empty()) return Duration{};
   const OutcomeNumber last = report.m_ended.back().m_number;
   if (worker.m_stored_end < last) return kUnstoredPollInterval;
-  return AcknowledgeableEnd(worker, now) < last ? kWithheldPollInterval
-                                                : Duration{};
+  return AcknowledgeableEnd(fleet, worker, now) < last ? kWithheldPollInterval
+                                                       : Duration{};
 }
 
 // Aggregates the reported loads of the runs by image.
@@ -489,7 +489,7 @@
   }
   worker->m_next_poll_at =
       now + std::max(PollSpacing(fleet, *worker),
-                     UnacknowledgedPollInterval(*worker, report, now));
+                     UnacknowledgedPollInterval(fleet, *worker, report, now));
   if (worker->m_listing.m_is_leaving) EvacuateRuns(fleet, *worker, now);
   AggregateLoads(fleet, *worker);
   worker->m_headrooms.clear();
@@ -570,6 +570,8 @@
       }
       RecordLateStart(fleet, *task);
       MarkUnconfirmed(fleet, *task, now);
+      // The next leader must not move the task either.
+      MarkChanged(fleet, *job);
       StepTask(fleet, *job, order.m_task, RunEvent::kStartUnanswered);
       FenceUnanswered(fleet, *worker, order.m_token);
       break;
--- a/libraries/wire/fleet_fields.h
+++ b/libraries/wire/fleet_fields.h
@@ -78,6 +78,8 @@
   visit.Optional("doubtful_runs", task.m_doubtful_runs);
   visit("run", task.m_run);
   visit("checkpoint", task.m_checkpoint);
+  visit.Optional("late_start_until_unix_ms", task.m_late_start_until_unix_ms);
+  visit.Optional("late_start_worker", task.m_late_start_worker);
 }
 
 template <typename Visitor>
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -269,6 +269,7 @@
 bool AddLoadedPart(Leader& leader, LoadedState& loaded) {
   const auto& progress_items = loaded.m_progress_items.m_items;
   const auto& jobs = loaded.m_jobs.m_items;
+  SetTime(leader.m_fleet, Now(leader), leader.m_runtime.m_clock.m_unix_ms());
   for (std::size_t count = 0; count < kLoadedItemsPerTurn; ++count) {
     if (loaded.m_next_progress_item < progress_items.size()) {
       DecodeProgressItem(leader, progress_items[loaded.m_next_progress_item++],
--- a/tests/decisions/fleet/late_start_test.cc
+++ b/tests/decisions/fleet/late_start_test.cc
@@ -292,6 +292,33 @@
   CHECK(TaskOf(fixture, starts.front().m_task).m_state == RunState::kRunning);
 }
 
+// Guards against a task that the next leader starts elsewhere while an order of
+// the one before may start it at the next incarnation of its worker.
+TEST_CASE("The next leader awaits the late starts of the one before") {
+  constexpr std::int64_t kUnixMs = 1'700'000'000'000;
+  FleetFixture earlier;
+  const StartOrder first = SendUnanswered(earlier);
+  SetTime(earlier.m_fleet, earlier.m_now, kUnixMs);
+  const ChangeBatch stored = TakeChanges(earlier.m_fleet);
+  REQUIRE(stored.m_jobs.size() == 1);
+  FleetFixture next;
+  next.m_now = TimePoint(seconds(700));
+  SetTime(next.m_fleet, next.m_now, kUnixMs + 1000);
+  AddJob(next.m_fleet, MakePlan("job", 1, kCore),
+         stored.m_jobs.front().m_progress, next.m_now);
+  AddReadyWorkers(next, 2, kCore);
+  CHECK_FALSE(IsPlacedAnywhere(next));
+  Wait(next, milliseconds(400));
+  EndedRun end = EndedRunOf(first, 1, RunOutcome::kStopped);
+  end.m_run = RunNumber(0);
+  Report(next, first.m_worker.value(), {}, {end});
+  CHECK(AcknowledgedBy(next, first.m_worker) == OutcomeNumber(0));
+  Wait(next, kAfterLatestOrder - seconds(3));
+  CHECK_FALSE(IsPlacedAnywhere(next));
+  Wait(next, seconds(1));
+  CHECK(IsPlacedAnywhere(next));
+}
+
 TEST_CASE("A cancelled task does not wait for a late start") {
   FleetFixture fixture;
   const StartOrder first = SendUnanswered(fixture);
--- a/tests/invariants/restarted_worker_takeover_test.cc
+++ b/tests/invariants/restarted_worker_takeover_test.cc
@@ -93,7 +93,7 @@
   }
 }
 
-std::string PlayDay(FakeSite& site) {
+std::string PlayDay(FakeSite& site, bool do_orders_outlast_restarts) {
   site.m_routes = MakeTestRoutes();
   for (int number = 0; number < kWorkers; ++number) {
     AddSiteWorker(site, "w" + std::to_string(number), kCapacity);
@@ -116,14 +116,14 @@
     RunAfter(site.m_loop, DelayBetween(site.m_loop, Duration{}, kFaults),
              [&site, number] { InjectFault(site, number); });
   }
-  site.m_faults.m_do_orders_outlast_restarts = false;
+  site.m_faults.m_do_orders_outlast_restarts = do_orders_outlast_restarts;
   site.m_faults.m_late_order_probability = 0.1;
   site.m_faults.m_order_answer_loss_probability = 0.05;
   site.m_faults.m_answer_loss_probability = 0.03;
   site.m_faults.m_late_effect_probability = 0.02;
   RunFor(site.m_loop, kFaults);
   site.m_faults = SiteFaults();
-  site.m_faults.m_do_orders_outlast_restarts = false;
+  site.m_faults.m_do_orders_outlast_restarts = do_orders_outlast_restarts;
   const auto has_failed = [&site] {
     return !site.m_violation.empty() || !site.m_repeated_task.empty();
   };
@@ -139,10 +139,24 @@
 // Guards against a task that starts again after its run was done, because the
 // leader changed while workers restarted, were cut off or were not listed.
 TEST_CASE("No task is run twice when leaders change while workers restart") {
-  for (std::uint64_t seed = 1; seed <= SeedCount(kSeedsInCi); ++seed) {
+  const std::uint64_t first = FirstSeed();
+  for (std::uint64_t seed = first; seed < first + SeedCount(kSeedsInCi);
+       ++seed) {
     INFO("seed " << seed);
     FakeSite site(seed);
-    CHECK(PlayDay(site) == "");
+    CHECK(PlayDay(site, false) == "");
+  }
+}
+
+// Guards against a task that the next leader starts while an order of the one
+// before reaches the next incarnation of a worker.
+TEST_CASE("No task is run twice when late orders outlast leaders and workers") {
+  const std::uint64_t first = FirstSeed();
+  for (std::uint64_t seed = first; seed < first + SeedCount(kSeedsInCi);
+       ++seed) {
+    INFO("seed " << seed);
+    FakeSite site(seed);
+    CHECK(PlayDay(site, true) == "");
   }
 }
 
