fleet: Keep a worker while a start may take effect late

A worker that was silent, ran nothing and was listed no more was erased, and with it until when its starts may take effect late. Listed again within that time, it got its ends acknowledged at once. Its next incarnation could then carry out an unanswered start of a task whose done run was acknowledged (TWICE).

Such a worker is now kept until its starts can take effect no more. The new unit test fails without the change.

--- a/libraries/decisions/fleet/listing.cc
+++ b/libraries/decisions/fleet/listing.cc
@@ -100,7 +100,9 @@
   StepWorker(fleet, worker, WorkerEvent::kDelisted);
   const bool is_unused = worker.m_runs.empty();
   const bool is_out_of_contact = worker.m_state != WorkerState::kReady;
-  if (is_unused && is_out_of_contact &&
+  // It may be listed again, and its ends must not be acknowledged until then.
+  const bool may_start_late = now < worker.m_late_start_until;
+  if (is_unused && is_out_of_contact && !may_start_late &&
       !MayHaveUnstoredEnds(fleet, worker, now)) {
     EraseWorker(fleet, worker);
   }
--- a/tests/decisions/fleet/late_start_test.cc
+++ b/tests/decisions/fleet/late_start_test.cc
@@ -292,6 +292,25 @@
   CHECK(TaskOf(fixture, starts.front().m_task).m_state == RunState::kRunning);
 }
 
+// Guards against ends that a worker forgets although its task may start late:
+// the leader forgot the worker while the platform did not list it.
+TEST_CASE("A worker is not forgotten while a start may take effect late") {
+  FleetFixture fixture;
+  const StartOrder first = SendUnanswered(fixture);
+  const StartOrder second = ConfirmSecondStart(fixture, first);
+  const WorkerId id = first.m_worker;
+  Wait(fixture, milliseconds(10));
+  Report(fixture, id.value(), {}, {EndedRunOf(second, 1, RunOutcome::kDone)});
+  Store(fixture);
+  Wait(fixture, milliseconds(400));
+  FailPoll(fixture, id.value());
+  Delist(fixture, id);
+  CHECK(FindWorker(fixture.m_fleet, id) != nullptr);
+  Wait(fixture, kAfterLatestOrder);
+  Delist(fixture, id);
+  CHECK(FindWorker(fixture.m_fleet, id) == nullptr);
+}
+
 TEST_CASE("A cancelled task does not wait for a late start") {
   FleetFixture fixture;
   const StartOrder first = SendUnanswered(fixture);
