--- a/tests/decisions/fleet/late_start_test.cc
+++ b/tests/decisions/fleet/late_start_test.cc
@@ -311,6 +311,33 @@
   CHECK(FindWorker(fixture.m_fleet, id) == nullptr);
 }
 
+// Guards against an acknowledgement that comes late and makes the worker's next
+// incarnation forget ends, under the token of the starts there.
+TEST_CASE("Only an unanswered poll that acknowledged ends raises the token") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  const WorkerId id("w0");
+  const bool has_ends = GENERATE(true, false);
+  StartOrder unknown;
+  unknown.m_task.m_job = JobKey("ended");
+  fixture.m_fleet.m_ended_jobs[unknown.m_task.m_job] = 1;
+  Wait(fixture, milliseconds(400));
+  std::vector<EndedRun> ended;
+  if (has_ends) ended.push_back(EndedRunOf(unknown, 1, RunOutcome::kDone));
+  Report(fixture, id.value(), {}, ended);
+  fixture.m_fleet.m_orders.clear();
+  Wait(fixture, seconds(11));
+  const auto polls = TakeOrders<PollOrder>(fixture);
+  REQUIRE(polls.size() == 1);
+  CHECK(polls.front().m_acknowledged == OutcomeNumber(has_ends ? 1 : 0));
+  const FencingToken before = FindWorker(fixture.m_fleet, id)->m_token;
+  FailPoll(fixture, id.value());
+  const Worker& worker = *FindWorker(fixture.m_fleet, id);
+  CHECK((worker.m_token > before) == has_ends);
+  CHECK(worker.m_state ==
+        (has_ends ? WorkerState::kUnverified : WorkerState::kSilent));
+}
+
 TEST_CASE("A cancelled task does not wait for a late start") {
   FleetFixture fixture;
   const StartOrder first = SendUnanswered(fixture);
