fleet: Forget the limit of a run that has ended at its worker

A best-effort task that waits for a late start keeps its run number and its worker, and kept the limit of the run that had ended. A late order that started it at the next incarnation made it run unlimited, while it counted as limited.

The limit is reset and unconfirmed now when the wait begins, so that it is sent again. The new unit test fails without the change.

--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -132,6 +132,9 @@
   task.m_unconfirmed_until =
       std::max(task.m_unconfirmed_until,
                UnconfirmedUntil(context.m_fleet.m_limits, task, TimePoint()));
+  // A late start sets no limit, but a late order may set an earlier one again.
+  task.m_processor_limit_percent = 100;
+  task.m_is_limit_confirmed = false;
   context.m_fleet.m_events.push_back(
       {"late_start_awaited", context.m_reference.m_job, task.m_worker,
        task.m_run, Duration{}, context.m_reference});
--- a/tests/decisions/fleet/late_start_test.cc
+++ b/tests/decisions/fleet/late_start_test.cc
@@ -338,6 +338,24 @@
         (has_ends ? WorkerState::kUnverified : WorkerState::kSilent));
 }
 
+// Guards against a best-effort task that counts as limited although a late
+// order has started it anew, without a limit, at the next incarnation.
+TEST_CASE("A limit does not outlast the incarnation that it was set at") {
+  FleetFixture fixture;
+  const StartOrder first = SendUnanswered(fixture);
+  const StartOrder second = ConfirmSecondStart(fixture, first);
+  const WorkerId& id = first.m_worker;
+  Task& task = TaskOf(fixture, first.m_task);
+  task.m_processor_limit_percent = 50;
+  task.m_is_limit_confirmed = true;
+  ReportAsRestarted(fixture, id, {});
+  CHECK(task.m_state == RunState::kSettling);
+  ReportAsRestarted(fixture, id, {ActiveRunOf(second)});
+  REQUIRE(task.m_state == RunState::kRunning);
+  CHECK_FALSE(
+      (task.m_processor_limit_percent < 100 && task.m_is_limit_confirmed));
+}
+
 TEST_CASE("A cancelled task does not wait for a late start") {
   FleetFixture fixture;
   const StartOrder first = SendUnanswered(fixture);
