fleet: Forget the measurements of a run that has ended at its worker

A serving task that waits for a late start kept how long its ended run had been over its target. All best-effort tasks of that worker stayed paused for it, up to 23 s. A settled task loses these figures, as a task that is free does.

The new unit test fails without the change.

--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -98,6 +98,13 @@
   UpdateWorkerIndex(context.m_fleet, *worker);
 }
 
+// Of a run that has ended.
+void ForgetMeasurements(Task& task) {
+  task.m_over_target_since = TimePoint();
+  task.m_load = 0;
+  task.m_progress_percent = 0;
+}
+
 void ReleaseCapacity(RunContext& context) {
   --context.m_step_run.m_placed;
   --context.m_job.m_placed;
@@ -106,9 +113,7 @@
   context.m_task.m_worker = WorkerId();
   context.m_task.m_processor_limit_percent = 100;
   context.m_task.m_is_limit_confirmed = true;
-  context.m_task.m_over_target_since = TimePoint();
-  context.m_task.m_load = 0;
-  context.m_task.m_progress_percent = 0;
+  ForgetMeasurements(context.m_task);
   if (worker == nullptr) return;
   worker->m_used = worker->m_used - context.m_step.m_demand;
   RemoveTaskImages(*worker, context.m_step);
@@ -135,6 +140,7 @@
   // A late start sets no limit, but a late order may set an earlier one again.
   task.m_processor_limit_percent = 100;
   task.m_is_limit_confirmed = false;
+  ForgetMeasurements(task);
   context.m_fleet.m_events.push_back(
       {"late_start_awaited", context.m_reference.m_job, task.m_worker,
        task.m_run, Duration{}, context.m_reference});
--- a/tests/decisions/fleet/late_start_test.cc
+++ b/tests/decisions/fleet/late_start_test.cc
@@ -356,6 +356,25 @@
       (task.m_processor_limit_percent < 100 && task.m_is_limit_confirmed));
 }
 
+// Guards against best-effort tasks that stay paused for a serving task that has
+// ended, while it waits until it may start elsewhere.
+TEST_CASE("A task that waits for a late start is over its target no more") {
+  FleetFixture fixture;
+  const StartOrder first = SendUnanswered(fixture);
+  const StartOrder second = ConfirmSecondStart(fixture, first);
+  Task& task = TaskOf(fixture, first.m_task);
+  task.m_over_target_since = fixture.m_now;
+  task.m_load = 1;
+  task.m_progress_percent = 100;
+  Wait(fixture, milliseconds(10));
+  Report(fixture, first.m_worker.value(), {},
+         {EndedRunOf(second, 1, RunOutcome::kFailed)});
+  REQUIRE(task.m_state == RunState::kSettling);
+  CHECK(task.m_over_target_since == TimePoint());
+  CHECK(task.m_load == 0);
+  CHECK(task.m_progress_percent == 0);
+}
+
 TEST_CASE("A cancelled task does not wait for a late start") {
   FleetFixture fixture;
   const StartOrder first = SendUnanswered(fixture);
