--- a/tests/decisions/fleet/late_start_test.cc
+++ b/tests/decisions/fleet/late_start_test.cc
@@ -319,6 +319,89 @@
   CHECK(IsPlacedAnywhere(next));
 }
 
+// Guards against ends that a worker forgets although its task may start late:
+// the leader forgot the worker while the platform did not list it.
+TEST_CASE("A worker is not forgotten while a start may take effect late") {
+  FleetFixture fixture;
+  const StartOrder first = SendUnanswered(fixture);
+  const StartOrder second = ConfirmSecondStart(fixture, first);
+  const WorkerId id = first.m_worker;
+  Wait(fixture, milliseconds(10));
+  Report(fixture, id.value(), {}, {EndedRunOf(second, 1, RunOutcome::kDone)});
+  Store(fixture);
+  Wait(fixture, milliseconds(400));
+  FailPoll(fixture, id.value());
+  Delist(fixture, id);
+  CHECK(FindWorker(fixture.m_fleet, id) != nullptr);
+  Wait(fixture, kAfterLatestOrder);
+  Delist(fixture, id);
+  CHECK(FindWorker(fixture.m_fleet, id) == nullptr);
+}
+
+// Guards against an acknowledgement that comes late and makes the worker's next
+// incarnation forget ends, under the token of the starts there.
+TEST_CASE("Only an unanswered poll that acknowledged ends raises the token") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  const WorkerId id("w0");
+  const bool has_ends = GENERATE(true, false);
+  StartOrder unknown;
+  unknown.m_task.m_job = JobKey("ended");
+  fixture.m_fleet.m_ended_jobs[unknown.m_task.m_job] = 1;
+  Wait(fixture, milliseconds(400));
+  std::vector<EndedRun> ended;
+  if (has_ends) ended.push_back(EndedRunOf(unknown, 1, RunOutcome::kDone));
+  Report(fixture, id.value(), {}, ended);
+  fixture.m_fleet.m_orders.clear();
+  Wait(fixture, seconds(11));
+  const auto polls = TakeOrders<PollOrder>(fixture);
+  REQUIRE(polls.size() == 1);
+  CHECK(polls.front().m_acknowledged == OutcomeNumber(has_ends ? 1 : 0));
+  const FencingToken before = FindWorker(fixture.m_fleet, id)->m_token;
+  FailPoll(fixture, id.value());
+  const Worker& worker = *FindWorker(fixture.m_fleet, id);
+  CHECK((worker.m_token > before) == has_ends);
+  CHECK(worker.m_state ==
+        (has_ends ? WorkerState::kUnverified : WorkerState::kSilent));
+}
+
+// Guards against a best-effort task that counts as limited although a late
+// order has started it anew, without a limit, at the next incarnation.
+TEST_CASE("A limit does not outlast the incarnation that it was set at") {
+  FleetFixture fixture;
+  const StartOrder first = SendUnanswered(fixture);
+  const StartOrder second = ConfirmSecondStart(fixture, first);
+  const WorkerId& id = first.m_worker;
+  Task& task = TaskOf(fixture, first.m_task);
+  task.m_processor_limit_percent = 50;
+  task.m_is_limit_confirmed = true;
+  ReportAsRestarted(fixture, id, {});
+  CHECK(task.m_state == RunState::kSettling);
+  ReportAsRestarted(fixture, id, {ActiveRunOf(second)});
+  REQUIRE(task.m_state == RunState::kRunning);
+  CHECK_FALSE(
+      (task.m_processor_limit_percent < 100 && task.m_is_limit_confirmed));
+}
+
+// Guards against best-effort tasks that stay paused for a serving task that has
+// ended, while it waits until it may start elsewhere.
+TEST_CASE("A task that waits for a late start is over its target no more") {
+  FleetFixture fixture;
+  const StartOrder first = SendUnanswered(fixture);
+  const StartOrder second = ConfirmSecondStart(fixture, first);
+  Task& task = TaskOf(fixture, first.m_task);
+  task.m_over_target_since = fixture.m_now;
+  task.m_load = 1;
+  task.m_progress_percent = 100;
+  Wait(fixture, milliseconds(10));
+  Report(fixture, first.m_worker.value(), {},
+         {EndedRunOf(second, 1, RunOutcome::kFailed)});
+  REQUIRE(task.m_state == RunState::kSettling);
+  CHECK(task.m_over_target_since == TimePoint());
+  CHECK(task.m_load == 0);
+  CHECK(task.m_progress_percent == 0);
+}
+
 TEST_CASE("A cancelled task does not wait for a late start") {
   FleetFixture fixture;
   const StartOrder first = SendUnanswered(fixture);
