tests: Generate the counts of listed ends by value

Cause: GENERATE(kListedEnds, kListedEnds - 1) deduces a reference from its first value, so the second is a reference to a temporary that is gone. In a Debug build the test ran on without end, took 21 GB and was killed by the kernel.

Change: the generator holds std::size_t. Both counts and the check stay.

Measured: before, no end within 60 s (SIGTERM by timeout); now 2 assertions pass in a Debug build.

--- a/tests/decisions/fleet/late_start_test.cc
+++ b/tests/decisions/fleet/late_start_test.cc
@@ -260,7 +260,8 @@
   StartOrder unknown;
   unknown.m_task.m_job = JobKey("ended");
   fixture.m_fleet.m_ended_jobs[unknown.m_task.m_job] = 1;
-  const std::size_t count = GENERATE(kListedEnds, kListedEnds - 1);
+  const std::size_t count =
+      GENERATE(as<std::size_t>{}, kListedEnds, kListedEnds - 1);
   for (std::size_t number = 1; number <= count; ++number) {
     ended.push_back(EndedRunOf(unknown, number, RunOutcome::kDone));
   }
