--- a/tests/decisions/fleet/late_start_test.cc
+++ b/tests/decisions/fleet/late_start_test.cc
@@ -207,6 +207,31 @@
   CHECK(IsPlacedAnywhere(fixture));
 }
 
+// Guards against a task that starts elsewhere although its order was carried
+// out after the worker had answered: the answer tells of the time before the
+// order could take effect no more.
+TEST_CASE("A report that was requested too early settles no late start") {
+  FleetFixture fixture;
+  const StartOrder first = SendUnanswered(fixture);
+  ConfirmSecondStart(fixture, first);
+  const WorkerId& id = first.m_worker;
+  Wait(fixture, milliseconds(10));
+  Report(fixture, id.value(), {}, {});
+  REQUIRE(TaskOf(fixture, first.m_task).m_state == RunState::kSettling);
+  Wait(fixture, milliseconds(10));
+  const std::uint64_t early_poll =
+      FindWorker(fixture.m_fleet, id)->m_poll_number;
+  Wait(fixture, kAfterLatestOrder);
+  REQUIRE(FindWorker(fixture.m_fleet, id)->m_poll_number == early_poll);
+  Report(fixture, id.value(), {}, {});
+  CHECK(TaskOf(fixture, first.m_task).m_state == RunState::kSettling);
+  CHECK_FALSE(IsPlacedAnywhere(fixture));
+  Wait(fixture, milliseconds(10));
+  REQUIRE(FindWorker(fixture.m_fleet, id)->m_poll_number > early_poll);
+  Report(fixture, id.value(), {}, {});
+  CHECK(IsPlacedAnywhere(fixture));
+}
+
 // Guards against a second run beside one that a late order has started.
 TEST_CASE("A late start at the next incarnation is the run of its task") {
   FleetFixture fixture;
