fleet: Take a young worker's lease as the longest one

Cause: the leader knew a restart only of a worker that it had known before. A worker that restarted under the leader before it may hold a lease of up to 10 s that a late order to its earlier incarnation granted; its runs counted as ended after 4 s. A worker's clock begins at its start, so at the first report a clock below 22 s shows that such a lease is possible. Workers that have run for longer lapse as soon as before. The test fails without the change at the young clock, by its check.

--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -266,12 +266,21 @@
   return report.m_lists_all_ends;
 }
 
+// Returns whether the worker started so recently that an order to its earlier
+// incarnation may still hold its lease. Its clock begins at its start.
+bool MayHaveRestarted(const FleetLimits& limits, const WorkerReport& report) {
+  return report.m_clock <
+         WorkerMilliseconds(ToMilliseconds(limits.m_longest_order_delay +
+                                           limits.m_longest_lease));
+}
+
 // Another leader may have granted the lease of runs that the worker reports
 // before this leader has granted any. A deadline on the clock of an earlier
 // incarnation may have granted the longest lease, whatever runs by now.
 void ExtendUnknownLease(const Fleet& fleet, Worker& worker,
                         const WorkerReport& report) {
-  const bool has_earlier_lease = worker.m_may_hold_earlier_lease;
+  const bool has_earlier_lease = worker.m_may_hold_earlier_lease ||
+                                 MayHaveRestarted(fleet.m_limits, report);
   worker.m_may_hold_earlier_lease = false;
   if (report.m_running.empty() && !has_earlier_lease) return;
   if (worker.m_lease_until != WorkerMilliseconds()) return;
--- a/tests/decisions/fleet/late_start_test.cc
+++ b/tests/decisions/fleet/late_start_test.cc
@@ -428,6 +428,27 @@
   CHECK(task.m_progress_percent == 0);
 }
 
+// Guards against a run that counts as ended while it goes on: an order of the
+// previous leader came late and granted a restarted worker a longer lease.
+TEST_CASE("A young worker may hold the longest lease from the first report") {
+  FleetFixture fixture;
+  const WorkerId id("w0");
+  AddReadyWorkers(fixture, 1, kCore);
+  Worker& worker = *FindWorker(fixture.m_fleet, id);
+  // As loaded by a leader that does not know its earlier incarnation.
+  worker.m_lease_until = worker.m_clock = WorkerMilliseconds();
+  Wait(fixture, seconds(11));
+  WorkerReport report;
+  report.m_incarnation = Incarnation(1);
+  report.m_clock = WorkerMilliseconds(GENERATE(2000, 23000));
+  worker.m_lease_until = WorkerMilliseconds();
+  ApplyReport(fixture.m_fleet, id, worker.m_poll_number, worker.m_token, report,
+              fixture.m_now);
+  const WorkerMilliseconds end = report.m_clock + WorkerMilliseconds(10000);
+  const bool is_young = report.m_clock < WorkerMilliseconds(22000);
+  CHECK((worker.m_lease_until >= end) == is_young);
+}
+
 TEST_CASE("A cancelled task does not wait for a late start") {
   FleetFixture fixture;
   const StartOrder first = SendUnanswered(fixture);
