--- a/tests/decisions/fleet/run_once_test.cc
+++ b/tests/decisions/fleet/run_once_test.cc
@@ -170,6 +170,7 @@
               worker.m_token, report, fixture.m_now);
   CHECK(IsPlaced(TaskOf(fixture, start.m_task).m_state));
   if (may_start_late) {
+    ApplyStoredBatch(fixture.m_fleet, TakeChanges(fixture.m_fleet));
     CHECK(AcknowledgedByNextPoll(fixture) == OutcomeNumber(0));
     Report(fixture, "w0", {}, {other});
     fixture.m_now += seconds(12);
