--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -266,12 +266,21 @@
   return report.m_lists_all_ends;
 }
 
+// Returns whether the worker started so recently that an order to its earlier
+// incarnation may still hold its lease. Its clock begins at its start.
+bool MayHaveRestarted(const FleetLimits& limits, const WorkerReport& report) {
+  return report.m_clock <
+         WorkerMilliseconds(ToMilliseconds(limits.m_longest_order_delay +
+                                           limits.m_longest_lease));
+}
+
 // Another leader may have granted the lease of runs that the worker reports
 // before this leader has granted any. A deadline on the clock of an earlier
 // incarnation may have granted the longest lease, whatever runs by now.
 void ExtendUnknownLease(const Fleet& fleet, Worker& worker,
                         const WorkerReport& report) {
-  const bool has_earlier_lease = worker.m_may_hold_earlier_lease;
+  const bool has_earlier_lease = worker.m_may_hold_earlier_lease ||
+                                 MayHaveRestarted(fleet.m_limits, report);
   worker.m_may_hold_earlier_lease = false;
   if (report.m_running.empty() && !has_earlier_lease) return;
   if (worker.m_lease_until != WorkerMilliseconds()) return;
@@ -360,13 +369,13 @@
 
 // A worker answers at once while it has unacknowledged ended runs, so the next
 // poll waits until these can be acknowledged.
-Duration UnacknowledgedPollInterval(const Worker& worker,
+Duration UnacknowledgedPollInterval(const Fleet& fleet, const Worker& worker,
                                     const WorkerReport& report, TimePoint now) {
   if (report.m_ended.empty()) return Duration{};
   const OutcomeNumber last = report.m_ended.back().m_number;
   if (worker.m_stored_end < last) return kUnstoredPollInterval;
-  return AcknowledgeableEnd(worker, now) < last ? kWithheldPollInterval
-                                                : Duration{};
+  return AcknowledgeableEnd(fleet, worker, now) < last ? kWithheldPollInterval
+                                                       : Duration{};
 }
 
 // Aggregates the reported loads of the runs by image.
@@ -489,7 +498,7 @@
   }
   worker->m_next_poll_at =
       now + std::max(PollSpacing(fleet, *worker),
-                     UnacknowledgedPollInterval(*worker, report, now));
+                     UnacknowledgedPollInterval(fleet, *worker, report, now));
   if (worker->m_listing.m_is_leaving) EvacuateRuns(fleet, *worker, now);
   AggregateLoads(fleet, *worker);
   worker->m_headrooms.clear();
@@ -570,6 +579,8 @@
       }
       RecordLateStart(fleet, *task);
       MarkUnconfirmed(fleet, *task, now);
+      // The next leader must not move the task either.
+      MarkChanged(fleet, *job);
       StepTask(fleet, *job, order.m_task, RunEvent::kStartUnanswered);
       FenceUnanswered(fleet, *worker, order.m_token);
       break;
--- a/tests/decisions/fleet/late_start_test.cc
+++ b/tests/decisions/fleet/late_start_test.cc
@@ -207,6 +207,31 @@
   CHECK(IsPlacedAnywhere(fixture));
 }
 
+// Guards against a task that starts elsewhere although its order was carried
+// out after the worker had answered: the answer tells of the time before the
+// order could take effect no more.
+TEST_CASE("A report that was requested too early settles no late start") {
+  FleetFixture fixture;
+  const StartOrder first = SendUnanswered(fixture);
+  ConfirmSecondStart(fixture, first);
+  const WorkerId& id = first.m_worker;
+  Wait(fixture, milliseconds(10));
+  Report(fixture, id.value(), {}, {});
+  REQUIRE(TaskOf(fixture, first.m_task).m_state == RunState::kSettling);
+  Wait(fixture, milliseconds(10));
+  const std::uint64_t early_poll =
+      FindWorker(fixture.m_fleet, id)->m_poll_number;
+  Wait(fixture, kAfterLatestOrder);
+  REQUIRE(FindWorker(fixture.m_fleet, id)->m_poll_number == early_poll);
+  Report(fixture, id.value(), {}, {});
+  CHECK(TaskOf(fixture, first.m_task).m_state == RunState::kSettling);
+  CHECK_FALSE(IsPlacedAnywhere(fixture));
+  Wait(fixture, milliseconds(10));
+  REQUIRE(FindWorker(fixture.m_fleet, id)->m_poll_number > early_poll);
+  Report(fixture, id.value(), {}, {});
+  CHECK(IsPlacedAnywhere(fixture));
+}
+
 // Guards against a second run beside one that a late order has started.
 TEST_CASE("A late start at the next incarnation is the run of its task") {
   FleetFixture fixture;
@@ -260,7 +285,8 @@
   StartOrder unknown;
   unknown.m_task.m_job = JobKey("ended");
   fixture.m_fleet.m_ended_jobs[unknown.m_task.m_job] = 1;
-  const std::size_t count = GENERATE(kListedEnds, kListedEnds - 1);
+  const std::size_t count =
+      GENERATE(as<std::size_t>{}, kListedEnds, kListedEnds - 1);
   for (std::size_t number = 1; number <= count; ++number) {
     ended.push_back(EndedRunOf(unknown, number, RunOutcome::kDone));
   }
@@ -292,6 +318,137 @@
   CHECK(TaskOf(fixture, starts.front().m_task).m_state == RunState::kRunning);
 }
 
+// Guards against a task that the next leader starts elsewhere while an order of
+// the one before may start it at the next incarnation of its worker.
+TEST_CASE("The next leader awaits the late starts of the one before") {
+  constexpr std::int64_t kUnixMs = 1'700'000'000'000;
+  FleetFixture earlier;
+  const StartOrder first = SendUnanswered(earlier);
+  SetTime(earlier.m_fleet, earlier.m_now, kUnixMs);
+  const ChangeBatch stored = TakeChanges(earlier.m_fleet);
+  REQUIRE(stored.m_jobs.size() == 1);
+  FleetFixture next;
+  next.m_now = TimePoint(seconds(700));
+  SetTime(next.m_fleet, next.m_now, kUnixMs + 1000);
+  AddJob(next.m_fleet, MakePlan("job", 1, kCore),
+         stored.m_jobs.front().m_progress, next.m_now);
+  AddReadyWorkers(next, 2, kCore);
+  CHECK_FALSE(IsPlacedAnywhere(next));
+  Wait(next, milliseconds(400));
+  EndedRun end = EndedRunOf(first, 1, RunOutcome::kStopped);
+  end.m_run = RunNumber(0);
+  Report(next, first.m_worker.value(), {}, {end});
+  CHECK(AcknowledgedBy(next, first.m_worker) == OutcomeNumber(0));
+  Wait(next, kAfterLatestOrder - seconds(3));
+  CHECK_FALSE(IsPlacedAnywhere(next));
+  Wait(next, seconds(1));
+  CHECK(IsPlacedAnywhere(next));
+}
+
+// Guards against ends that a worker forgets although its task may start late:
+// the leader forgot the worker while the platform did not list it.
+TEST_CASE("A worker is not forgotten while a start may take effect late") {
+  FleetFixture fixture;
+  const StartOrder first = SendUnanswered(fixture);
+  const StartOrder second = ConfirmSecondStart(fixture, first);
+  const WorkerId id = first.m_worker;
+  Wait(fixture, milliseconds(10));
+  Report(fixture, id.value(), {}, {EndedRunOf(second, 1, RunOutcome::kDone)});
+  Store(fixture);
+  Wait(fixture, milliseconds(400));
+  FailPoll(fixture, id.value());
+  Delist(fixture, id);
+  CHECK(FindWorker(fixture.m_fleet, id) != nullptr);
+  Wait(fixture, kAfterLatestOrder);
+  Delist(fixture, id);
+  CHECK(FindWorker(fixture.m_fleet, id) == nullptr);
+}
+
+// Guards against an acknowledgement that comes late and makes the worker's next
+// incarnation forget ends, under the token of the starts there.
+TEST_CASE("Only an unanswered poll that acknowledged ends raises the token") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  const WorkerId id("w0");
+  const bool has_ends = GENERATE(true, false);
+  StartOrder unknown;
+  unknown.m_task.m_job = JobKey("ended");
+  fixture.m_fleet.m_ended_jobs[unknown.m_task.m_job] = 1;
+  Wait(fixture, milliseconds(400));
+  std::vector<EndedRun> ended;
+  if (has_ends) ended.push_back(EndedRunOf(unknown, 1, RunOutcome::kDone));
+  Report(fixture, id.value(), {}, ended);
+  fixture.m_fleet.m_orders.clear();
+  Wait(fixture, seconds(11));
+  const auto polls = TakeOrders<PollOrder>(fixture);
+  REQUIRE(polls.size() == 1);
+  CHECK(polls.front().m_acknowledged == OutcomeNumber(has_ends ? 1 : 0));
+  const FencingToken before = FindWorker(fixture.m_fleet, id)->m_token;
+  FailPoll(fixture, id.value());
+  const Worker& worker = *FindWorker(fixture.m_fleet, id);
+  CHECK((worker.m_token > before) == has_ends);
+  CHECK(worker.m_state ==
+        (has_ends ? WorkerState::kUnverified : WorkerState::kSilent));
+}
+
+// Guards against a best-effort task that counts as limited although a late
+// order has started it anew, without a limit, at the next incarnation.
+TEST_CASE("A limit does not outlast the incarnation that it was set at") {
+  FleetFixture fixture;
+  const StartOrder first = SendUnanswered(fixture);
+  const StartOrder second = ConfirmSecondStart(fixture, first);
+  const WorkerId& id = first.m_worker;
+  Task& task = TaskOf(fixture, first.m_task);
+  task.m_processor_limit_percent = 50;
+  task.m_is_limit_confirmed = true;
+  ReportAsRestarted(fixture, id, {});
+  CHECK(task.m_state == RunState::kSettling);
+  ReportAsRestarted(fixture, id, {ActiveRunOf(second)});
+  REQUIRE(task.m_state == RunState::kRunning);
+  CHECK_FALSE(
+      (task.m_processor_limit_percent < 100 && task.m_is_limit_confirmed));
+}
+
+// Guards against best-effort tasks that stay paused for a serving task that has
+// ended, while it waits until it may start elsewhere.
+TEST_CASE("A task that waits for a late start is over its target no more") {
+  FleetFixture fixture;
+  const StartOrder first = SendUnanswered(fixture);
+  const StartOrder second = ConfirmSecondStart(fixture, first);
+  Task& task = TaskOf(fixture, first.m_task);
+  task.m_over_target_since = fixture.m_now;
+  task.m_load = 1;
+  task.m_progress_percent = 100;
+  Wait(fixture, milliseconds(10));
+  Report(fixture, first.m_worker.value(), {},
+         {EndedRunOf(second, 1, RunOutcome::kFailed)});
+  REQUIRE(task.m_state == RunState::kSettling);
+  CHECK(task.m_over_target_since == TimePoint());
+  CHECK(task.m_load == 0);
+  CHECK(task.m_progress_percent == 0);
+}
+
+// Guards against a run that counts as ended while it goes on: an order of the
+// previous leader came late and granted a restarted worker a longer lease.
+TEST_CASE("A young worker may hold the longest lease from the first report") {
+  FleetFixture fixture;
+  const WorkerId id("w0");
+  AddReadyWorkers(fixture, 1, kCore);
+  Worker& worker = *FindWorker(fixture.m_fleet, id);
+  // As loaded by a leader that does not know its earlier incarnation.
+  worker.m_lease_until = worker.m_clock = WorkerMilliseconds();
+  Wait(fixture, seconds(11));
+  WorkerReport report;
+  report.m_incarnation = Incarnation(1);
+  report.m_clock = WorkerMilliseconds(GENERATE(2000, 23000));
+  worker.m_lease_until = WorkerMilliseconds();
+  ApplyReport(fixture.m_fleet, id, worker.m_poll_number, worker.m_token, report,
+              fixture.m_now);
+  const WorkerMilliseconds end = report.m_clock + WorkerMilliseconds(10000);
+  const bool is_young = report.m_clock < WorkerMilliseconds(22000);
+  CHECK((worker.m_lease_until >= end) == is_young);
+}
+
 TEST_CASE("A cancelled task does not wait for a late start") {
   FleetFixture fixture;
   const StartOrder first = SendUnanswered(fixture);
