fleet: Store the progress of a job in parts

Cause: the progress of a job was one value, with some 130 bytes for each task that was ever started. The store rejects values over 1 MiB. The writer took every error as passing, logged none, repeated the same transaction without end and held all other changes back.

Change: progress is stored in parts of 128 tasks, of which only changed ones are written; values and transactions hold at most 128 KiB of it, without the longest checkpoints if need be. A change that the store rejects alone is set aside, and no end is acknowledged meanwhile. Errors are logged and counted. A write without an answer counts as applied only if all its values are found. Usual jobs have one part, in the form that they had. It works because no value grows with the job any more, and because one bad value holds up no other.

--- a/libraries/decisions/fleet/change_batch.cc
+++ b/libraries/decisions/fleet/change_batch.cc
@@ -1,14 +1,36 @@
 #include "decisions/fleet/change_batch.h"
 
+#include <utility>
+
 namespace daisyarch::fleet {
 
+namespace {
+
+// Part 0 comes last. An earlier version stored all tasks in part 0, from which
+// those of the other parts are removed only once these are stored.
+void TakeChangesOf(const Fleet& fleet, Job& job, ChangeBatch& batch) {
+  const std::set<ProgressPart> parts = std::move(job.m_changed_parts);
+  job.m_changed_parts.clear();
+  const bool has_ended = HasEnded(job);
+  for (const ProgressPart part : parts) {
+    if (has_ended || part == ProgressPart()) continue;
+    batch.m_changes.push_back({job.m_plan.m_key, part,
+                               ProgressOf(job, part, fleet.m_unix_offset_ms),
+                               false});
+  }
+  if (!has_ended && parts.count(ProgressPart()) == 0) return;
+  batch.m_changes.push_back(
+      {job.m_plan.m_key, ProgressPart(),
+       ProgressOf(job, ProgressPart(), fleet.m_unix_offset_ms), has_ended});
+}
+
+}  // namespace
+
 ChangeBatch TakeChanges(Fleet& fleet) {
   ChangeBatch batch;
   for (const JobKey& key : fleet.m_changed_jobs) {
-    const Job* job = FindJob(fleet, key);
-    if (job == nullptr) continue;
-    batch.m_jobs.push_back(JobChange{
-        key, ProgressOf(*job, fleet.m_unix_offset_ms), HasEnded(*job)});
+    Job* job = FindJob(fleet, key);
+    if (job != nullptr) TakeChangesOf(fleet, *job, batch);
   }
   for (const Worker* worker : fleet.m_worker_index.m_unstored_ends) {
     batch.m_ends[worker->m_listing.m_worker] = {worker->m_listing.m_incarnation,
@@ -31,7 +53,7 @@
         worker->m_clock_read_at + PollSpacing(fleet, *worker);
     UpdateWorkerIndex(fleet, *worker);
   }
-  for (const JobChange& change : batch.m_jobs) {
+  for (const JobChange& change : batch.m_changes) {
     if (change.m_has_ended) RemoveJob(fleet, change.m_key);
   }
 }
--- a/libraries/decisions/fleet/change_batch.h
+++ b/libraries/decisions/fleet/change_batch.h
@@ -4,20 +4,22 @@
 #include <vector>
 
 #include "decisions/fleet/fleet.h"
+#include "decisions/fleet/job_progress.h"
 
 namespace daisyarch::fleet {
 
-/// Progress of one job to store.
+/// One part of a job's progress to store.
 struct JobChange {
   JobKey m_key;
+  ProgressPart m_part;
   JobProgress m_progress;
-  bool m_has_ended = false;
+  bool m_has_ended = false;  ///< Its other parts are obsolete once stored.
 };
 
 /// Changes that are stored together, and the last applied ended run of each
 /// worker, which can be acknowledged once they are stored.
 struct ChangeBatch {
-  std::vector<JobChange> m_jobs;
+  std::vector<JobChange> m_changes;  ///< The last of a job may be its part 0.
   struct AppliedEnd {
     Incarnation m_incarnation;
     OutcomeNumber m_end;
--- a/libraries/decisions/fleet/crash_count.cc
+++ b/libraries/decisions/fleet/crash_count.cc
@@ -66,8 +66,8 @@
 }
 
 // A leader that ends before a count is stored takes it with it.
-void MarkCountChanged(Fleet& fleet, Job& job) {
-  MarkChanged(fleet, job);
+void MarkCountChanged(Fleet& fleet, Job& job, const TaskReference& reference) {
+  MarkTaskChanged(fleet, job, reference);
   fleet.m_has_urgent_change = true;
 }
 
@@ -88,7 +88,7 @@
        is_confirmed ? worker.m_poll_sent_at - task->m_started_at : Duration{},
        reference});
   AddIsolation(fleet, reference);
-  MarkCountChanged(fleet, *job);
+  MarkCountChanged(fleet, *job, reference);
 }
 
 // The run has not crashed the worker.
@@ -104,7 +104,7 @@
   fleet.m_events.push_back({"run_crash_withdrawn", reference.m_job,
                             worker.m_listing.m_worker, run, Duration{},
                             reference});
-  MarkChanged(fleet, *job);
+  MarkTaskChanged(fleet, *job, reference);
 }
 
 void WithdrawCrashes(Fleet& fleet, const Worker& worker) {
@@ -125,7 +125,7 @@
     fleet.m_events.push_back({"run_crash_doubted", reference.m_job,
                               worker.m_listing.m_worker, run, Duration{},
                               reference});
-    MarkCountChanged(fleet, *job);
+    MarkCountChanged(fleet, *job, reference);
   }
 }
 
--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -83,7 +83,7 @@
   }
   if (after == RunState::kSettling && before != after) {
     if (step.m_is_gang) StopGang(fleet, job, reference);
-    MarkChanged(fleet, job);
+    MarkTaskChanged(fleet, job, reference);
   }
   if (IsPlaced(after) || (after == RunState::kCancelled && !IsPlaced(before))) {
     return;
@@ -104,7 +104,7 @@
   if (after == RunState::kDone && step_run.m_done == step_run.m_tasks.size()) {
     ReleaseSteps(fleet, job, reference.m_occurrence);
   }
-  MarkChanged(fleet, job);
+  MarkTaskChanged(fleet, job, reference);
 }
 
 // A job that ends later than this multiple of its objective has no value.
@@ -193,6 +193,10 @@
   StepRun& step_run = job.m_steps[stored.m_step_run];
   if (stored.m_index >= step_run.m_tasks.size()) return;
   Task& task = step_run.m_tasks[stored.m_index];
+  // An earlier version stored all tasks in part 0.
+  if (task.m_state == RunState::kDone) return;
+  const ProgressPart part = PartOf(job, stored.m_step_run, stored.m_index);
+  if (part != stored.m_stored_part) job.m_changed_parts.insert(part);
   task.m_run = stored.m_run;
   task.m_failed_runs = stored.m_failed_runs;
   task.m_crashed_runs = stored.m_crashed_runs;
@@ -219,6 +223,11 @@
   job->m_plan = std::move(plan);
   job->m_state = progress.m_state;
   job->m_has_started = progress.m_state != JobState::kQueued;
+  job->m_task_offsets.push_back(0);
+  for (const StepPlan& step : job->m_plan.m_steps) {
+    job->m_task_offsets.push_back(job->m_task_offsets.back() +
+                                  step.m_task_count);
+  }
   for (std::uint32_t occurrence = 0; occurrence < job->m_plan.m_occurrences;
        ++occurrence) {
     for (const StepPlan& step : job->m_plan.m_steps) {
@@ -381,7 +390,9 @@
   }
 }
 
-void MarkChanged(Fleet& fleet, Job& job) {
+namespace {
+
+void UpdateState(Job& job) {
   if (job.m_is_cancelled) {
     job.m_state = JobState::kCancelled;
   } else if (job.m_has_failed) {
@@ -391,10 +402,29 @@
   } else if (job.m_has_started) {
     job.m_state = JobState::kRunning;
   }
+}
+
+void QueueForStoring(Fleet& fleet, const Job& job) {
   fleet.m_changed_jobs.insert(job.m_plan.m_key);
   if (HasEnded(job)) fleet.m_has_urgent_change = true;
 }
 
+}  // namespace
+
+void MarkChanged(Fleet& fleet, Job& job) {
+  UpdateState(job);
+  job.m_changed_parts.insert(ProgressPart());
+  QueueForStoring(fleet, job);
+}
+
+void MarkTaskChanged(Fleet& fleet, Job& job, const TaskReference& reference) {
+  const JobState before = job.m_state;
+  UpdateState(job);
+  if (job.m_state != before) job.m_changed_parts.insert(ProgressPart());
+  MarkProgressChanged(job, reference);
+  QueueForStoring(fleet, job);
+}
+
 void AddJob(Fleet& fleet, JobPlan plan, const JobProgress& progress,
             TimePoint accepted_at) {
   const JobKey key = plan.m_key;
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -14,6 +14,7 @@
 #include "chart/state_machine.h"
 #include "decisions/fleet/fleet_job.h"
 #include "decisions/fleet/fleet_worker.h"
+#include "decisions/fleet/job_progress.h"
 #include "decisions/fleet/waiting_steps.h"
 
 namespace daisyarch::fleet {
@@ -349,6 +350,8 @@
 /// Updates the state that the submitter sees and adds the job to
 /// m_changed_jobs.
 void MarkChanged(Fleet& fleet, Job& job);
+/// Does so for a change of one task's progress.
+void MarkTaskChanged(Fleet& fleet, Job& job, const TaskReference& reference);
 /// Returns the current settings of the job's queue, or those at acceptance if
 /// the queue no longer exists.
 const Queue& QueueSettingsOf(const Fleet& fleet, const Job& job);
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -152,6 +153,12 @@
   /// reported yet may run its tasks.
   bool m_is_inherited = false;
   bool m_is_counted_pending = false;  ///< In Fleet::m_pending_counts.
+  /// Parts of its progress that have changed since they were last taken for
+  /// storing; see job_progress.h.
+  std::set<ProgressPart> m_changed_parts;
+  /// The number of tasks before each step of an occurrence, and of the whole
+  /// occurrence at the end.
+  std::vector<std::uint64_t> m_task_offsets;
   TimePoint m_rank_timer_at = TimePoint::max();  ///< max(): none is set.
   TimePoint m_accepted_at{};
   Duration m_objective{};  ///< Target time from acceptance to the end.
@@ -195,33 +202,6 @@
          state == RunState::kResending || state == RunState::kSettling;
 }
 
-/// Stored state of one task: its outcome, attempts and checkpoint.
-struct TaskProgress {
-  std::uint32_t m_step_run = 0;  ///< Index into Job::m_steps.
-  std::uint32_t m_index = 0;
-  bool m_is_done = false;
-  std::vector<RunNumber> m_failed_runs;
-  std::vector<RunNumber> m_crashed_runs;
-  std::vector<RunNumber> m_doubtful_runs;
-  RunNumber m_run;
-  std::string m_checkpoint;
-  /// Until then an order that got no answer may start the task at the worker;
-  /// 0: there is none.
-  std::int64_t m_late_start_until_unix_ms = 0;
-  WorkerId m_late_start_worker;
-};
-
-/// Stored state of one job, so that it outlives the leader.
-struct JobProgress {
-  JobState m_state = JobState::kQueued;
-  std::int64_t m_ended_unix_ms = 0;   ///< 0: the job has not ended.
-  std::vector<TaskProgress> m_tasks;  ///< Only tasks that were started.
-};
-
-/// Returns the job's state in the form that is stored. `unix_offset_ms` is the
-/// Unix time less the loop's.
-JobProgress ProgressOf(const Job& job, std::int64_t unix_offset_ms);
-
 /// Records a failed run; returns false if it is recorded already.
 bool RecordFailedRun(Task& task, RunNumber run);
 
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -50,6 +50,7 @@
   task.m_start_confirmation = StartConfirmation::kPending;
   task.m_start_sent_at = pass.m_now;
   task.m_started_at = task.m_unconfirmed_until = TimePoint();
+  MarkProgressChanged(job, reference);
   StepTask(pass.m_fleet, job, reference, RunEvent::kPlaced);
   AddStartOrder(pass, job, reference, worker, task);
 }
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -58,6 +58,7 @@
   task.m_run = run;
   task.m_worker = worker.m_listing.m_worker;
   task.m_start_confirmation = StartConfirmation::kPending;
+  MarkProgressChanged(job, reference);
   StepTask(fleet, job, reference, RunEvent::kPlaced);
   UpdateWaitingSteps(
       fleet, job, StepRunIndex(job, reference.m_occurrence, reference.m_step));
@@ -91,10 +92,17 @@
                 active.m_task, active.m_run, worker.m_token});
 }
 
+// An empty checkpoint does not replace the last one.
+void RecordCheckpoint(Job& job, Task& task, const TaskReference& reference,
+                      const std::string& checkpoint) {
+  if (checkpoint.empty() || checkpoint == task.m_checkpoint) return;
+  task.m_checkpoint = checkpoint;
+  MarkProgressChanged(job, reference);
+}
+
 void RecordLoad(Task& task, const StepPlan& step, const ActiveRun& active,
                 TimePoint now) {
   task.m_progress_percent = active.m_progress_percent;
-  if (!active.m_checkpoint.empty()) task.m_checkpoint = active.m_checkpoint;
   task.m_load = active.m_load;
   if (step.m_latency_target <= Duration{}) return;
   if (FromMilliseconds(active.m_load) <= step.m_latency_target) {
@@ -127,6 +135,7 @@
   if (task->m_start_confirmation != StartConfirmation::kConfirmed) {
     RecordStart(fleet, *job, *task, active.m_task, now);
   }
+  RecordCheckpoint(*job, *task, active.m_task, active.m_checkpoint);
   RecordLoad(*task, job->m_plan.m_steps[active.m_task.m_step], active, now);
   const bool is_unwanted = job->m_is_cancelled || job->m_has_failed;
   if (is_unwanted && task->m_state == RunState::kRunning) {
@@ -169,7 +178,7 @@
                              const EndedRun& ended) {
   if (task.m_state == RunState::kDone) return;
   if (ended.m_run > task.m_run || !RecordFailedRun(task, ended.m_run)) return;
-  MarkChanged(fleet, job);
+  MarkTaskChanged(fleet, job, ended.m_task);
   const bool is_waiting = task.m_state == RunState::kWaiting;
   if (is_waiting && task.m_failed_runs.size() >= job.m_maximum_attempts) {
     StepTask(fleet, job, ended.m_task, RunEvent::kAttemptsExhausted);
@@ -202,7 +211,7 @@
   }
   // Its start may have no answer yet.
   task->m_start_confirmation = StartConfirmation::kConfirmed;
-  if (!ended.m_checkpoint.empty()) task->m_checkpoint = ended.m_checkpoint;
+  RecordCheckpoint(*job, *task, ended.m_task, ended.m_checkpoint);
   UpdateQuarantine(fleet, worker, ended.m_outcome, now);
   switch (ended.m_outcome) {
     case RunOutcome::kDone:
@@ -574,13 +583,14 @@
       if (task->m_start_confirmation == StartConfirmation::kConfirmed) {
         if (task->m_late_start_until > now) {
           RecordLateStart(fleet, *task);
+          MarkProgressChanged(*job, order.m_task);
         }
         break;
       }
       RecordLateStart(fleet, *task);
       MarkUnconfirmed(fleet, *task, now);
       // The next leader must not move the task either.
-      MarkChanged(fleet, *job);
+      MarkTaskChanged(fleet, *job, order.m_task);
       StepTask(fleet, *job, order.m_task, RunEvent::kStartUnanswered);
       FenceUnanswered(fleet, *worker, order.m_token);
       break;
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -224,6 +224,7 @@
       StepTask(context.m_fleet, *job, reference, RunEvent::kInterrupted);
     } else {
       RecordPendingStart(context.m_fleet, *task);
+      MarkProgressChanged(*job, reference);
       task->m_start_confirmation = StartConfirmation::kUnconfirmed;
     }
   }
--- a/libraries/wire/fleet_fields.h
+++ b/libraries/wire/fleet_fields.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "decisions/fleet/fleet_job.h"
+#include "decisions/fleet/job_progress.h"
 #include "decisions/fleet/learned_effects.h"
 #include "decisions/fleet/roster.h"
 #include "wire/placement_fields.h"
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -1,6 +1,7 @@
 #include "fleet/leader.h"
 
 #include <algorithm>
+#include <cstdlib>
 #include <utility>
 
 #include "decisions/fleet/load_control.h"
@@ -235,21 +236,41 @@
   StoreListing m_progress_items;
   std::size_t m_next_progress_item = 0;
   std::size_t m_next_job = 0;
+  std::set<JobKey> m_job_keys;
   std::map<JobKey, JobProgress> m_progress;
 };
 
+// Returns the job and the part that the key of a progress item names.
+std::pair<JobKey, ProgressPart> ProgressItemOf(const std::string& item_key) {
+  const std::string rest = item_key.substr(kProgressPrefix.size());
+  const std::size_t slash = rest.find('/');
+  if (slash == std::string::npos) return {JobKey(rest), ProgressPart()};
+  return {JobKey(rest.substr(0, slash)),
+          ProgressPart(std::strtoull(rest.c_str() + slash + 1, nullptr, 10))};
+}
+
 void DecodeProgressItem(Leader& leader, const StoredItem& item,
                         LoadedState& loaded) {
-  const JobKey key(item.m_key.substr(kProgressPrefix.size()));
-  leader.m_progress_revisions[key] = item.m_revision;
-  auto progress =
+  const auto [key, part] = ProgressItemOf(item.m_key);
+  leader.m_progress_revisions[item.m_key] = item.m_revision;
+  auto decoded =
       DecodeCbor<JobProgress>(item.m_value, "read progress", item.m_key);
-  if (!progress)
-    return LogError("progress_unreadable", progress.assume_error());
-  if (progress.assume_value().m_ended_unix_ms > 0) {
-    leader.m_fleet.m_ended_jobs[key] = progress.assume_value().m_ended_unix_ms;
+  if (!decoded) return LogError("progress_unreadable", decoded.assume_error());
+  JobProgress& progress = decoded.assume_value();
+  if (progress.m_ended_unix_ms > 0) {
+    leader.m_fleet.m_ended_jobs[key] = progress.m_ended_unix_ms;
+  }
+  JobProgress& whole = loaded.m_progress[key];
+  if (part == ProgressPart()) {
+    whole.m_state = progress.m_state;
+    whole.m_ended_unix_ms = progress.m_ended_unix_ms;
+  } else if (loaded.m_job_keys.count(key) == 0) {
+    leader.m_obsolete_parts.insert(item.m_key);
+  }
+  for (TaskProgress& task : progress.m_tasks) {
+    task.m_stored_part = part;
+    whole.m_tasks.push_back(std::move(task));
   }
-  loaded.m_progress[key] = std::move(progress).assume_value();
 }
 
 void AddLoadedJob(Leader& leader, const StoredItem& item,
@@ -342,6 +363,8 @@
         for (const StoredItem& item : loaded->m_jobs.m_items) {
           if (IsCancelKey(item.m_key)) {
             self->m_cancelled_jobs.insert(JobKeyOfItem(item.m_key));
+          } else {
+            loaded->m_job_keys.insert(JobKeyOfItem(item.m_key));
           }
         }
         AddLoadedState(self, loaded, std::move(on_loaded));
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -26,11 +26,14 @@
 /// Writes one batch of changes to the store, one transaction at a time.
 struct BatchWriter {
   ChangeBatch m_batch;
-  std::size_t m_next_job = 0;  ///< Index of the first job not yet stored.
+  std::size_t m_next_change = 0;  ///< Index of the first one not yet stored.
   bool m_is_commit_in_flight = false;
   TimePoint m_retry_at{};
+  bool m_is_failing = false;  ///< The last call got no answer or an error.
   StoreTransaction m_transaction;
-  std::size_t m_transaction_end = 0;  ///< Index past its last job.
+  std::size_t m_transaction_end = 0;  ///< Index past its last change.
+  /// The store has rejected a transaction, and its changes are sent one by one.
+  bool m_is_isolating = false;
 };
 
 /// Counts the log lines of one kind since the start of its period.
@@ -59,7 +62,10 @@
   /// Unfinished jobs with a stored cancellation, which may be seen before the
   /// job itself.
   std::set<JobKey> m_cancelled_jobs;
-  std::map<JobKey, StoreRevision> m_progress_revisions;
+  /// Revisions of the items of the jobs' progress, by key.
+  std::map<std::string, StoreRevision> m_progress_revisions;
+  /// Keys of the parts of ended jobs that are still stored.
+  std::set<std::string> m_obsolete_parts;
   BatchWriter m_writer;
   TimePoint m_next_write_at{};
   PrefixWatchPointer m_workers_watch;
@@ -128,7 +134,8 @@
                    std::function<void()> on_written);
 /// Starts to store changes that are due, or retries a failed transaction.
 void WriteChanges(const LeaderPointer& leader);
-/// Removes the progress of jobs whose retention period is over.
+/// Removes obsolete parts of progress, and the progress of jobs whose retention
+/// period is over.
 void RemoveOldProgress(const LeaderPointer& leader);
 /// Writes the fleet's events to the metrics and, at a limited rate, to the
 /// log.
--- a/services/daisyarchd/fleet/leader_writes.cc
+++ b/services/daisyarchd/fleet/leader_writes.cc
@@ -13,16 +13,21 @@
 // Changes that no client waits for are batched for this long.
 constexpr Duration kWriteInterval = std::chrono::milliseconds(60);
 constexpr Duration kWriteRetryDelay = std::chrono::milliseconds(100);
+constexpr Duration kRejectedWriteDelay = std::chrono::seconds(1);
 constexpr Duration kPendingInterval = std::chrono::milliseconds(1000);
 constexpr Duration kRemovalInterval = std::chrono::seconds(5);
 // Progress is kept this much longer than the retention period, because a
 // request may still be repeated after it.
 constexpr std::int64_t kRetentionSlackMs = 30000;
 constexpr std::size_t kMaximumEntriesPerWrite = 30;
+// The progress in one transaction, and in one value of it. The store's limit of
+// a value is 1 MiB, but the call also has to end in time on a link of 2 Mbit/s.
+constexpr std::size_t kMaximumProgressBytes = 128UL * 1024;
+constexpr Duration kPartRemovalInterval = std::chrono::milliseconds(200);
 
 TimePoint Now(const Leader& leader) { return leader.m_runtime.m_clock.m_now(); }
 
-StoreRevision ProgressRevision(const Leader& leader, const JobKey& key) {
+StoreRevision ProgressRevision(const Leader& leader, const std::string& key) {
   const auto found = leader.m_progress_revisions.find(key);
   return found == leader.m_progress_revisions.end() ? StoreRevision()
                                                     : found->second;
@@ -35,18 +40,34 @@
   return kExpectAndPut + 1 + leader.m_cancelled_jobs.count(change.m_key);
 }
 
+// Returns the progress encoded for one value of the store, without the
+// checkpoints that do not fit.
+std::string EncodeProgress(JobChange& change) {
+  std::string value = WriteCbor(Encode(change.m_progress));
+  if (value.size() <= kMaximumProgressBytes) return value;
+  const std::size_t excess = value.size() - kMaximumProgressBytes;
+  std::size_t checkpoints = 0;
+  for (const TaskProgress& task : change.m_progress.m_tasks) {
+    checkpoints += task.m_checkpoint.size();
+  }
+  const std::size_t removed = RemoveLongCheckpoints(
+      change.m_progress, std::max(checkpoints, excess) - excess);
+  LogEvent(LogLevel::kWarning, "checkpoints_not_stored",
+           {{"job", change.m_key.value()},
+            {"part", change.m_part.value()},
+            {"count", std::uint64_t{removed}},
+            {"value_bytes", std::uint64_t{value.size()}},
+            {"maximum_bytes", std::uint64_t{kMaximumProgressBytes}}});
+  return WriteCbor(Encode(change.m_progress));
+}
+
 // Each write expects the revision of the progress that it replaces, so that a
 // write which the store applies late cannot overwrite a newer one.
-void AddChange(Leader& leader, JobChange& change,
+void AddChange(Leader& leader, JobChange& change, std::string value,
                StoreTransaction& transaction) {
-  const std::string key = ProgressItemKey(change.m_key);
-  if (change.m_has_ended && change.m_progress.m_ended_unix_ms == 0) {
-    change.m_progress.m_ended_unix_ms = leader.m_runtime.m_clock.m_unix_ms();
-  }
-  transaction.m_expectations.push_back(
-      {key, ProgressRevision(leader, change.m_key)});
-  transaction.m_puts.push_back(
-      {key, WriteCbor(Encode(change.m_progress)), StoreLeaseId()});
+  const std::string key = ProgressPartKey(change.m_key, change.m_part);
+  transaction.m_expectations.push_back({key, ProgressRevision(leader, key)});
+  transaction.m_puts.push_back({key, std::move(value), StoreLeaseId()});
   if (!change.m_has_ended) return;
   transaction.m_removals.push_back(JobItemKey(change.m_key));
   if (leader.m_cancelled_jobs.count(change.m_key) > 0) {
@@ -59,20 +80,42 @@
   writer.m_transaction = {};
   writer.m_transaction.m_expectations.push_back(ClaimExpectation(leader));
   std::size_t entries = 1;
-  writer.m_transaction_end = writer.m_next_job;
-  while (writer.m_transaction_end < writer.m_batch.m_jobs.size()) {
-    JobChange& change = writer.m_batch.m_jobs[writer.m_transaction_end];
+  std::size_t bytes = 0;
+  writer.m_transaction_end = writer.m_next_change;
+  while (writer.m_transaction_end < writer.m_batch.m_changes.size()) {
+    JobChange& change = writer.m_batch.m_changes[writer.m_transaction_end];
+    if (change.m_has_ended && change.m_progress.m_ended_unix_ms == 0) {
+      change.m_progress.m_ended_unix_ms = leader.m_runtime.m_clock.m_unix_ms();
+    }
+    std::string value = EncodeProgress(change);
     entries += CountEntries(leader, change);
-    if (entries > kMaximumTransactionEntries) break;
-    AddChange(leader, change, writer.m_transaction);
+    bytes += value.size();
+    const bool is_first = writer.m_transaction_end == writer.m_next_change;
+    const bool is_full = entries > kMaximumTransactionEntries ||
+                         bytes > kMaximumProgressBytes || writer.m_is_isolating;
+    if (is_full && !is_first) break;
+    AddChange(leader, change, std::move(value), writer.m_transaction);
     ++writer.m_transaction_end;
   }
 }
 
+// Lists the stored parts of an ended job for removal.
+void ListObsoleteParts(Leader& leader, const JobKey& key) {
+  auto& revisions = leader.m_progress_revisions;
+  const std::string prefix = ProgressItemKey(key) + "/";
+  for (auto next = revisions.lower_bound(prefix);
+       next != revisions.end() &&
+       next->first.compare(0, prefix.size(), prefix) == 0;
+       ++next) {
+    leader.m_obsolete_parts.insert(next->first);
+  }
+}
+
 void RecordJobEnd(Leader& leader, const JobChange& change) {
   if (!change.m_has_ended) return;
   leader.m_fleet.m_ended_jobs[change.m_key] = change.m_progress.m_ended_unix_ms;
   leader.m_cancelled_jobs.erase(change.m_key);
+  ListObsoleteParts(leader, change.m_key);
   LogEvent(LogLevel::kInfo, "job_ended",
            {{"job", change.m_key.value()},
             {"state", EnumNames<JobState>::kNames[static_cast<std::size_t>(
@@ -82,25 +125,33 @@
 
 void FinishTransaction(Leader& leader, StoreRevision revision) {
   BatchWriter& writer = leader.m_writer;
-  for (; writer.m_next_job < writer.m_transaction_end; ++writer.m_next_job) {
-    const JobChange& change = writer.m_batch.m_jobs[writer.m_next_job];
-    leader.m_progress_revisions[change.m_key] = revision;
+  for (; writer.m_next_change < writer.m_transaction_end;
+       ++writer.m_next_change) {
+    const JobChange& change = writer.m_batch.m_changes[writer.m_next_change];
+    leader.m_progress_revisions[ProgressPartKey(change.m_key, change.m_part)] =
+        revision;
     RecordJobEnd(leader, change);
   }
 }
 
+bool HoldsPut(const std::vector<StoredItem>& items, const StorePut& put,
+              StoreRevision& revision) {
+  for (const StoredItem& item : items) {
+    if (item.m_key != put.m_key || item.m_value != put.m_value) continue;
+    revision = item.m_revision;
+    return true;
+  }
+  return false;
+}
+
 // Returns true, and sets `revision`, if an earlier attempt of this transaction
-// that had no answer took effect.
+// that had no answer took effect. One equal value may be older.
 bool FindOwnWrite(const Leader& leader, const TransactionResult& result,
                   StoreRevision& revision) {
-  for (const StoredItem& item : result.m_current_items) {
-    for (const StorePut& put : leader.m_writer.m_transaction.m_puts) {
-      if (put.m_key != item.m_key || put.m_value != item.m_value) continue;
-      revision = item.m_revision;
-      return true;
-    }
-  }
-  return false;
+  const auto& puts = leader.m_writer.m_transaction.m_puts;
+  return std::all_of(puts.begin(), puts.end(), [&](const StorePut& put) {
+    return HoldsPut(result.m_current_items, put, revision);
+  });
 }
 
 bool IsClaimHeld(const Leader& leader, const TransactionResult& result) {
@@ -117,26 +168,72 @@
   for (const StoreExpectation& row :
        leader.m_writer.m_transaction.m_expectations) {
     if (row.m_key == kClaimKey) continue;
-    leader.m_progress_revisions.erase(
-        JobKey(row.m_key.substr(kProgressPrefix.size())));
+    leader.m_progress_revisions.erase(row.m_key);
   }
   for (const StoredItem& item : result.m_current_items) {
     if (item.m_key == kClaimKey) continue;
-    leader.m_progress_revisions[JobKey(
-        item.m_key.substr(kProgressPrefix.size()))] = item.m_revision;
+    leader.m_progress_revisions[item.m_key] = item.m_revision;
   }
 }
 
 void SendTransaction(const LeaderPointer& leader);
 
+// Sends the next transaction of the batch, or completes it.
+void ContinueBatch(const LeaderPointer& leader) {
+  BatchWriter& writer = leader->m_writer;
+  if (writer.m_next_change < writer.m_batch.m_changes.size()) {
+    BuildTransaction(*leader);
+    return SendTransaction(leader);
+  }
+  ApplyStoredBatch(leader->m_fleet, writer.m_batch);
+  writer.m_batch = {};
+  writer.m_is_isolating = false;
+  RequestSchedulingPass(leader);
+}
+
+// Leaves a rejected change to a later batch, so that it does not hold up the
+// others. The ends that it tells of are not known, so none is acknowledged.
+void SetChangeAside(Leader& leader) {
+  BatchWriter& writer = leader.m_writer;
+  JobChange& change = writer.m_batch.m_changes[writer.m_next_change++];
+  LogEvent(LogLevel::kError, "progress_rejected",
+           {{"job", change.m_key.value()},
+            {"part", change.m_part.value()},
+            {"term", leader.m_claim.m_term.value()}});
+  change.m_has_ended = false;
+  writer.m_batch.m_ends.clear();
+  leader.m_next_write_at = Now(leader) + kRejectedWriteDelay;
+  Job* job = FindJob(leader.m_fleet, change.m_key);
+  if (job == nullptr) return;
+  job->m_changed_parts.insert(change.m_part);
+  leader.m_fleet.m_changed_jobs.insert(change.m_key);
+}
+
+// Only the first of several errors in a row is logged. A store that rejects a
+// transaction rejects it again, so its changes are then sent one by one, which
+// shows the one at fault.
+void HandleWriteError(const LeaderPointer& leader, const Error& error) {
+  BatchWriter& writer = leader->m_writer;
+  writer.m_retry_at = Now(*leader) + kWriteRetryDelay;
+  leader->m_runtime.m_metrics->IncrementCounter(
+      "daisyarch_progress_write_errors_total", "");
+  if (!writer.m_is_failing) LogError("progress_not_stored", error);
+  writer.m_is_failing = true;
+  if (error.m_code != ErrorCode::kInvalidArgument) return;
+  if (writer.m_is_isolating) {
+    SetChangeAside(*leader);
+    return ContinueBatch(leader);
+  }
+  writer.m_is_isolating = true;
+  BuildTransaction(*leader);
+}
+
 void HandleTransactionResult(const LeaderPointer& leader,
                              const Result<TransactionResult>& result) {
   BatchWriter& writer = leader->m_writer;
   writer.m_is_commit_in_flight = false;
-  if (!result) {
-    writer.m_retry_at = Now(*leader) + kWriteRetryDelay;
-    return;
-  }
+  if (!result) return HandleWriteError(leader, result.assume_error());
+  writer.m_is_failing = false;
   const TransactionResult& outcome = result.assume_value();
   StoreRevision revision = outcome.m_revision;
   if (!outcome.m_is_applied) {
@@ -152,13 +249,7 @@
     }
   }
   FinishTransaction(*leader, revision);
-  if (writer.m_next_job < writer.m_batch.m_jobs.size()) {
-    BuildTransaction(*leader);
-    return SendTransaction(leader);
-  }
-  ApplyStoredBatch(leader->m_fleet, writer.m_batch);
-  writer.m_batch = {};
-  RequestSchedulingPass(leader);
+  ContinueBatch(leader);
 }
 
 void SendTransaction(const LeaderPointer& leader) {
@@ -199,8 +290,8 @@
   }
   leader->m_next_write_at = Now(*leader) + kWriteInterval;
   writer.m_batch = TakeChanges(fleet);
-  writer.m_next_job = 0;
-  if (writer.m_batch.m_jobs.empty()) {
+  writer.m_next_change = 0;
+  if (writer.m_batch.m_changes.empty()) {
     return ApplyStoredBatch(fleet, writer.m_batch);
   }
   BuildTransaction(*leader);
@@ -291,22 +382,47 @@
       });
 }
 
+namespace {
+
+// Returns the keys of the next obsolete items.
+std::vector<std::string> ObsoleteItems(const Leader& leader) {
+  const std::int64_t oldest =
+      leader.m_runtime.m_clock.m_unix_ms() - kRetentionSlackMs -
+      ToMilliseconds(leader.m_runtime.m_settings.m_state_retention);
+  std::vector<std::string> keys;
+  for (const std::string& key : leader.m_obsolete_parts) {
+    if (keys.size() == kMaximumEntriesPerWrite) return keys;
+    keys.push_back(key);
+  }
+  for (const auto& [key, ended] : leader.m_fleet.m_ended_jobs) {
+    if (keys.size() == kMaximumEntriesPerWrite) return keys;
+    if (ended <= oldest) keys.push_back(ProgressItemKey(key));
+  }
+  return keys;
+}
+
+void ForgetItems(Leader& leader, const std::vector<std::string>& keys) {
+  for (const std::string& key : keys) {
+    leader.m_progress_revisions.erase(key);
+    if (leader.m_obsolete_parts.erase(key) > 0) continue;
+    leader.m_fleet.m_ended_jobs.erase(
+        JobKey(key.substr(kProgressPrefix.size())));
+  }
+}
+
+}  // namespace
+
 void RemoveOldProgress(const LeaderPointer& leader) {
   const TimePoint now = Now(*leader);
   if (leader->m_is_removing || now < leader->m_next_removal_at) return;
-  leader->m_next_removal_at = now + kRemovalInterval;
-  const std::int64_t oldest =
-      leader->m_runtime.m_clock.m_unix_ms() - kRetentionSlackMs -
-      ToMilliseconds(leader->m_runtime.m_settings.m_state_retention);
-  StoreTransaction transaction;
-  std::vector<JobKey> removed;
-  for (const auto& [key, ended] : leader->m_fleet.m_ended_jobs) {
-    if (ended > oldest || removed.size() == kMaximumEntriesPerWrite) continue;
-    removed.push_back(key);
-    transaction.m_removals.push_back(ProgressItemKey(key));
-  }
+  leader->m_next_removal_at =
+      now + (leader->m_obsolete_parts.empty() ? kRemovalInterval
+                                              : kPartRemovalInterval);
+  const std::vector<std::string> removed = ObsoleteItems(*leader);
   if (removed.empty()) return;
+  StoreTransaction transaction;
   transaction.m_expectations.push_back(ClaimExpectation(*leader));
+  transaction.m_removals = removed;
   leader->m_is_removing = true;
   const std::weak_ptr<Leader> weak = leader;
   leader->m_runtime.m_store.m_commit(
@@ -315,10 +431,7 @@
         if (!self) return;
         self->m_is_removing = false;
         if (!result || !result.assume_value().m_is_applied) return;
-        for (const JobKey& key : removed) {
-          self->m_fleet.m_ended_jobs.erase(key);
-          self->m_progress_revisions.erase(key);
-        }
+        ForgetItems(*self, removed);
       });
 }
 
--- a/services/daisyarchd/fleet/store_keys.h
+++ b/services/daisyarchd/fleet/store_keys.h
@@ -23,7 +23,7 @@
 inline const std::string kHandoverKey = "daisyarch/lead/handover";
 /// Accepted jobs that are unfinished, and their cancellations.
 inline const std::string kJobPrefix = "daisyarch/jobs/";
-/// State of each job, and progress of its tasks.
+/// State of each job, and progress of its tasks, in parts.
 inline const std::string kProgressPrefix = "daisyarch/progress/";
 /// How many jobs of each queue have not started, as counted by the leader.
 inline const std::string kPendingKey = "daisyarch/pending";
@@ -42,6 +42,12 @@
   return kProgressPrefix + key.value();
 }
 
+/// Returns the key of one part of a job's progress; part 0 is the item above.
+inline std::string ProgressPartKey(const JobKey& key, ProgressPart part) {
+  if (part == ProgressPart()) return ProgressItemKey(key);
+  return ProgressItemKey(key) + "/" + std::to_string(part.value());
+}
+
 inline std::string RosterItemKey(const WorkerId& worker) {
   return kRosterPrefix + worker.value();
 }
--- a/tests/decisions/fleet/crash_count_test.cc
+++ b/tests/decisions/fleet/crash_count_test.cc
@@ -147,8 +147,8 @@
   FailPoll(fixture, start.m_worker.value(), PollFailure::kClosed);
   // The count is stored before the lease has expired and the task starts again.
   const ChangeBatch batch = TakeChanges(fixture.m_fleet);
-  REQUIRE(batch.m_jobs.size() == 1);
-  const JobProgress& progress = batch.m_jobs.front().m_progress;
+  REQUIRE(batch.m_changes.size() == 1);
+  const JobProgress& progress = batch.m_changes.front().m_progress;
   REQUIRE(progress.m_tasks.size() == 1);
   CHECK(progress.m_tasks.front().m_crashed_runs ==
         std::vector<RunNumber>{start.m_run});
@@ -390,8 +390,8 @@
   LoseBoth(fixture, PlaceOne(fixture), 20);
   CHECK(StateOf(fixture, "job") == JobState::kRunning);
   const ChangeBatch batch = TakeChanges(fixture.m_fleet);
-  REQUIRE(batch.m_jobs.size() == 1);
-  const JobProgress& progress = batch.m_jobs.front().m_progress;
+  REQUIRE(batch.m_changes.size() == 1);
+  const JobProgress& progress = batch.m_changes.front().m_progress;
   REQUIRE(progress.m_tasks.front().m_doubtful_runs.size() == 1);
   FleetFixture next;
   AddReadyWorkers(next, 3, kCore);
--- /dev/null
+++ b/tests/decisions/fleet/job_progress_test.cc
@@ -0,0 +1,120 @@
+#include "decisions/fleet/job_progress.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+#include <utility>
+
+#include "decisions/fleet/fleet_fixture.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+const Millicores kCore(1000);
+
+// 5 occurrences of steps with 100, 1 and 150 tasks.
+JobPlan MakeLargePlan() {
+  JobPlan plan = MakePlan("job", 100, kCore);
+  StepPlan step = plan.m_steps.front();
+  step.m_task_count = 1;
+  plan.m_steps.push_back(step);
+  step.m_task_count = 150;
+  plan.m_steps.push_back(step);
+  plan.m_occurrences = 5;
+  return plan;
+}
+
+Job& AddLargeJob(FleetFixture& fixture, const JobProgress& progress) {
+  AddJob(fixture.m_fleet, MakeLargePlan(), progress, fixture.m_now);
+  return *FindJob(fixture.m_fleet, JobKey("job"));
+}
+
+void StartAllTasks(Job& job) {
+  for (StepRun& step_run : job.m_steps) {
+    for (Task& task : step_run.m_tasks) task.m_run = RunNumber(1);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("The parts of a job's progress hold each of its tasks once") {
+  FleetFixture fixture;
+  Job& job = AddLargeJob(fixture, {});
+  StartAllTasks(job);
+  std::set<std::pair<std::uint32_t, std::uint32_t>> seen;
+  for (std::uint64_t number = 0; number < 10; ++number) {
+    const ProgressPart part(number);
+    const JobProgress progress = ProgressOf(job, part, 0);
+    CHECK(progress.m_tasks.size() <= kTasksPerPart);
+    for (const TaskProgress& task : progress.m_tasks) {
+      CHECK(PartOf(job, task.m_step_run, task.m_index) == part);
+      CHECK(seen.emplace(task.m_step_run, task.m_index).second);
+    }
+  }
+  CHECK(seen.size() == 5U * 251);
+}
+
+TEST_CASE("Only the changed parts of a job are taken for storing") {
+  FleetFixture fixture;
+  Job& job = AddLargeJob(fixture, {});
+  StartAllTasks(job);
+  job.m_has_started = true;
+  const TaskReference last{JobKey("job"), 4, 2, 149};
+  MarkTaskChanged(fixture.m_fleet, job, last);
+  ChangeBatch batch = TakeChanges(fixture.m_fleet);
+  // The state has changed as well, and is stored last.
+  REQUIRE(batch.m_changes.size() == 2);
+  CHECK(batch.m_changes.front().m_part == PartOf(job, 14, 149));
+  CHECK(batch.m_changes.back().m_part == ProgressPart());
+  CHECK(batch.m_changes.back().m_progress.m_state == JobState::kRunning);
+  ApplyStoredBatch(fixture.m_fleet, batch);
+  MarkTaskChanged(fixture.m_fleet, job, last);
+  batch = TakeChanges(fixture.m_fleet);
+  REQUIRE(batch.m_changes.size() == 1);
+  CHECK(batch.m_changes.front().m_part == PartOf(job, 14, 149));
+}
+
+// Guards against the loss of progress that an earlier version stored in one
+// item, when that item is next written.
+TEST_CASE("Progress that was stored in one item is divided into parts") {
+  FleetFixture fixture;
+  JobProgress stored;
+  stored.m_state = JobState::kRunning;
+  for (std::uint32_t index = 0; index < 150; ++index) {
+    TaskProgress task;
+    task.m_step_run = 5;
+    task.m_index = index;
+    task.m_run = RunNumber(1);
+    task.m_is_done = true;
+    stored.m_tasks.push_back(task);
+    // A part may have been written already.
+    if (index == 149) stored.m_tasks.push_back(task);
+  }
+  Job& job = AddLargeJob(fixture, stored);
+  CHECK(job.m_steps[5].m_done == 150);
+  MarkChanged(fixture.m_fleet, job);
+  const ChangeBatch batch = TakeChanges(fixture.m_fleet);
+  REQUIRE(batch.m_changes.size() == 3);
+  std::size_t tasks = 0;
+  for (const JobChange& change : batch.m_changes) {
+    tasks += change.m_progress.m_tasks.size();
+  }
+  CHECK(tasks == 150);
+  CHECK(batch.m_changes.back().m_part == ProgressPart());
+}
+
+TEST_CASE("The longest checkpoints are left out of progress that is too long") {
+  JobProgress progress;
+  for (const std::size_t length : {10, 1000, 20, 500}) {
+    progress.m_tasks.emplace_back();
+    progress.m_tasks.back().m_checkpoint = std::string(length, 'c');
+  }
+  CHECK(RemoveLongCheckpoints(progress, 2000) == 0);
+  CHECK(RemoveLongCheckpoints(progress, 100) == 2);
+  CHECK(progress.m_tasks[0].m_checkpoint.size() == 10);
+  CHECK(progress.m_tasks[1].m_checkpoint.empty());
+  CHECK(progress.m_tasks[2].m_checkpoint.size() == 20);
+  CHECK(progress.m_tasks[3].m_checkpoint.empty());
+}
+
+}  // namespace daisyarch::fleet
--- a/tests/decisions/fleet/late_start_test.cc
+++ b/tests/decisions/fleet/late_start_test.cc
@@ -326,12 +326,12 @@
   const StartOrder first = SendUnanswered(earlier);
   SetTime(earlier.m_fleet, earlier.m_now, kUnixMs);
   const ChangeBatch stored = TakeChanges(earlier.m_fleet);
-  REQUIRE(stored.m_jobs.size() == 1);
+  REQUIRE(stored.m_changes.size() == 1);
   FleetFixture next;
   next.m_now = TimePoint(seconds(700));
   SetTime(next.m_fleet, next.m_now, kUnixMs + 1000);
   AddJob(next.m_fleet, MakePlan("job", 1, kCore),
-         stored.m_jobs.front().m_progress, next.m_now);
+         stored.m_changes.front().m_progress, next.m_now);
   AddReadyWorkers(next, 2, kCore);
   CHECK_FALSE(IsPlacedAnywhere(next));
   Wait(next, milliseconds(400));
--- a/tests/decisions/fleet/pending_count_test.cc
+++ b/tests/decisions/fleet/pending_count_test.cc
@@ -37,7 +37,8 @@
 bool IsPendingForNextLeader(FleetFixture& fixture) {
   FleetFixture next;
   const Job& job = *FindJob(fixture.m_fleet, kJob);
-  AddJob(next.m_fleet, job.m_plan, ProgressOf(job, 0), next.m_now);
+  AddJob(next.m_fleet, job.m_plan, ProgressOf(job, ProgressPart(), 0),
+         next.m_now);
   return IsPending(next.m_fleet);
 }
 
--- a/tests/decisions/fleet/reports_test.cc
+++ b/tests/decisions/fleet/reports_test.cc
@@ -185,8 +185,8 @@
   const Worker& worker = *FindWorker(fixture.m_fleet, WorkerId("w0"));
   CHECK(worker.m_stored_end == OutcomeNumber(0));
   const ChangeBatch batch = TakeChanges(fixture.m_fleet);
-  REQUIRE(batch.m_jobs.size() == 1);
-  CHECK(batch.m_jobs.front().m_progress.m_state == JobState::kCompleted);
+  REQUIRE(batch.m_changes.size() == 1);
+  CHECK(batch.m_changes.front().m_progress.m_state == JobState::kCompleted);
   ApplyStoredBatch(fixture.m_fleet, batch);
   CHECK(worker.m_stored_end == OutcomeNumber(1));
   CHECK(FindJob(fixture.m_fleet, JobKey("job")) == nullptr);
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <set>
@@ -21,6 +22,10 @@
   double m_late_effect_probability = 0;
   /// Writes of keys with this prefix time out and have no effect; "": none do.
   std::string m_lost_write_prefix;
+  /// The store rejects larger values; 0: it has no limit.
+  std::size_t m_maximum_value_bytes = 0;
+  /// The store rejects writes of keys with this prefix; "": none.
+  std::string m_rejected_write_prefix;
   /// Removals of keys with this prefix time out and take effect 4 s after they
   /// were sent; "": none do.
   std::string m_late_removal_prefix;
--- a/tests/fakes/fake_site_links.cc
+++ b/tests/fakes/fake_site_links.cc
@@ -110,6 +110,21 @@
                      });
 }
 
+// Returns whether the store rejects this write as malformed.
+bool IsWriteRejected(const FakeSite& site,
+                     const StoreTransaction& transaction) {
+  const SiteFaults& faults = site.m_faults;
+  return std::any_of(transaction.m_puts.begin(), transaction.m_puts.end(),
+                     [&](const StorePut& put) {
+                       const bool is_too_large =
+                           faults.m_maximum_value_bytes > 0 &&
+                           put.m_value.size() > faults.m_maximum_value_bytes;
+                       return is_too_large ||
+                              HasPrefix(put.m_key,
+                                        faults.m_rejected_write_prefix);
+                     });
+}
+
 // Returns whether the faults of the site delay this write.
 bool IsRemovalLate(const FakeSite& site, const StoreTransaction& transaction) {
   return std::any_of(
@@ -381,6 +396,10 @@
             return Error{ErrorCode::kNotFound, "commit", "store",
                          "a lease has ended"};
           }
+          if (IsWriteRejected(site, transaction)) {
+            return Error{ErrorCode::kInvalidArgument, "commit", "store",
+                         "status 400"};
+          }
           return Apply(site.m_store, transaction);
         });
   };
--- /dev/null
+++ b/tests/invariants/large_job_test.cc
@@ -0,0 +1,127 @@
+#include <catch2/catch.hpp>
+
+#include "fakes/fake_site.h"
+#include "fleet/store_keys.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+using std::chrono::seconds;
+
+constexpr std::uint32_t kManyTasks = 1000;
+// Less than the progress of a job of that many tasks, more than one part of it.
+constexpr std::size_t kMaximumValueBytes = 20000;
+constexpr int kWorkers = 8;
+// The tasks run in 8 turns of up to 1.5 s, some of them more than once.
+constexpr Duration kCompletion = seconds(60);
+const Resources kCapacity{Millicores(16000), Mebibytes(64000), Accelerators(0)};
+
+void BuildSite(FakeSite& site) {
+  site.m_routes = MakeTestRoutes();
+  for (int number = 0; number < kWorkers; ++number) {
+    AddSiteWorker(site, "w" + std::to_string(number), kCapacity);
+  }
+  for (int number = 0; number < 3; ++number) {
+    AddSiteNode(site, "n" + std::to_string(number));
+  }
+  RunFor(site.m_loop, seconds(12));
+}
+
+void Submit(FakeSite& site, int number, std::uint32_t tasks) {
+  SubmitToSite(site, *site.m_nodes.front(), MakeTestJob(number, tasks));
+}
+
+bool IsCompleted(const FakeSite& site, int number) {
+  return ReadStoredState(site, MakeTestJob(number, 1).m_key) ==
+         JobState::kCompleted;
+}
+
+std::size_t CountProgressItems(const FakeSite& site, int number) {
+  const std::string prefix = ProgressItemKey(MakeTestJob(number, 1).m_key);
+  std::size_t count = 0;
+  for (const auto& entry : site.m_store.m_entries) {
+    if (entry.first.compare(0, prefix.size(), prefix) == 0) ++count;
+  }
+  return count;
+}
+
+std::size_t CountUnacknowledgedEnds(const FakeSite& site) {
+  std::size_t count = 0;
+  for (const auto& entry : site.m_workers)
+    count += entry.second->m_ended.size();
+  return count;
+}
+
+}  // namespace
+
+// Guards against a job whose progress outgrows one value of the store: nothing
+// was stored any more, and no job ended.
+TEST_CASE("A job with more progress than one value holds is completed") {
+  FakeSite site(1);
+  site.m_faults.m_maximum_value_bytes = kMaximumValueBytes;
+  BuildSite(site);
+  Submit(site, 0, kManyTasks);
+  RunFor(site.m_loop, seconds(3));
+  Submit(site, 1, 4);
+  CHECK(RunUntilTrue(site.m_loop, kCompletion,
+                     [&site] { return IsCompleted(site, 1); }));
+  CHECK(RunUntilTrue(site.m_loop, kCompletion,
+                     [&site] { return IsCompleted(site, 0); }));
+  RunFor(site.m_loop, seconds(10));
+  CHECK(site.m_violation == "");
+  CHECK(site.m_repeated_task == "");
+  CHECK(CountUnacknowledgedEnds(site) == 0);
+  CHECK(CountProgressItems(site, 0) == 1);
+}
+
+// Guards against parts of a job's progress that the next leader does not read.
+TEST_CASE("The next leader continues a job that is stored in parts") {
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    INFO("seed " << seed);
+    FakeSite site(seed);
+    site.m_faults.m_maximum_value_bytes = kMaximumValueBytes;
+    BuildSite(site);
+    Submit(site, 0, kManyTasks);
+    RunFor(site.m_loop, seconds(3));
+    for (int takeover = 0; takeover < 2; ++takeover) {
+      REQUIRE(FindLeader(site) != nullptr);
+      CHECK(CountProgressItems(site, 0) > 1);
+      const std::string name = FindLeader(site)->m_name;
+      KillSiteNode(site, *FindLeader(site));
+      AddSiteNode(site, name);
+      RunFor(site.m_loop, seconds(6));
+    }
+    CHECK(RunUntilTrue(site.m_loop, kCompletion,
+                       [&site] { return IsCompleted(site, 0); }));
+    RunFor(site.m_loop, seconds(10));
+    CHECK(site.m_violation == "");
+    CHECK(site.m_repeated_task == "");
+    CHECK(CountProgressItems(site, 0) == 1);
+  }
+}
+
+// Guards against one write that the store rejects and that holds up all others.
+TEST_CASE("A job whose progress is rejected holds up no other job") {
+  FakeSite site(1);
+  BuildSite(site);
+  site.m_faults.m_rejected_write_prefix =
+      ProgressItemKey(MakeTestJob(0, 1).m_key);
+  Submit(site, 0, 4);
+  RunFor(site.m_loop, seconds(2));
+  Submit(site, 1, 4);
+  CHECK(RunUntilTrue(site.m_loop, seconds(10),
+                     [&site] { return IsCompleted(site, 1); }));
+  CHECK_FALSE(IsCompleted(site, 0));
+  // No end whose outcome may not be stored is acknowledged.
+  CHECK(CountUnacknowledgedEnds(site) > 0);
+  site.m_faults.m_rejected_write_prefix.clear();
+  CHECK(RunUntilTrue(site.m_loop, seconds(10),
+                     [&site] { return IsCompleted(site, 0); }));
+  RunFor(site.m_loop, seconds(5));
+  CHECK(CountUnacknowledgedEnds(site) == 0);
+  CHECK(site.m_violation == "");
+  CHECK(site.m_repeated_task == "");
+}
+
+}  // namespace daisyarch::fleet
