fleet: Log what the leader's time is spent on

Change: leader_status counts answers to polls, those of ends that were applied before, the ends listed, and the time of each part.

--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -373,17 +373,20 @@
 
 void RunSchedulingPass(const LeaderPointer& leader) {
   leader->m_is_pass_requested = false;
-  ++leader->m_pass_count;
+  ++leader->m_load.m_passes;
   Fleet& fleet = leader->m_fleet;
-  TickFleet(fleet, Now(*leader), leader->m_runtime.m_clock.m_unix_ms());
+  const TimePoint ticked_at = Now(*leader);
+  TickFleet(fleet, ticked_at, leader->m_runtime.m_clock.m_unix_ms());
   bool has_unfinished_pass = false;
   const TimePoint began_at = Now(*leader);
+  leader->m_load.m_tick_time += began_at - ticked_at;
   if (fleet.m_needs_placement && leader->m_has_worker_listing &&
       began_at >= leader->m_next_placement_at && leader->m_may_start_runs()) {
     has_unfinished_pass = PlaceRuns(fleet, began_at);
     SendOrders(leader);
     // Leaves at least half of the loop's time to everything else.
     const TimePoint ended_at = Now(*leader);
+    leader->m_load.m_placement_time += ended_at - began_at;
     leader->m_next_placement_at = ended_at + (ended_at - began_at);
   }
   SendOrders(leader);
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -42,6 +42,19 @@
   std::uint64_t m_line_count = 0;  ///< Written or dropped.
 };
 
+/// What the leader has handled since its last status line, and the time that it
+/// took.
+struct LoopLoad {
+  std::uint64_t m_passes = 0;   ///< Scheduling passes.
+  std::uint64_t m_reports = 0;  ///< Answers to polls.
+  /// Reports whose ends were all applied before, but may not be acknowledged.
+  std::uint64_t m_withheld_reports = 0;
+  std::uint64_t m_listed_ends = 0;  ///< In all reports.
+  Duration m_report_time{};
+  Duration m_placement_time{};
+  Duration m_tick_time{};  ///< In TickFleet().
+};
+
 /// What a node needs while it leads: the fleet, and the state of its calls to
 /// the store and the workers.
 struct Leader {
@@ -103,7 +116,7 @@
   TimePoint m_ticked_at{};
   Duration m_tick_gap{};             ///< Smoothed.
   Duration m_longest_tick_gap{};     ///< Since the last status line.
-  std::uint64_t m_pass_count = 0;    ///< Scheduling passes since then.
+  LoopLoad m_load;                   ///< Since then.
   TimePoint m_jobs_watch_lost_at{};  ///< When its failure was last logged.
 };
 
--- a/services/daisyarchd/fleet/leader_log.cc
+++ b/services/daisyarchd/fleet/leader_log.cc
@@ -85,7 +85,15 @@
       LogLevel::kInfo, "leader_status",
       {{"term", leader.m_claim.m_term.value()},
        {"tick_gap_ms", ToMilliseconds(leader.m_longest_tick_gap)},
-       {"passes", leader.m_pass_count},
+       {"passes", leader.m_load.m_passes},
+       {"tick_ms", ToMilliseconds(leader.m_load.m_tick_time)},
+       {"placement_ms", ToMilliseconds(leader.m_load.m_placement_time)},
+       {"reports", leader.m_load.m_reports},
+       {"reports_withheld", leader.m_load.m_withheld_reports},
+       {"ends_listed", leader.m_load.m_listed_ends},
+       {"report_ms", ToMilliseconds(leader.m_load.m_report_time)},
+       {"late_start_workers",
+        std::uint64_t{leader.m_fleet.m_late_starts.size()}},
        {"listing_age_ms", AgeInMilliseconds(leader.m_fleet.m_listed_at, now)},
        {"jobs_watch_age_ms",
         AgeInMilliseconds(leader.m_jobs_watch->m_answered_at, now)},
@@ -118,7 +126,7 @@
   metrics.SetGauge("daisyarch_leader_waiting_tasks",
                    static_cast<double>(summary.m_waiting));
   leader.m_longest_tick_gap = Duration{};
-  leader.m_pass_count = 0;
+  leader.m_load = {};
 }
 
 void LogWaitEnd(Leader& leader) {
--- a/services/daisyarchd/fleet/leader_orders.cc
+++ b/services/daisyarchd/fleet/leader_orders.cc
@@ -103,6 +103,22 @@
   }
 }
 
+void HandleReport(Leader& leader, const PollOrder& order,
+                  const WorkerReport& report) {
+  const TimePoint began_at = Now(leader);
+  const Worker* worker = FindWorker(leader.m_fleet, order.m_worker);
+  LoopLoad& load = leader.m_load;
+  ++load.m_reports;
+  load.m_listed_ends += report.m_ended.size();
+  const bool is_withheld =
+      worker != nullptr && !report.m_ended.empty() &&
+      report.m_ended.back().m_number <= worker->m_applied_end;
+  if (is_withheld) ++load.m_withheld_reports;
+  ApplyReport(leader.m_fleet, order.m_worker, order.m_poll_number,
+              order.m_token, report, began_at);
+  load.m_report_time += Now(leader) - began_at;
+}
+
 void SendOrder(const LeaderPointer& leader, const PollOrder& order) {
   const std::weak_ptr<Leader> weak = leader;
   leader->m_runtime.m_order_sender.m_poll(
@@ -121,8 +137,7 @@
                                : PollFailure::kUnanswered,
                            Now(*self));
         } else {
-          ApplyReport(self->m_fleet, order.m_worker, order.m_poll_number,
-                      order.m_token, result.assume_value(), Now(*self));
+          HandleReport(*self, order, result.assume_value());
         }
         RequestSchedulingPass(self);
       });
