fleet: Send several transactions of a batch at a time

Cause: a batch of changed jobs was stored in one transaction after the other, each with the progress of 10 to 15 jobs. A busy loop handles the answer of one only in its next turn, 100 to 200 ms later, so that some 40 jobs a second were stored. Ends that are not stored are not acknowledged, so workers answer polls at once and list them again, up to 170,000 a second in all, which keeps the loop busy: the leader did not leave this state once it had got into it. Late orders bring it about: they withhold ends for 12 s, and the one leader had 52 to 295 such workers.

Change: up to eight transactions of a batch are in flight. Their keys differ, and each expects the revisions that it replaces, so they may be applied in any order; only part 0 of a job still follows its other parts.

Result: the new test fails with one transaction at a time (ends not acknowledged 4 s after the last one) and passes.

--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -23,17 +23,22 @@
   Predecessor m_predecessor;  ///< As known when the claim was written.
 };
 
-/// Writes one batch of changes to the store, one transaction at a time.
+/// A transaction that stores a range of a batch's changes.
+struct ProgressTransaction {
+  std::size_t m_begin = 0;  ///< Index of its first change.
+  std::size_t m_end = 0;    ///< Index past its last change.
+  StoreTransaction m_transaction;
+  bool m_is_in_flight = false;
+  TimePoint m_retry_at{};  ///< When it is sent again, if it is not in flight.
+};
+
+/// Writes one batch of changes to the store, several transactions at a time.
 struct BatchWriter {
   ChangeBatch m_batch;
-  std::size_t m_next_change = 0;  ///< Index of the first one not yet stored.
-  bool m_is_commit_in_flight = false;
-  TimePoint m_retry_at{};
+  std::size_t m_next_change = 0;  ///< Index of the first in no transaction yet.
+  /// The transactions that are not applied yet, by m_begin.
+  std::map<std::size_t, ProgressTransaction> m_open;
   bool m_is_failing = false;  ///< The last call got no answer or an error.
-  StoreTransaction m_transaction;
-  std::size_t m_transaction_end = 0;  ///< Index past its last change.
-  /// The store has rejected a transaction, and its changes are sent one by one.
-  bool m_is_isolating = false;
 };
 
 /// Counts the log lines of one kind since the start of its period.
--- a/tests/invariants/large_job_test.cc
+++ b/tests/invariants/large_job_test.cc
@@ -17,10 +17,10 @@
 constexpr Duration kCompletion = seconds(60);
 const Resources kCapacity{Millicores(16000), Mebibytes(64000), Accelerators(0)};
 
-void BuildSite(FakeSite& site) {
+void BuildSite(FakeSite& site, const Resources& capacity = kCapacity) {
   site.m_routes = MakeTestRoutes();
   for (int number = 0; number < kWorkers; ++number) {
-    AddSiteWorker(site, "w" + std::to_string(number), kCapacity);
+    AddSiteWorker(site, "w" + std::to_string(number), capacity);
   }
   for (int number = 0; number < 3; ++number) {
     AddSiteNode(site, "n" + std::to_string(number));
@@ -75,6 +75,34 @@
   CHECK(CountProgressItems(site, 0) == 1);
 }
 
+// Guards against ends that are not acknowledged for seconds: on a busy loop,
+// each transaction of a batch waited for the one before.
+TEST_CASE("A busy leader acknowledges the ends of many jobs in time") {
+  constexpr int kJobs = 600;
+  // The users allow 4 s.
+  constexpr Duration kAcknowledgement = seconds(4);
+  const Resources capacity{Millicores(400000), Mebibytes(400000),
+                           Accelerators(0)};
+  FakeSite site(1);
+  BuildSite(site, capacity);
+  for (const auto& entry : site.m_workers) {
+    entry.second->m_plan_run = [&site](const TaskReference&, RunNumber) {
+      ModelRun run;
+      run.m_ends_at = site.m_loop.m_now + seconds(1);
+      return run;
+    };
+  }
+  REQUIRE(FindLeader(site) != nullptr);
+  SlowSiteNode(site, *FindLeader(site), std::chrono::milliseconds(200),
+               seconds(60));
+  for (int number = 0; number < kJobs; ++number) Submit(site, number, 2);
+  REQUIRE(RunUntilTrue(site.m_loop, seconds(30),
+                       [&site] { return site.m_done.size() == kJobs * 4U; }));
+  CHECK(RunUntilTrue(site.m_loop, kAcknowledgement,
+                     [&site] { return CountUnacknowledgedEnds(site) == 0; }));
+  CHECK(site.m_violation == "");
+}
+
 // Guards against parts of a job's progress that the next leader does not read.
 TEST_CASE("The next leader continues a job that is stored in parts") {
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
