--- a/libraries/decisions/fleet/change_batch.h
+++ b/libraries/decisions/fleet/change_batch.h
@@ -19,7 +19,8 @@
 /// Changes that are stored together, and the last applied ended run of each
 /// worker, which can be acknowledged once they are stored.
 struct ChangeBatch {
-  std::vector<JobChange> m_changes;  ///< The last of a job may be its part 0.
+  /// Part 0 of a job, if it has changed, follows the job's other parts.
+  std::vector<JobChange> m_changes;
   struct AppliedEnd {
     Incarnation m_incarnation;
     OutcomeNumber m_end;
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -52,8 +52,9 @@
 struct LoopLoad {
   std::uint64_t m_passes = 0;   ///< Scheduling passes.
   std::uint64_t m_reports = 0;  ///< Answers to polls.
-  /// Reports whose ends were all applied before, but may not be acknowledged.
-  std::uint64_t m_withheld_reports = 0;
+  /// Reports that list only ends which were applied before: they are not stored
+  /// yet, or may not be acknowledged yet.
+  std::uint64_t m_repeated_reports = 0;
   std::uint64_t m_listed_ends = 0;  ///< In all reports.
   Duration m_report_time{};
   Duration m_placement_time{};
--- a/services/daisyarchd/fleet/leader_orders.cc
+++ b/services/daisyarchd/fleet/leader_orders.cc
@@ -110,10 +110,10 @@
   LoopLoad& load = leader.m_load;
   ++load.m_reports;
   load.m_listed_ends += report.m_ended.size();
-  const bool is_withheld =
+  const bool is_repeated =
       worker != nullptr && !report.m_ended.empty() &&
       report.m_ended.back().m_number <= worker->m_applied_end;
-  if (is_withheld) ++load.m_withheld_reports;
+  if (is_repeated) ++load.m_repeated_reports;
   ApplyReport(leader.m_fleet, order.m_worker, order.m_poll_number,
               order.m_token, report, began_at);
   load.m_report_time += Now(leader) - began_at;
