fleet: Log the cost of stored progress and of orders

Cause: `leader_status` had no time for writing progress, which a profile shows as the largest part, and `placement_ms` included the sending of orders. Change: rows and bytes written, the time for writing them, orders sent and their time are on the line; `placement_ms` is that of PlaceRuns() alone.

--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -383,10 +383,10 @@
   if (fleet.m_needs_placement && leader->m_has_worker_listing &&
       began_at >= leader->m_next_placement_at && leader->m_may_start_runs()) {
     has_unfinished_pass = PlaceRuns(fleet, began_at);
+    leader->m_load.m_placement_time += Now(*leader) - began_at;
     SendOrders(leader);
     // Leaves at least half of the loop's time to everything else.
     const TimePoint ended_at = Now(*leader);
-    leader->m_load.m_placement_time += ended_at - began_at;
     leader->m_next_placement_at = ended_at + (ended_at - began_at);
   }
   SendOrders(leader);
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -57,8 +57,13 @@
   std::uint64_t m_repeated_reports = 0;
   std::uint64_t m_listed_ends = 0;  ///< In all reports.
   Duration m_report_time{};
-  Duration m_placement_time{};
-  Duration m_tick_time{};  ///< In TickFleet().
+  Duration m_placement_time{};  ///< In PlaceRuns().
+  Duration m_tick_time{};       ///< In TickFleet().
+  std::uint64_t m_orders = 0;   ///< Sent to workers, polls included.
+  Duration m_order_time{};
+  std::uint64_t m_written_rows = 0;   ///< Rows in the values that were written.
+  std::uint64_t m_written_bytes = 0;  ///< Of these values.
+  Duration m_write_time{};  ///< Spent on taking, encoding and sending them.
 };
 
 /// What a node needs while it leads: the fleet, and the state of its calls to
--- a/services/daisyarchd/fleet/leader_orders.cc
+++ b/services/daisyarchd/fleet/leader_orders.cc
@@ -149,11 +149,15 @@
   Fleet& fleet = leader->m_fleet;
   const std::vector<Order> orders = std::move(fleet.m_orders);
   fleet.m_orders.clear();
+  if (orders.empty()) return;
+  const TimePoint began_at = Now(*leader);
   for (const Order& order : orders) {
     std::visit(
         [&](const auto& concrete_order) { SendOrder(leader, concrete_order); },
         order);
   }
+  leader->m_load.m_orders += orders.size();
+  leader->m_load.m_order_time += Now(*leader) - began_at;
 }
 
 }  // namespace daisyarch::fleet
--- a/services/daisyarchd/fleet/progress_writer.cc
+++ b/services/daisyarchd/fleet/progress_writer.cc
@@ -62,6 +62,8 @@
 void AddChange(Leader& leader, JobChange& change, std::string value,
                StoreTransaction& transaction) {
   const std::string key = ProgressPartKey(change.m_key, change.m_part);
+  leader.m_load.m_written_rows += change.m_progress.m_tasks.size();
+  leader.m_load.m_written_bytes += value.size();
   transaction.m_expectations.push_back({key, ProgressRevision(leader, key)});
   transaction.m_puts.push_back({key, std::move(value), StoreLeaseId()});
   if (!change.m_has_ended) return;
@@ -276,15 +278,18 @@
 
 void HandleTransactionResult(const LeaderPointer& leader, std::size_t begin,
                              const Result<TransactionResult>& result) {
+  const TimePoint began_at = Now(*leader);
   auto& transactions = leader->m_writer.m_open;
   ProgressTransaction& open = transactions.at(begin);
   open.m_is_in_flight = false;
   const bool is_over =
       result ? HandleAnswer(leader, open, result.assume_value())
              : HandleWriteError(*leader, open, result.assume_error());
-  if (!is_over) return;
-  transactions.erase(begin);
-  ContinueBatch(leader);
+  if (is_over) {
+    transactions.erase(begin);
+    ContinueBatch(leader);
+  }
+  leader->m_load.m_write_time += Now(*leader) - began_at;
 }
 
 void SendTransaction(const LeaderPointer& leader, ProgressTransaction& open) {
@@ -317,6 +322,17 @@
   RequestSchedulingPass(leader);
 }
 
+// Takes the changes of the fleet and begins to store them.
+void BeginBatch(const LeaderPointer& leader) {
+  BatchWriter& writer = leader->m_writer;
+  writer.m_batch = TakeChanges(leader->m_fleet);
+  writer.m_next_change = 0;
+  if (writer.m_batch.m_changes.empty()) {
+    return ApplyStoredBatch(leader->m_fleet, writer.m_batch);
+  }
+  ContinueBatch(leader);
+}
+
 void RetryTransactions(const LeaderPointer& leader) {
   for (auto& [begin, open] : leader->m_writer.m_open) {
     if (open.m_is_in_flight || Now(*leader) < open.m_retry_at) continue;
@@ -327,8 +343,7 @@
 }  // namespace
 
 void WriteChanges(const LeaderPointer& leader) {
-  Fleet& fleet = leader->m_fleet;
-  BatchWriter& writer = leader->m_writer;
+  const Fleet& fleet = leader->m_fleet;
   if (fleet.m_is_storing) return RetryTransactions(leader);
   if (fleet.m_changed_jobs.empty() &&
       fleet.m_worker_index.m_unstored_ends.empty()) {
@@ -337,13 +352,10 @@
   if (!fleet.m_has_urgent_change && Now(*leader) < leader->m_next_write_at) {
     return;
   }
-  leader->m_next_write_at = Now(*leader) + kWriteInterval;
-  writer.m_batch = TakeChanges(fleet);
-  writer.m_next_change = 0;
-  if (writer.m_batch.m_changes.empty()) {
-    return ApplyStoredBatch(fleet, writer.m_batch);
-  }
-  ContinueBatch(leader);
+  const TimePoint began_at = Now(*leader);
+  leader->m_next_write_at = began_at + kWriteInterval;
+  BeginBatch(leader);
+  leader->m_load.m_write_time += Now(*leader) - began_at;
 }
 
 }  // namespace daisyarch::fleet
