fleet: Log orders by kind and the time of batches

Cause: with the time spent on writes was known, but not how long a batch takes from its first change to its last answer, nor which orders are sent. Change: `leader_status` counts starts, stops, limits and polls, batches, and has the longest time of a batch. Result: no decision changed.

--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,6 +36,7 @@
 /// Writes one batch of changes to the store, several transactions at a time.
 struct BatchWriter {
   ChangeBatch m_batch;
+  TimePoint m_began_at{};
   std::size_t m_next_change = 0;  ///< Index of the first in no transaction yet.
   /// The transactions that are not applied yet, by m_begin.
   std::map<std::size_t, ProgressTransaction> m_open;
@@ -59,8 +61,11 @@
   Duration m_report_time{};
   Duration m_placement_time{};  ///< In PlaceRuns().
   Duration m_tick_time{};       ///< In TickFleet().
-  std::uint64_t m_orders = 0;   ///< Sent to workers, polls included.
+  /// Orders to workers of each kind, by index into Order.
+  std::array<std::uint64_t, std::variant_size_v<Order>> m_orders{};
   Duration m_order_time{};
+  std::uint64_t m_batches = 0;  ///< Batches of changes that were stored.
+  Duration m_longest_batch{};   ///< From taking its changes to the last answer.
   std::uint64_t m_written_rows = 0;   ///< Rows in the values that were written.
   std::uint64_t m_written_bytes = 0;  ///< Of these values.
   Duration m_write_time{};  ///< Spent on taking, encoding and sending them.
--- a/services/daisyarchd/fleet/leader_log.cc
+++ b/services/daisyarchd/fleet/leader_log.cc
@@ -79,6 +79,11 @@
   return answered_at == TimePoint() ? -1 : ToMilliseconds(now - answered_at);
 }
 
+template <typename Kind>
+std::uint64_t CountOrders(const LoopLoad& load) {
+  return load.m_orders[Order(Kind()).index()];
+}
+
 void LogStatusLine(const Leader& leader, const FleetSummary& summary,
                    TimePoint now) {
   LogEvent(
@@ -92,8 +97,13 @@
        {"reports_repeated", leader.m_load.m_repeated_reports},
        {"ends_listed", leader.m_load.m_listed_ends},
        {"report_ms", ToMilliseconds(leader.m_load.m_report_time)},
-       {"orders", leader.m_load.m_orders},
+       {"starts", CountOrders<StartOrder>(leader.m_load)},
+       {"stops", CountOrders<StopOrder>(leader.m_load)},
+       {"limits", CountOrders<ThrottleOrder>(leader.m_load)},
+       {"polls", CountOrders<PollOrder>(leader.m_load)},
        {"order_ms", ToMilliseconds(leader.m_load.m_order_time)},
+       {"batches", leader.m_load.m_batches},
+       {"batch_ms", ToMilliseconds(leader.m_load.m_longest_batch)},
        {"rows_written", leader.m_load.m_written_rows},
        {"bytes_written", leader.m_load.m_written_bytes},
        {"write_ms", ToMilliseconds(leader.m_load.m_write_time)},
--- a/services/daisyarchd/fleet/leader_orders.cc
+++ b/services/daisyarchd/fleet/leader_orders.cc
@@ -152,11 +152,11 @@
   if (orders.empty()) return;
   const TimePoint began_at = Now(*leader);
   for (const Order& order : orders) {
+    ++leader->m_load.m_orders[order.index()];
     std::visit(
         [&](const auto& concrete_order) { SendOrder(leader, concrete_order); },
         order);
   }
-  leader->m_load.m_orders += orders.size();
   leader->m_load.m_order_time += Now(*leader) - began_at;
 }
 
--- a/services/daisyarchd/fleet/progress_writer.cc
+++ b/services/daisyarchd/fleet/progress_writer.cc
@@ -317,6 +317,9 @@
     SendTransaction(leader, open);
   }
   if (!writer.m_open.empty()) return;
+  ++leader->m_load.m_batches;
+  leader->m_load.m_longest_batch = std::max(leader->m_load.m_longest_batch,
+                                            Now(*leader) - writer.m_began_at);
   ApplyStoredBatch(leader->m_fleet, writer.m_batch);
   writer.m_batch = {};
   RequestSchedulingPass(leader);
@@ -327,6 +330,7 @@
   BatchWriter& writer = leader->m_writer;
   writer.m_batch = TakeChanges(leader->m_fleet);
   writer.m_next_change = 0;
+  writer.m_began_at = Now(*leader);
   if (writer.m_batch.m_changes.empty()) {
     return ApplyStoredBatch(leader->m_fleet, writer.m_batch);
   }
