--- a/tests/decisions/fleet/job_progress_test.cc
+++ b/tests/decisions/fleet/job_progress_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include "decisions/fleet/fleet_fixture.h"
 
@@ -74,6 +75,41 @@
   CHECK(batch.m_changes.front().m_part == PartOf(job, 14, 149));
 }
 
+// Guards against a leader that spends its time on progress that has not
+// changed: each change of a task encoded the rows of all tasks of its part
+// anew.
+TEST_CASE("Each change of a task takes one row for storing", "[!shouldfail]") {
+  constexpr std::uint32_t kTasks = 100;
+  // One when all tasks are first taken, and one when the task ends.
+  constexpr std::size_t kRowsPerTask = 2;
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(1000 * kTasks));
+  fixture.m_fleet.m_limits.m_starts_per_pass = 2 * kTasks;
+  Submit(fixture, MakePlan("job", kTasks, kCore));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == kTasks);
+  for (const StartOrder& start : starts) {
+    ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                      fixture.m_now);
+  }
+  std::vector<ActiveRun> running;
+  for (const StartOrder& start : starts) running.push_back(ActiveRunOf(start));
+  std::size_t rows = 0;
+  for (std::uint32_t ends = 1; ends <= kTasks; ++ends) {
+    running.pop_back();
+    Report(fixture, "w0", running,
+           {EndedRunOf(starts[kTasks - ends], ends, RunOutcome::kDone)});
+    const ChangeBatch batch = TakeChanges(fixture.m_fleet);
+    for (const JobChange& change : batch.m_changes) {
+      rows += change.m_progress.m_tasks.size();
+    }
+    ApplyStoredBatch(fixture.m_fleet, batch);
+    Wait(fixture, std::chrono::milliseconds(10));
+  }
+  CHECK(FindJob(fixture.m_fleet, JobKey("job")) == nullptr);
+  CHECK(rows <= kRowsPerTask * kTasks);
+}
+
 // Guards against the loss of progress that an earlier version stored in one
 // item, when that item is next written.
 TEST_CASE("Progress that was stored in one item is divided into parts") {
--- a/tests/invariants/large_job_test.cc
+++ b/tests/invariants/large_job_test.cc
@@ -17,9 +17,10 @@
 constexpr Duration kCompletion = seconds(60);
 const Resources kCapacity{Millicores(16000), Mebibytes(64000), Accelerators(0)};
 
-void BuildSite(FakeSite& site, const Resources& capacity = kCapacity) {
+void BuildSite(FakeSite& site, const Resources& capacity = kCapacity,
+               int workers = kWorkers) {
   site.m_routes = MakeTestRoutes();
-  for (int number = 0; number < kWorkers; ++number) {
+  for (int number = 0; number < workers; ++number) {
     AddSiteWorker(site, "w" + std::to_string(number), capacity);
   }
   for (int number = 0; number < 3; ++number) {
@@ -103,6 +104,45 @@
   CHECK(site.m_violation == "");
 }
 
+// Guards against ends that are not acknowledged for seconds: a batch with jobs
+// of several parts waited for the answers to its transactions one after
+// another.
+TEST_CASE("A busy leader acknowledges the ends of wide jobs in time",
+          "[!shouldfail]") {
+  constexpr int kJobs = 60;
+  constexpr std::uint32_t kTasks = 160;
+  // A report lists at most 500 ends.
+  constexpr int kReporters = 24;
+  constexpr std::size_t kStarts = kJobs * kTasks;
+  // The users allow 4 s.
+  constexpr Duration kAcknowledgement = seconds(4);
+  const Resources capacity{Millicores(400000), Mebibytes(400000),
+                           Accelerators(0)};
+  FakeSite site(1);
+  BuildSite(site, capacity, kReporters);
+  // The tasks of the first steps end together, those of the last steps never.
+  const TimePoint ends_at = site.m_loop.m_now + seconds(20);
+  for (const auto& entry : site.m_workers) {
+    entry.second->m_plan_run = [ends_at](const TaskReference& task, RunNumber) {
+      ModelRun run;
+      run.m_ends_at = task.m_step == 0 ? ends_at : TimePoint::max();
+      return run;
+    };
+  }
+  for (int number = 0; number < kJobs; ++number) Submit(site, number, kTasks);
+  REQUIRE(RunUntilTrue(site.m_loop, seconds(15),
+                       [&site] { return site.m_starts == kStarts; }));
+  REQUIRE(FindLeader(site) != nullptr);
+  RunFor(site.m_loop, ends_at - site.m_loop.m_now - seconds(2));
+  SlowSiteNode(site, *FindLeader(site), std::chrono::milliseconds(400),
+               seconds(20));
+  RunFor(site.m_loop, seconds(2));
+  CHECK(RunUntilTrue(site.m_loop, kAcknowledgement, [&site] {
+    return site.m_done.size() == kStarts && CountUnacknowledgedEnds(site) == 0;
+  }));
+  CHECK(site.m_violation == "");
+}
+
 // Guards against parts of a job's progress that the next leader does not read.
 TEST_CASE("The next leader continues a job that is stored in parts") {
   for (std::uint64_t seed = 1; seed <= 3; ++seed) {
