--- a/libraries/wire/field_codec.h
+++ b/libraries/wire/field_codec.h
@@ -38,10 +38,11 @@
     m_object[name] = Write(value);
   }
 
-  /// Encodes a field that older records lack.
+  /// Encodes a field that older records lack, unless it has its default, which
+  /// a reader assumes for a missing field.
   template <typename Value>
   void Optional(const char* name, const Value& value) {
-    (*this)(name, value);
+    if (!(value == Value{})) (*this)(name, value);
   }
 
   Json Take() { return std::move(m_object); }
--- a/tests/wire/fleet_fields_test.cc
+++ b/tests/wire/fleet_fields_test.cc
@@ -29,4 +29,28 @@
   CHECK(earlier.assume_value().m_tasks.front().m_doubtful_runs.empty());
 }
 
+// Guards against a leader that is busy with fields that say nothing.
+TEST_CASE(
+    "Progress is stored without optional fields that have their default") {
+  TaskProgress task;
+  task.m_run = RunNumber(3);
+  Json json = Encode(task);
+  for (const char* field : {"crashed_runs", "doubtful_runs",
+                            "late_start_until_unix_ms", "late_start_worker"}) {
+    INFO(field);
+    CHECK(json.count(field) == 0);
+  }
+  task.m_doubtful_runs = {RunNumber(2)};
+  task.m_late_start_until_unix_ms = 5;
+  task.m_late_start_worker = WorkerId("w0");
+  json = Encode(task);
+  CHECK(json.count("crashed_runs") == 0);
+  const auto decoded = Decode<TaskProgress>(json, "read", "store");
+  REQUIRE(decoded);
+  CHECK(decoded.assume_value().m_crashed_runs.empty());
+  CHECK(decoded.assume_value().m_doubtful_runs == task.m_doubtful_runs);
+  CHECK(decoded.assume_value().m_late_start_until_unix_ms == 5);
+  CHECK(decoded.assume_value().m_late_start_worker == WorkerId("w0"));
+}
+
 }  // namespace daisyarch::fleet
