fleet: Split the taking of changes, and name the range of later parts

Cause: read as a newcomer: one lambda decided on ends, moved rows and order; a visitor that erased by its return value. Change: TakeChange() takes one part, TakeChangesOf() says which and in which order; LaterParts() is a range.

--- a/libraries/decisions/fleet/change_batch.cc
+++ b/libraries/decisions/fleet/change_batch.cc
@@ -1,30 +1,37 @@
 #include "decisions/fleet/change_batch.h"
 
+#include <set>
 #include <utility>
 
 namespace daisyarch::fleet {
 
 namespace {
 
-// Part 0 comes last, as it may have to wait for the others.
+JobChange TakeChange(const Fleet& fleet, Job& job, ProgressPart part,
+                     const std::set<TaskNumber>& tasks) {
+  return {job.m_plan.m_key, part,
+          TakeProgress(job, part, tasks, fleet.m_unix_offset_ms)};
+}
+
+// Part 0 comes last, as it may have to wait for the others. Of an ended job
+// only its final state is stored, in part 0.
 void TakeChangesOf(const Fleet& fleet, Job& job, ChangeBatch& batch) {
-  const auto parts = std::move(job.m_changed_parts);
-  job.m_changed_parts.clear();
   const bool has_ended = HasEnded(job);
-  const auto take = [&](ProgressPart part, const std::set<TaskNumber>& tasks) {
-    batch.m_changes.push_back(
-        {job.m_plan.m_key, part,
-         TakeProgress(job, part, tasks, fleet.m_unix_offset_ms),
-         has_ended && part == ProgressPart(),
-         job.m_has_rows_to_move && !has_ended && part == ProgressPart()});
-    if (part == ProgressPart()) job.m_has_rows_to_move = false;
-  };
+  auto parts = std::move(job.m_changed_parts);
+  job.m_changed_parts.clear();
+  const bool has_part_0 = has_ended || parts.count(ProgressPart()) > 0;
+  const std::set<TaskNumber> tasks_of_part_0 = parts[ProgressPart()];
+  parts.erase(ProgressPart());
+  if (has_ended) parts.clear();
   for (const auto& [part, tasks] : parts) {
-    if (!has_ended && part != ProgressPart()) take(part, tasks);
+    batch.m_changes.push_back(TakeChange(fleet, job, part, tasks));
   }
-  const auto first = parts.find(ProgressPart());
-  if (first != parts.end()) return take(ProgressPart(), first->second);
-  if (has_ended) take(ProgressPart(), {});
+  if (!has_part_0) return;
+  JobChange change = TakeChange(fleet, job, ProgressPart(), tasks_of_part_0);
+  change.m_has_ended = has_ended;
+  change.m_moves_rows = job.m_has_rows_to_move && !has_ended;
+  job.m_has_rows_to_move = false;
+  batch.m_changes.push_back(std::move(change));
 }
 
 }  // namespace
--- a/services/daisyarchd/fleet/progress_writer.cc
+++ b/services/daisyarchd/fleet/progress_writer.cc
@@ -147,32 +147,27 @@
   return open;
 }
 
-// Calls `visit` with each entry of a map by key that belongs to a part of the
-// job other than part 0, and erases the entry if it returns true.
-template <typename Value, typename Visit>
-void ForEachLaterPart(std::map<std::string, Value>& items, const JobKey& key,
-                      const Visit& visit) {
-  const std::string prefix = ProgressItemKey(key) + "/";
-  auto next = items.lower_bound(prefix);
-  while (next != items.end() &&
-         next->first.compare(0, prefix.size(), prefix) == 0) {
-    next = visit(next->first) ? items.erase(next) : std::next(next);
-  }
+// Returns the range of a map by key that holds the job's parts but part 0.
+template <typename Value>
+auto LaterParts(std::map<std::string, Value>& items, const JobKey& key) {
+  const std::string first = ProgressItemKey(key);
+  // '0' is the character after '/'.
+  return std::make_pair(items.lower_bound(first + "/"),
+                        items.lower_bound(first + "0"));
 }
 
 // Lists the stored parts of an ended job for removal.
 void ListObsoleteParts(Leader& leader, const JobKey& key) {
-  ForEachLaterPart(leader.m_progress_revisions, key,
-                   [&leader](const std::string& item) {
-                     leader.m_obsolete_parts.insert(item);
-                     return false;
-                   });
+  const auto [begin, end] = LaterParts(leader.m_progress_revisions, key);
+  for (auto next = begin; next != end; ++next) {
+    leader.m_obsolete_parts.insert(next->first);
+  }
 }
 
 void ForgetRows(Leader& leader, const JobKey& key) {
+  const auto [begin, end] = LaterParts(leader.m_encoded_rows, key);
+  leader.m_encoded_rows.erase(begin, end);
   leader.m_encoded_rows.erase(ProgressItemKey(key));
-  ForEachLaterPart(leader.m_encoded_rows, key,
-                   [](const std::string&) { return true; });
 }
 
 void RecordJobEnd(Leader& leader, const JobChange& change) {
