--- a/libraries/base/ids.h
+++ b/libraries/base/ids.h
@@ -73,5 +73,10 @@
 using StoreRevision = StrongId<struct StoreRevisionTag, std::uint64_t>;
 /// Counts the successive leaders of a fleet.
 using Term = StrongId<struct TermTag, std::uint64_t>;
+/// Counts the sessions that one leader opens with relays.
+using RelaySessionNumber =
+    StrongId<struct RelaySessionNumberTag, std::uint64_t>;
+/// Numbers the orders that one leader sends through relays.
+using OrderNumber = StrongId<struct OrderNumberTag, std::uint64_t>;
 
 }  // namespace daisyarch
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -15,6 +15,7 @@
 #include "decisions/fleet/fleet_job.h"
 #include "decisions/fleet/fleet_worker.h"
 #include "decisions/fleet/job_progress.h"
+#include "decisions/fleet/relay_link.h"
 #include "decisions/fleet/waiting_steps.h"
 
 namespace daisyarch::fleet {
@@ -246,9 +247,10 @@
 struct FleetStateMachines {
   RunStateMachine m_run;
   WorkerStateMachine m_worker;
+  RelayLinkStateMachine m_relay_link;
 };
 
-/// Loads both charts; fails with kInvalidArgument or kNotFound.
+/// Loads the charts; fails with kInvalidArgument or kNotFound.
 Result<FleetStateMachines> LoadFleetStateMachines(const std::string& directory);
 
 /// Returns the first run number of the term; higher than any run number of
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -310,7 +310,11 @@
   TRY_ASSIGN(
       WorkerStateMachine worker,
       WorkerStateMachine::Load(directory, "fleet_worker", WorkerBinding()));
-  return FleetStateMachines{std::move(run), std::move(worker)};
+  TRY_ASSIGN(
+      RelayLinkStateMachine relay_link,
+      RelayLinkStateMachine::Load(directory, "relay_link", RelayLinkBinding()));
+  return FleetStateMachines{std::move(run), std::move(worker),
+                            std::move(relay_link)};
 }
 
 }  // namespace daisyarch::fleet
