--- a/tests/fakes/fake_site.cc
+++ b/tests/fakes/fake_site.cc
@@ -19,6 +19,8 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(40);
 constexpr Duration kLeaseCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration kMaximumStartAfterCancel = std::chrono::seconds(4);
+// So that sites of a few workers use several relays.
+constexpr std::int64_t kWorkersPerRelay = 3;
 // A worker writes its entry to the store this often.
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(1500);
 // After this time and one heartbeat, a smaller capacity is binding; also this
@@ -381,6 +383,7 @@
   settings.m_state_retention = std::chrono::seconds(600);
   settings.m_maximum_target_overrun = std::chrono::seconds(4);
   settings.m_leaving_grace_period = std::chrono::seconds(2);
+  if (site.m_has_relays) settings.m_relay_address = Address{name, 1};
   auto machines = LoadFleetStateMachines(DAISYARCH_CHARTS);
   auto leadership = LeadershipStateMachine::Load(DAISYARCH_CHARTS, "leadership",
                                                  LeadershipBinding());
@@ -389,6 +392,12 @@
                    MakeOrderSender(site, node), MakeCodec(site),
                    std::move(machines).assume_value(),
                    std::move(leadership).assume_value()}});
+  if (site.m_has_relays) {
+    FleetRuntime& runtime = node.m_node->m_runtime;
+    runtime.m_call_relay = MakeRelayCaller(site, node);
+    runtime.m_relay_limits.m_direct_workers_per_core = 0;
+    runtime.m_relay_limits.m_relayed_workers_per_core = kWorkersPerRelay;
+  }
   StartFleetNode(*node.m_node);
   ScheduleTicks(site, node);
   return node;
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -57,6 +57,8 @@
   std::unique_ptr<FleetNode> m_node;
   TimePoint m_store_unreachable_until{};
   std::set<WorkerId> m_unreachable_workers;
+  /// Until then, what it and other nodes say to each other is lost.
+  TimePoint m_nodes_unreachable_until{};
   /// How much later than due its loop handles answers and ticks. An answer that
   /// it would handle after the call's timeout counts as timed out.
   Duration m_loop_delay{};
@@ -70,6 +72,9 @@
   explicit FakeSite(std::uint64_t seed) : m_loop(seed) {}
 
   FakeLoop m_loop;
+  /// Nodes that are added from now on can be relays, and their leaders use
+  /// them for all workers.
+  bool m_has_relays = false;
   FleetStoreModel m_store;
   SiteFaults m_faults;
   std::map<WorkerId, std::unique_ptr<FleetWorkerModel>> m_workers;
--- a/tests/fakes/fake_site_links.cc
+++ b/tests/fakes/fake_site_links.cc
@@ -1,6 +1,8 @@
 #include "fakes/fake_site_links.h"
 
 #include <algorithm>
+#include <memory>
+#include <utility>
 
 namespace daisyarch::fleet {
 
@@ -327,6 +329,23 @@
       });
 }
 
+FakeSiteNode* FindNode(FakeSite& site, const std::string& address) {
+  for (const auto& node : site.m_nodes) {
+    if (node->m_is_alive &&
+        ToString(node->m_node->m_runtime.m_settings.m_relay_address) ==
+            address) {
+      return node.get();
+    }
+  }
+  return nullptr;
+}
+
+bool CanTalk(const FakeSite& site, const FakeSiteNode& one,
+             const FakeSiteNode& other) {
+  return site.m_loop.m_now >= one.m_nodes_unreachable_until &&
+         site.m_loop.m_now >= other.m_nodes_unreachable_until;
+}
+
 }  // namespace
 
 TimePoint HandledAt(const FakeSiteNode& node, TimePoint at) {
@@ -452,4 +471,37 @@
   return sender;
 }
 
+RelayCaller MakeRelayCaller(FakeSite& site, FakeSiteNode& node) {
+  return [&site, &node](
+             const std::string& address, const std::string& call,
+             Duration timeout,
+             const std::function<void(Result<std::string>)>& on_answer) {
+    using Answer = Result<std::string>;
+    const Answer no_answer = NoAnswerError(address);
+    const TimePoint deadline = site.m_loop.m_now + timeout;
+    // A call is answered once, or has timed out.
+    auto is_over = std::make_shared<bool>(false);
+    const auto answer_once = [is_over, on_answer](const Answer& answer) {
+      if (std::exchange(*is_over, true)) return;
+      on_answer(answer);
+    };
+    DeliverError<Answer>(site, node, timeout, answer_once, no_answer);
+    FakeSiteNode* relay = FindNode(site, address);
+    if (relay == nullptr || !CanTalk(site, node, *relay)) return;
+    const TimePoint arrives_at =
+        HandledAt(*relay, site.m_loop.m_now + DrawOrderDelay(site));
+    RunAtNode(site, *relay, arrives_at - site.m_loop.m_now,
+              [&site, &node, relay, call, answer_once, deadline, no_answer] {
+                HandleRelayCall(*relay->m_node, call, node.m_name,
+                                [&site, &node, relay, answer_once, deadline,
+                                 no_answer](const Answer& answer) {
+                                  if (!CanTalk(site, node, *relay)) return;
+                                  Deliver<Answer>(
+                                      site, node, DrawOrderDelay(site),
+                                      deadline, answer_once, answer, no_answer);
+                                });
+              });
+  };
+}
+
 }  // namespace daisyarch::fleet
--- a/tests/fakes/fake_site_links.h
+++ b/tests/fakes/fake_site_links.h
@@ -18,5 +18,7 @@
 /// faults of the site.
 Store MakeStore(FakeSite& site, FakeSiteNode& node);
 OrderSender MakeOrderSender(FakeSite& site, FakeSiteNode& node);
+/// Returns the node's calls to other nodes as relays.
+RelayCaller MakeRelayCaller(FakeSite& site, FakeSiteNode& node);
 
 }  // namespace daisyarch::fleet
