tests: Charge the nodes of a fake site for what their loops do

Turns of a loop took no time in virtual time, so no test had a leader that is late unless it was slowed on purpose.

A node may now have costs per operation. While its loop is busy, what is due there waits in the order of due times; a call leaves when the loop has done what it was charged until then, and an answer that it would handle after the call's timeout counts as none. Messages between nodes charge both ends. Without costs nothing changes.

Verified: loop_cost_test passes; lease_lapse_test, paused_leader_test and late_writes_test pass. The other tests of the site were not run on this commit.

--- a/tests/fakes/fake_site.cc
+++ b/tests/fakes/fake_site.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 
 #include "decisions/fleet/choose_worker.h"
+#include "fakes/charged_links.h"
 #include "fakes/fake_site_links.h"
 #include "fakes/index_check.h"
 #include "fleet/job_service.h"
@@ -27,16 +28,18 @@
 
 FleetClock MakeClock(FakeSite& site, FakeSiteNode& node) {
   FleetClock clock;
-  clock.m_now = [&site] { return site.m_loop.m_now; };
-  clock.m_unix_ms = [&site] {
-    return ToMilliseconds(site.m_loop.m_now.time_since_epoch());
-  };
-  clock.m_defer = [&site, &node](std::function<void()> run) {
-    RunAtNode(site, node, Duration{}, std::move(run));
+  clock.m_now = [&site, &node] { return TimeAt(site.m_loop, node.m_loop); };
+  clock.m_unix_ms = [&site, &node] {
+    return ToMilliseconds(TimeAt(site.m_loop, node.m_loop).time_since_epoch());
   };
   clock.m_run_after = [&site, &node](Duration delay,
                                      std::function<void()> run) {
-    RunAtNode(site, node, delay, std::move(run));
+    const Duration busy_for =
+        TimeAt(site.m_loop, node.m_loop) - site.m_loop.m_now;
+    RunAtNode(site, node, busy_for + delay, std::move(run));
+  };
+  clock.m_defer = [run_after = clock.m_run_after](std::function<void()> run) {
+    run_after(Duration{}, std::move(run));
   };
   return clock;
 }
@@ -65,6 +68,7 @@
   const TimePoint due = site.m_loop.m_now + kTickInterval;
   RunAtNode(site, node, HandledAt(node, due) - site.m_loop.m_now,
             [&site, &node] {
+              Charge(site.m_loop, node.m_loop, &LoopCosts::m_tick);
               TickFleetNode(*node.m_node);
               ScheduleTicks(site, node);
             });
@@ -385,9 +389,10 @@
   auto leadership = LeadershipStateMachine::Load(DAISYARCH_CHARTS, "leadership",
                                                  LeadershipBinding());
   node.m_node = std::unique_ptr<FleetNode>(new FleetNode{
-      FleetRuntime{settings, MakeClock(site, node), MakeStore(site, node),
-                   MakeOrderSender(site, node), MakeCodec(site),
-                   std::move(machines).assume_value(),
+      FleetRuntime{settings, MakeClock(site, node),
+                   ChargeStore(site, node, MakeStore(site, node)),
+                   ChargeOrders(site, node, MakeOrderSender(site, node)),
+                   MakeCodec(site), std::move(machines).assume_value(),
                    std::move(leadership).assume_value()}});
   StartFleetNode(*node.m_node);
   ScheduleTicks(site, node);
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "fakes/fake_loop.h"
+#include "fakes/loop_cost.h"
 #include "fleet/fleet_node.h"
 #include "models/fleet_store_model.h"
 #include "models/fleet_worker_model.h"
@@ -62,6 +63,7 @@
   Duration m_loop_delay{};
   /// After a slow period: when the loop has handled what had arrived in it.
   TimePoint m_backlog_until{};
+  ChargedLoop m_loop;  ///< Without costs, unless a test sets them.
 };
 
 /// Nodes, store and workers of a site in virtual time. Each start at a worker
--- a/tests/fakes/fake_site_links.cc
+++ b/tests/fakes/fake_site_links.cc
@@ -30,6 +30,14 @@
          now < node.m_store_unreachable_until;
 }
 
+// Handles an event at the node that was due at `due`, unless it was killed.
+void HandleAtNode(FakeSite& site, FakeSiteNode& node, TimePoint due,
+                  std::function<void()> run) {
+  HandleInTurn(site.m_loop, node.m_loop, due, [&node, run = std::move(run)] {
+    if (node.m_is_alive) run();
+  });
+}
+
 // Delivers an answer that arrives after `delay` to the node's loop. An answer
 // that the loop would handle later than the call's deadline counts as none.
 template <typename Value>
@@ -39,7 +47,14 @@
   const TimePoint at = HandledAt(node, site.m_loop.m_now + delay);
   if (at <= deadline) {
     return RunAtNode(site, node, at - site.m_loop.m_now,
-                     [on_answer, answer] { on_answer(answer); });
+                     [&site, &node, on_answer, answer, no_answer, deadline] {
+                       if (site.m_loop.m_now <= deadline)
+                         return on_answer(answer);
+                       // Its timer expired while the loop was busy.
+                       HandleAtNode(
+                           site, node, deadline,
+                           [on_answer, no_answer] { on_answer(no_answer); });
+                     });
   }
   const TimePoint given_up_at = HandledAt(node, deadline);
   RunAtNode(site, node, given_up_at - site.m_loop.m_now,
@@ -335,8 +350,8 @@
 
 void RunAtNode(FakeSite& site, FakeSiteNode& node, Duration delay,
                std::function<void()> run) {
-  RunAfter(site.m_loop, delay, [&node, run = std::move(run)] {
-    if (node.m_is_alive) run();
+  RunAfter(site.m_loop, delay, [&site, &node, run = std::move(run)] {
+    HandleAtNode(site, node, site.m_loop.m_now, run);
   });
 }
 
