tests: Charge relays in the fake site, and play the busy leader with them

Change: nodes of that site have half a core and are relays within the product's own limits. A call to a relay is charged at both ends, and each order and outcome in it at the leader. Only a greeting opens a session at a relay, and a clock behind an order's date makes it late, so that a relay that has started again carries out no order that was dated before.

--- a/libraries/decisions/fleet/relay.cc
+++ b/libraries/decisions/fleet/relay.cc
@@ -74,7 +74,9 @@
 }
 
 bool IsRecentOrder(RelayMicroseconds sent_at, RelayMicroseconds now) {
-  return Duration((now - sent_at).value()) <= kMaximumRelayedOrderAge;
+  // A clock behind `sent_at` is another one than the order was dated by.
+  const Duration age((now - sent_at).value());
+  return age >= Duration{} && age <= kMaximumRelayedOrderAge;
 }
 
 }  // namespace daisyarch::fleet
--- a/services/daisyarchd/fleet/order_relay.cc
+++ b/services/daisyarchd/fleet/order_relay.cc
@@ -93,20 +93,26 @@
               });
 }
 
-// Returns the session of the call; nullptr if the leader has opened a later
-// one.
+bool IsGreeting(const RelayCall& call) {
+  return call.m_sent_at == RelayMicroseconds();
+}
+
+// Returns the session of the call; nullptr if it is not open. Only a greeting
+// opens one: other calls are dated by the clock of the process that answered
+// the greeting.
 SessionPointer FindSession(OrderRelay& relay, const RelayCall& call) {
-  SessionPointer& session = relay.m_sessions[call.m_term];
-  if (session && call.m_session < session->m_number) return nullptr;
-  if (!session || session->m_number < call.m_session) {
-    session = std::make_shared<RelaySession>();
+  const auto found = relay.m_sessions.find(call.m_term);
+  const bool is_later = found == relay.m_sessions.end() ||
+                        found->second->m_number < call.m_session;
+  if (is_later) {
+    if (!IsGreeting(call)) return nullptr;
+    auto session = std::make_shared<RelaySession>();
     session->m_number = call.m_session;
+    relay.m_sessions[call.m_term] = session;
+    return session;
   }
-  return session;
-}
-
-bool IsGreeting(const RelayCall& call) {
-  return call.m_sent_at == RelayMicroseconds();
+  const bool is_open = found->second->m_number == call.m_session;
+  return is_open ? found->second : nullptr;
 }
 
 // A fresh entry each time needs no renewal, and replaces one that was removed.
@@ -158,7 +164,7 @@
   const SessionPointer session = FindSession(node.m_order_relay, call);
   if (!session) {
     return respond(Error{ErrorCode::kConflict, "relay orders", peer,
-                         "the leader has opened a later session"});
+                         "the session is not open"});
   }
   AnswerCall(node, *session);
   session->m_respond = std::move(respond);
--- a/tests/decisions/fleet/relay_test.cc
+++ b/tests/decisions/fleet/relay_test.cc
@@ -91,6 +91,8 @@
   CHECK(IsRecentOrder(sent_at, sent_at));
   CHECK(IsRecentOrder(sent_at, sent_at + limit));
   CHECK_FALSE(IsRecentOrder(sent_at, sent_at + limit + RelayMicroseconds(1)));
+  // The relay's machine has started again, and its clock anew.
+  CHECK_FALSE(IsRecentOrder(sent_at, RelayMicroseconds(1)));
 }
 
 }  // namespace daisyarch::fleet
--- a/tests/fakes/charged_links.cc
+++ b/tests/fakes/charged_links.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "fakes/fake_site_links.h"
+#include "wire/relay_fields.h"
 
 namespace daisyarch::fleet {
 
@@ -89,6 +90,34 @@
   };
 }
 
+void ChargeRelayCall(FakeSite& site, FakeSiteNode& node,
+                     const std::string& bytes) {
+  ChargeNode(site, node, &LoopCosts::m_message);
+  const auto call = ReadRelayCall(bytes, node.m_name);
+  if (!call) return;
+  for (const RelayedOrder& order : call.assume_value().m_orders) {
+    ChargeNode(site, node, &LoopCosts::m_relayed_order);
+    if (std::holds_alternative<StartOrder>(order.m_order))
+      ChargeNode(site, node, &LoopCosts::m_placed_run);
+  }
+}
+
+void ChargeRelayAnswer(FakeSite& site, FakeSiteNode& node,
+                       const Result<std::string>& bytes) {
+  if (!bytes) return;
+  ChargeNode(site, node, &LoopCosts::m_message);
+  const auto answer = ReadRelayAnswer(bytes.assume_value(), node.m_name);
+  if (!answer) return;
+  for (const RelayedOutcome& outcome : answer.assume_value().m_outcomes) {
+    ChargeNode(site, node, &LoopCosts::m_relayed_outcome);
+    const auto* poll = std::get_if<Result<WorkerReport>>(&outcome.m_outcome);
+    if (poll == nullptr || !*poll) continue;
+    ChargeNode(site, node, &LoopCosts::m_report);
+    ChargeNode(site, node, &LoopCosts::m_listed_end,
+               poll->assume_value().m_ended.size());
+  }
+}
+
 }  // namespace
 
 Store ChargeStore(FakeSite& site, FakeSiteNode& node, Store store) {
@@ -131,6 +160,24 @@
   return orders;
 }
 
+RelayCaller ChargeRelays(FakeSite& site, FakeSiteNode& node, RelayCaller call) {
+  return [&site, &node, call = std::move(call)](
+             const std::string& address, const std::string& bytes,
+             Duration timeout,
+             std::function<void(Result<std::string>)> on_answer) {
+    ChargeRelayCall(site, node, bytes);
+    auto charged = [&site, &node, on_answer = std::move(on_answer)](
+                       const Result<std::string>& answer) {
+      ChargeRelayAnswer(site, node, answer);
+      on_answer(answer);
+    };
+    RunWhenDone(site.m_loop, node.m_loop,
+                [call, address, bytes, timeout, charged = std::move(charged)] {
+                  call(address, bytes, timeout, charged);
+                });
+  };
+}
+
 void SendToNode(FakeSite& site, FakeSiteNode& from, FakeSiteNode& to,
                 std::function<void()> handle) {
   ChargeNode(site, from, &LoopCosts::m_message);
--- a/tests/fakes/charged_links.h
+++ b/tests/fakes/charged_links.h
@@ -12,6 +12,8 @@
 Store ChargeStore(FakeSite& site, FakeSiteNode& node, Store store);
 OrderSender ChargeOrders(FakeSite& site, FakeSiteNode& node,
                          OrderSender orders);
+/// The call is charged with its orders, and the answer with its outcomes.
+RelayCaller ChargeRelays(FakeSite& site, FakeSiteNode& node, RelayCaller call);
 
 /// Sends a message from one node to another, where `handle` runs unless that
 /// node is killed before. Both loops are charged.
--- a/tests/fakes/fake_site.cc
+++ b/tests/fakes/fake_site.cc
@@ -20,8 +20,6 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(40);
 constexpr Duration kLeaseCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration kMaximumStartAfterCancel = std::chrono::seconds(4);
-// So that sites of a few workers use several relays.
-constexpr std::int64_t kWorkersPerRelay = 3;
 // A worker writes its entry to the store this often.
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(1500);
 // After this time and one heartbeat, a smaller capacity is binding; also this
@@ -399,9 +397,9 @@
                    std::move(leadership).assume_value()}});
   if (site.m_has_relays) {
     FleetRuntime& runtime = node.m_node->m_runtime;
-    runtime.m_call_relay = MakeRelayCaller(site, node);
-    runtime.m_relay_limits.m_direct_workers_per_core = 0;
-    runtime.m_relay_limits.m_relayed_workers_per_core = kWorkersPerRelay;
+    runtime.m_call_relay =
+        ChargeRelays(site, node, MakeRelayCaller(site, node));
+    runtime.m_relay_limits = site.m_relay_limits;
   }
   StartFleetNode(*node.m_node);
   ScheduleTicks(site, node);
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -74,9 +74,10 @@
   explicit FakeSite(std::uint64_t seed) : m_loop(seed) {}
 
   FakeLoop m_loop;
-  /// Nodes that are added from now on can be relays, and their leaders use
-  /// them for all workers.
+  /// Nodes that are added from now on can be relays, within these limits. The
+  /// default makes a site of a few workers use several.
   bool m_has_relays = false;
+  RelayLimits m_relay_limits{0, 3, Millicores(100)};
   FleetStoreModel m_store;
   SiteFaults m_faults;
   std::map<WorkerId, std::unique_ptr<FleetWorkerModel>> m_workers;
--- a/tests/fakes/fake_site_links.cc
+++ b/tests/fakes/fake_site_links.cc
@@ -486,36 +486,61 @@
   return sender;
 }
 
+namespace {
+
+/// A call to a relay on its way. It is answered once, or has timed out.
+struct RelayedCall {
+  std::function<void(Result<std::string>)> m_on_answer;
+  TimePoint m_deadline{};
+  bool m_is_over = false;
+};
+using RelayedCallPointer = std::shared_ptr<RelayedCall>;
+
+std::function<void(Result<std::string>)> AnswerOnce(
+    const RelayedCallPointer& call) {
+  return [call](const Result<std::string>& answer) {
+    if (!std::exchange(call->m_is_over, true)) call->m_on_answer(answer);
+  };
+}
+
+void ReturnRelayAnswer(FakeSite& site, FakeSiteNode& node, FakeSiteNode& relay,
+                       const RelayedCallPointer& call,
+                       const Result<std::string>& answer) {
+  if (!CanTalk(site, node, relay)) return;
+  Charge(site.m_loop, relay.m_loop, &LoopCosts::m_message);
+  RunWhenDone(site.m_loop, relay.m_loop, [&site, &node, call, answer] {
+    Deliver<Result<std::string>>(site, node, DrawOrderDelay(site),
+                                 call->m_deadline, AnswerOnce(call), answer,
+                                 NoAnswerError("relay"));
+  });
+}
+
+}  // namespace
+
 RelayCaller MakeRelayCaller(FakeSite& site, FakeSiteNode& node) {
   return [&site, &node](
-             const std::string& address, const std::string& call,
+             const std::string& address, const std::string& bytes,
              Duration timeout,
              const std::function<void(Result<std::string>)>& on_answer) {
-    using Answer = Result<std::string>;
-    const Answer no_answer = NoAnswerError(address);
-    const TimePoint deadline = site.m_loop.m_now + timeout;
-    // A call is answered once, or has timed out.
-    auto is_over = std::make_shared<bool>(false);
-    const auto answer_once = [is_over, on_answer](const Answer& answer) {
-      if (std::exchange(*is_over, true)) return;
-      on_answer(answer);
-    };
-    DeliverError<Answer>(site, node, timeout, answer_once, no_answer);
+    auto call = std::make_shared<RelayedCall>();
+    call->m_on_answer = on_answer;
+    call->m_deadline = site.m_loop.m_now + timeout;
+    DeliverError<Result<std::string>>(site, node, timeout, AnswerOnce(call),
+                                      NoAnswerError(address));
     FakeSiteNode* relay = FindNode(site, address);
     if (relay == nullptr || !CanTalk(site, node, *relay)) return;
     const TimePoint arrives_at =
         HandledAt(*relay, site.m_loop.m_now + DrawOrderDelay(site));
-    RunAtNode(site, *relay, arrives_at - site.m_loop.m_now,
-              [&site, &node, relay, call, answer_once, deadline, no_answer] {
-                HandleRelayCall(*relay->m_node, call, node.m_name,
-                                [&site, &node, relay, answer_once, deadline,
-                                 no_answer](const Answer& answer) {
-                                  if (!CanTalk(site, node, *relay)) return;
-                                  Deliver<Answer>(
-                                      site, node, DrawOrderDelay(site),
-                                      deadline, answer_once, answer, no_answer);
-                                });
+    RunAtNode(
+        site, *relay, arrives_at - site.m_loop.m_now,
+        [&site, &node, relay, call, bytes] {
+          Charge(site.m_loop, relay->m_loop, &LoopCosts::m_message);
+          HandleRelayCall(
+              *relay->m_node, bytes, node.m_name,
+              [&site, &node, relay, call](const Result<std::string>& answer) {
+                ReturnRelayAnswer(site, node, *relay, call, answer);
               });
+        });
   };
 }
 
--- a/tests/fakes/loop_cost.cc
+++ b/tests/fakes/loop_cost.cc
@@ -29,11 +29,12 @@
   const auto scaled = [factor](Duration cost) {
     return std::chrono::duration_cast<Duration>(cost * factor);
   };
-  return {scaled(costs.m_turn),       scaled(costs.m_tick),
-          scaled(costs.m_order),      scaled(costs.m_placed_run),
-          scaled(costs.m_answer),     scaled(costs.m_report),
-          scaled(costs.m_listed_end), scaled(costs.m_store_call),
-          scaled(costs.m_message)};
+  return {scaled(costs.m_turn),           scaled(costs.m_tick),
+          scaled(costs.m_order),          scaled(costs.m_placed_run),
+          scaled(costs.m_answer),         scaled(costs.m_report),
+          scaled(costs.m_listed_end),     scaled(costs.m_store_call),
+          scaled(costs.m_message),        scaled(costs.m_relayed_order),
+          scaled(costs.m_relayed_outcome)};
 }
 
 void Charge(const FakeLoop& loop, ChargedLoop& charged,
--- a/tests/fakes/loop_cost.h
+++ b/tests/fakes/loop_cost.h
@@ -10,15 +10,17 @@
 
 /// The time that a node's loop takes for each operation.
 struct LoopCosts {
-  Duration m_turn{};        ///< Each event that the loop handles.
-  Duration m_tick{};        ///< A tick, besides what it sends.
-  Duration m_order{};       ///< Sending an order of any kind.
-  Duration m_placed_run{};  ///< Choosing the worker of a start.
-  Duration m_answer{};      ///< Reading a worker's answer.
-  Duration m_report{};      ///< Applying an answer to a poll.
-  Duration m_listed_end{};  ///< Each ended run in it.
-  Duration m_store_call{};  ///< Sending a store call, or reading its answer.
-  Duration m_message{};     ///< Sending or reading a message between nodes.
+  Duration m_turn{};           ///< Each event that the loop handles.
+  Duration m_tick{};           ///< A tick, besides what it sends.
+  Duration m_order{};          ///< Sending an order of any kind.
+  Duration m_placed_run{};     ///< Choosing the worker of a start.
+  Duration m_answer{};         ///< Reading a worker's answer.
+  Duration m_report{};         ///< Applying an answer to a poll.
+  Duration m_listed_end{};     ///< Each ended run in it.
+  Duration m_store_call{};     ///< Sending a store call, or reading its answer.
+  Duration m_message{};        ///< Sending or reading a message between nodes.
+  Duration m_relayed_order{};  ///< Each order in a call to a relay.
+  Duration m_relayed_outcome{};  ///< Each outcome in its answer.
 };
 
 /// Returns the costs on a machine that is slower by `factor`.
--- a/tests/invariants/busy_leader_cost_test.cc
+++ b/tests/invariants/busy_leader_cost_test.cc
@@ -22,6 +22,8 @@
 // With one run at a time, each end takes a report of its own, as on a large
 // site. The jobs take 0.8 of the leader's time and a third of the workers.
 constexpr int kWorkers = 600;
+constexpr int kNodes = 6;
+constexpr double kProcessorShare = 0.5;
 constexpr int kJobs = 1600;
 constexpr Duration kJobInterval = microseconds(1250);
 constexpr Duration kShortestRun = milliseconds(60);
@@ -42,6 +44,8 @@
   costs.m_listed_end = microseconds(10);
   costs.m_store_call = microseconds(50);
   costs.m_message = microseconds(90);
+  costs.m_relayed_order = microseconds(10);
+  costs.m_relayed_outcome = microseconds(25);
   return costs;
 }
 
@@ -140,8 +144,11 @@
   }
   for (auto& entry : site.m_workers)
     ObserveSteps(site, *entry.second, observation);
-  for (int number = 0; number < 3; ++number) {
-    AddSiteNode(site, "n" + std::to_string(number));
+  site.m_has_relays = true;
+  site.m_relay_limits = RelayLimits();
+  for (int number = 0; number < kNodes; ++number) {
+    FakeSiteNode& node = AddSiteNode(site, "n" + std::to_string(number));
+    node.m_node->m_runtime.m_settings.m_processor_share = kProcessorShare;
   }
   for (const auto& node : site.m_nodes)
     ObserveReports(site, *node, observation);
--- a/tests/wire/relay_fields_test.cc
+++ b/tests/wire/relay_fields_test.cc
@@ -54,14 +54,14 @@
   answer.m_is_leaving = true;
   answer.m_outcomes.push_back({OrderNumber(1), StartOutcome::kRefused});
   answer.m_outcomes.push_back({OrderNumber(2), Result<void>(Success())});
-  answer.m_outcomes.push_back(
-      {OrderNumber(3), Result<void>(Error{ErrorCode::kConflict, "stop", "w1",
-                                          "a higher token"})});
+  OrderOutcome stop = UnknownOutcome(StopOrder{}, "a higher token");
+  std::get<Result<void>>(stop).assume_error().m_code = ErrorCode::kConflict;
+  answer.m_outcomes.push_back({OrderNumber(3), std::move(stop)});
   answer.m_outcomes.push_back({OrderNumber(4), Result<WorkerReport>(report)});
-  answer.m_outcomes.push_back(
-      {OrderNumber(5),
-       Result<WorkerReport>(
-           Error{ErrorCode::kOutcomeUnknown, "look", "w2", "closed", true})});
+  OrderOutcome poll = UnknownOutcome(PollOrder{}, "closed");
+  std::get<Result<WorkerReport>>(poll).assume_error().m_is_closed_by_peer =
+      true;
+  answer.m_outcomes.push_back({OrderNumber(5), std::move(poll)});
   return answer;
 }
 
