--- a/tests/fakes/fake_site.cc
+++ b/tests/fakes/fake_site.cc
@@ -428,6 +428,48 @@
   return nullptr;
 }
 
+FakeSiteNode* PickRelay(FakeSite& site) {
+  FakeSiteNode* leader = FindLeader(site);
+  if (leader == nullptr) return nullptr;
+  const auto& links = leader->m_node->m_leader->m_relays.m_links;
+  std::vector<FakeSiteNode*> serving;
+  for (const auto& node : site.m_nodes) {
+    const auto link = links.find(NodeId(node->m_name));
+    if (node->m_is_alive && link != links.end() &&
+        link->second.m_state == RelayLinkState::kServing) {
+      serving.push_back(node.get());
+    }
+  }
+  if (serving.empty()) return nullptr;
+  return serving[NextBelow(site.m_loop.m_random, serving.size())];
+}
+
+void DisturbRelay(FakeSite& site) {
+  FakeSiteNode* relay = PickRelay(site);
+  if (relay == nullptr) return;
+  const Duration short_time = DelayBetween(
+      site.m_loop, std::chrono::milliseconds(200), std::chrono::seconds(4));
+  switch (NextBelow(site.m_loop.m_random, 4)) {
+    case 0:
+      KillSiteNode(site, *relay);
+      RunAfter(site.m_loop, short_time,
+               [&site, name = relay->m_name] { AddSiteNode(site, name); });
+      return;
+    case 1:
+      return SlowSiteNode(site, *relay, short_time, short_time);
+    case 2:
+      relay->m_nodes_unreachable_until = site.m_loop.m_now + 2 * short_time;
+      return;
+    default:
+      for (const auto& entry : site.m_workers) {
+        if (Chance(site.m_loop, 0.5))
+          relay->m_unreachable_workers.insert(entry.first);
+      }
+      RunAfter(site.m_loop, 2 * short_time,
+               [relay] { relay->m_unreachable_workers.clear(); });
+  }
+}
+
 void SubmitToSite(FakeSite& site, FakeSiteNode& node, const JobPlan& plan) {
   if (site.m_accepted.count(plan.m_key) > 0) return;
   site.m_submitted.emplace(plan.m_key, plan);
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -33,6 +33,8 @@
   double m_order_answer_loss_probability = 0;
   /// An order times out and arrives 2 to 12 s after it was sent.
   double m_late_order_probability = 0;
+  /// A relay carries out a call's orders, but its answer is lost.
+  double m_relay_answer_loss_probability = 0;
   /// An order that is still on its way when its worker restarts reaches the
   /// new incarnation. Otherwise it is lost, as with a closed connection.
   bool m_do_orders_outlast_restarts = true;
@@ -75,6 +77,7 @@
   /// Nodes that are added from now on can be relays, and their leaders use
   /// them for all workers.
   bool m_has_relays = false;
+  std::uint64_t m_relayed_orders = 0;  ///< That have arrived at a relay.
   FleetStoreModel m_store;
   SiteFaults m_faults;
   std::map<WorkerId, std::unique_ptr<FleetWorkerModel>> m_workers;
@@ -131,6 +134,13 @@
 /// Delays everything that the node's loop handles, for `duration`.
 void SlowSiteNode(FakeSite& site, FakeSiteNode& node, Duration delay,
                   Duration duration);
+/// Returns a live node that serves the leader as a relay, drawn at random;
+/// nullptr if there is none.
+FakeSiteNode* PickRelay(FakeSite& site);
+/// Draws one of the faults of a relay, and lets one that is in use meet with
+/// it, for at most 8 s: it is killed and starts again, its loop freezes, or it
+/// is cut off from the other nodes or from half of the workers.
+void DisturbRelay(FakeSite& site);
 /// Stores another configuration, as an operator does.
 void Configure(FakeSite& site, const JobRoutes& routes);
 /// Returns the node that is the leader, or nullptr.
--- a/tests/fakes/fake_site_links.cc
+++ b/tests/fakes/fake_site_links.cc
@@ -4,6 +4,8 @@
 #include <memory>
 #include <utility>
 
+#include "wire/relay_fields.h"
+
 namespace daisyarch::fleet {
 
 namespace {
@@ -340,6 +342,11 @@
   return nullptr;
 }
 
+void CountOrders(FakeSite& site, const std::string& call) {
+  const auto read = ReadRelayCall(call, "relay");
+  if (read) site.m_relayed_orders += read.assume_value().m_orders.size();
+}
+
 bool CanTalk(const FakeSite& site, const FakeSiteNode& one,
              const FakeSiteNode& other) {
   return site.m_loop.m_now >= one.m_nodes_unreachable_until &&
@@ -492,14 +499,18 @@
         HandledAt(*relay, site.m_loop.m_now + DrawOrderDelay(site));
     RunAtNode(site, *relay, arrives_at - site.m_loop.m_now,
               [&site, &node, relay, call, answer_once, deadline, no_answer] {
-                HandleRelayCall(*relay->m_node, call, node.m_name,
-                                [&site, &node, relay, answer_once, deadline,
-                                 no_answer](const Answer& answer) {
-                                  if (!CanTalk(site, node, *relay)) return;
-                                  Deliver<Answer>(
-                                      site, node, DrawOrderDelay(site),
+                CountOrders(site, call);
+                HandleRelayCall(
+                    *relay->m_node, call, node.m_name,
+                    [&site, &node, relay, answer_once, deadline,
+                     no_answer](const Answer& answer) {
+                      const bool is_lost =
+                          Chance(site.m_loop,
+                                 site.m_faults.m_relay_answer_loss_probability);
+                      if (is_lost || !CanTalk(site, node, *relay)) return;
+                      Deliver<Answer>(site, node, DrawOrderDelay(site),
                                       deadline, answer_once, answer, no_answer);
-                                });
+                    });
               });
   };
 }
