fleet: Count an outcome of another order's kind as none

Cause: a leader that was told a failed poll as the outcome of a start, stop or throttle order looked for the poll in the order, which ended its process (std::bad_variant_access). Only a faulty relay, or one whose format number was not raised with a change, answers so, but it would end every leader.

Change: the worker is taken from the order of whatever kind.

--- a/services/daisyarchd/fleet/relay_links.cc
+++ b/services/daisyarchd/fleet/relay_links.cc
@@ -90,7 +90,7 @@
   const auto* poll = std::get_if<Result<WorkerReport>>(&outcome.m_outcome);
   if (poll != nullptr && !*poll) {
     // Only the relay may be cut off from the worker.
-    leader->m_relays.m_direct_until[std::get<PollOrder>(order).m_worker] =
+    leader->m_relays.m_direct_until[WorkerOf(order)] =
         Now(*leader) + kDirectPeriod;
   }
   HandleOrderOutcome(
--- a/tests/invariants/relay_test.cc
+++ b/tests/invariants/relay_test.cc
@@ -566,4 +566,29 @@
   });
 }
 
+// Guards against a leader that trusts the kind of an outcome.
+TEST_CASE("An outcome that doesn't fit its order counts as none") {
+  PlayWithFault([](RelaySite& relay_site, FakeSiteNode& /*relay*/) {
+    FakeSite& site = relay_site.m_site;
+    std::uint64_t altered = 0;
+    relay_site.m_probe.m_alter = [&altered](const std::string& bytes) {
+      RelayAnswer answer = ReadRelayAnswer(bytes, "test").assume_value();
+      for (RelayedOutcome& outcome : answer.m_outcomes) {
+        if (std::holds_alternative<Result<WorkerReport>>(outcome.m_outcome)) {
+          outcome.m_outcome = StartOutcome::kStarted;
+        } else {
+          outcome.m_outcome = OrderOutcome(
+              std::in_place_type<Result<WorkerReport>>,
+              Error{ErrorCode::kOutcomeUnknown, "poll", "worker", "no answer"});
+        }
+        ++altered;
+      }
+      return Result<std::string>(WriteRelayAnswer(answer));
+    };
+    RunFor(site.m_loop, seconds(2));
+    relay_site.m_probe.m_alter = nullptr;
+    CHECK(altered > 0);
+  });
+}
+
 }  // namespace daisyarch::fleet
