tests: Play the property test and the soak with relays as well

Change: each of the two tests has a second case, over its own seeds, in which four nodes are relays for each other. The bounds and the seeds without relays are as before. Each seed has to relay orders.

--- a/tests/invariants/site_property_test.cc
+++ b/tests/invariants/site_property_test.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr std::uint64_t kSeeds = 40;
+constexpr std::uint64_t kSeedsWithRelays = 24;
+constexpr int kRelayFaults = 8;
 constexpr int kJobs = 25;
 constexpr Duration kLoadDuration = std::chrono::seconds(30);
 // Covers the submissions, the longest time that a leader cannot reach the
@@ -14,12 +16,14 @@
 constexpr Duration kMaximumCompletionTime = std::chrono::seconds(120);
 const Resources kCapacity{Millicores(4000), Mebibytes(8000), Accelerators(0)};
 
-void BuildSite(FakeSite& site) {
+void BuildSite(FakeSite& site, bool has_relays) {
+  site.m_has_relays = has_relays;
   site.m_routes = MakeTestRoutes();
   for (int number = 0; number < 6; ++number) {
     AddSiteWorker(site, "w" + std::to_string(number), kCapacity);
   }
-  for (int number = 0; number < 3; ++number) {
+  const int nodes = has_relays ? 4 : 3;
+  for (int number = 0; number < nodes; ++number) {
     AddSiteNode(site, "n" + std::to_string(number));
   }
 }
@@ -125,32 +129,46 @@
   }
 }
 
+void PlaySeed(std::uint64_t seed, bool has_relays) {
+  INFO("seed " << seed);
+  FakeSite site(seed);
+  BuildSite(site, has_relays);
+  SubmitJobs(site);
+  PlanFaults(site, seed);
+  for (int fault = 0; has_relays && fault < kRelayFaults; ++fault) {
+    ScheduleFault(site, [&site] { DisturbRelay(site); });
+  }
+  RunFor(site.m_loop, kLoadDuration);
+  site.m_faults.m_late_order_probability =
+      site.m_faults.m_order_answer_loss_probability = 0;
+  site.m_faults.m_late_effect_probability =
+      site.m_faults.m_answer_loss_probability = 0;
+  const bool has_ended =
+      RunUntilTrue(site.m_loop, kMaximumCompletionTime, [&site] {
+        return FindUnfinishedJob(site).empty() || !site.m_violation.empty();
+      });
+  CHECK(site.m_violation.empty());
+  const bool has_late_orders = seed % 3 == 0;
+  CHECK((has_late_orders || site.m_repeated_task.empty()));
+  INFO(site.m_violation << site.m_repeated_task << FindUnfinishedJob(site));
+  CHECK(has_ended);
+  CHECK(site.m_accepted.size() == kJobs);
+  CHECK((site.m_relayed_orders > 0) == has_relays);
+  REQUIRE(site.m_violation.empty());
+  REQUIRE(has_ended);
+}
+
 }  // namespace
 
 TEST_CASE("Every job ends and no task runs on two workers under faults") {
-  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-    INFO("seed " << seed);
-    FakeSite site(seed);
-    BuildSite(site);
-    SubmitJobs(site);
-    PlanFaults(site, seed);
-    RunFor(site.m_loop, kLoadDuration);
-    site.m_faults.m_late_order_probability =
-        site.m_faults.m_order_answer_loss_probability = 0;
-    site.m_faults.m_late_effect_probability =
-        site.m_faults.m_answer_loss_probability = 0;
-    const bool has_ended =
-        RunUntilTrue(site.m_loop, kMaximumCompletionTime, [&site] {
-          return FindUnfinishedJob(site).empty() || !site.m_violation.empty();
-        });
-    CHECK(site.m_violation.empty());
-    const bool has_late_orders = seed % 3 == 0;
-    CHECK((has_late_orders || site.m_repeated_task.empty()));
-    INFO(site.m_violation << site.m_repeated_task << FindUnfinishedJob(site));
-    CHECK(has_ended);
-    CHECK(site.m_accepted.size() == kJobs);
-    REQUIRE(site.m_violation.empty());
-    REQUIRE(has_ended);
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) PlaySeed(seed, false);
+}
+
+// Relays are killed, slowed and cut off besides, one after the other and at the
+// same time.
+TEST_CASE("Every job ends and no task runs on two workers beside relays") {
+  for (std::uint64_t seed = 1; seed <= kSeedsWithRelays; ++seed) {
+    PlaySeed(seed, true);
   }
 }
 
--- a/tests/invariants/site_soak_test.cc
+++ b/tests/invariants/site_soak_test.cc
@@ -13,6 +13,8 @@
 using std::chrono::seconds;
 
 constexpr std::uint64_t kSeedsInCi = 18;
+constexpr std::uint64_t kSeedsWithRelaysInCi = 10;
+constexpr int kRelayFaults = 8;
 constexpr int kWorkers = 8;
 constexpr int kJobs = 36;
 constexpr int kServices = 4;
@@ -121,8 +123,9 @@
   return run;
 }
 
-void BuildSite(SoakDay& day) {
+void BuildSite(SoakDay& day, bool has_relays) {
   FakeSite& site = day.m_site;
+  site.m_has_relays = has_relays;
   site.m_routes = MakeTestRoutes();
   for (int number = 0; number < kWorkers; ++number) {
     const std::string name = "w" + std::to_string(number);
@@ -132,7 +135,8 @@
           return PlanRun(day, id, task);
         };
   }
-  for (int number = 0; number < 3; ++number) {
+  const int nodes = has_relays ? 4 : 3;
+  for (int number = 0; number < nodes; ++number) {
     AddSiteNode(site, "n" + std::to_string(number));
   }
 }
@@ -361,31 +365,55 @@
   }
 }
 
+void PlanRelayFaults(SoakDay& day, std::uint64_t seed) {
+  FakeSite& site = day.m_site;
+  if (seed % 2 == 0) site.m_faults.m_relay_answer_loss_probability = 0.003;
+  for (int fault = 0; fault < kRelayFaults; ++fault) {
+    ScheduleFault(day, [&site](Duration) { DisturbRelay(site); });
+  }
+}
+
+void PlaySeed(std::uint64_t seed, bool has_relays) {
+  INFO("seed " << seed);
+  SoakDay day(seed);
+  FakeSite& site = day.m_site;
+  BuildSite(day, has_relays);
+  SubmitJobs(site);
+  PlanFaults(day, seed);
+  if (has_relays) PlanRelayFaults(day, seed);
+  RunFor(site.m_loop, kSubmissions + kCalmAfter);
+  CalmDown(day);
+  const Duration bound = kLongestLease + kIsolationAndClaim + kInheritedWait +
+                         kMaximumStartDelay + kRaiseToFull + WorkTime(site);
+  const bool has_ended = RunUntilTrue(
+      site.m_loop, bound, [&site] { return FindUnwanted(site).empty(); });
+  INFO(ToMilliseconds(bound) << " ms after calm:" << Describe(site));
+  INFO(site.m_repeated_task);
+  CHECK(site.m_violation.empty());
+  CHECK(site.m_repeated_task.empty());
+  CHECK(has_ended);
+  CHECK(site.m_accepted.size() > std::size_t{kJobs / 2});
+  CHECK((site.m_relayed_orders > 0) == has_relays);
+}
+
 }  // namespace
 
 // By hand: DAISYARCH_SOAK_SEEDS=50 failure_tests -# "[#site_soak_test]"
 TEST_CASE("Accepted work ends soon after a day of faults has calmed") {
   const std::uint64_t first = FirstSeed();
-  for (std::uint64_t seed = first; seed < first + SeedCount(kSeedsInCi);
-       ++seed) {
-    INFO("seed " << seed);
-    SoakDay day(seed);
-    FakeSite& site = day.m_site;
-    BuildSite(day);
-    SubmitJobs(site);
-    PlanFaults(day, seed);
-    RunFor(site.m_loop, kSubmissions + kCalmAfter);
-    CalmDown(day);
-    const Duration bound = kLongestLease + kIsolationAndClaim + kInheritedWait +
-                           kMaximumStartDelay + kRaiseToFull + WorkTime(site);
-    const bool has_ended = RunUntilTrue(
-        site.m_loop, bound, [&site] { return FindUnwanted(site).empty(); });
-    INFO(ToMilliseconds(bound) << " ms after calm:" << Describe(site));
-    INFO(site.m_repeated_task);
-    CHECK(site.m_violation.empty());
-    CHECK(site.m_repeated_task.empty());
-    CHECK(has_ended);
-    CHECK(site.m_accepted.size() > std::size_t{kJobs / 2});
+  const std::uint64_t count = SeedCount(kSeedsInCi);
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    PlaySeed(seed, false);
+  }
+}
+
+// Relays are killed, slowed and cut off besides, one after the other and at the
+// same time, and lose answers on every second day.
+TEST_CASE("Accepted work ends soon after a day of relays' faults has calmed") {
+  const std::uint64_t first = FirstSeed();
+  const std::uint64_t count = SeedCount(kSeedsWithRelaysInCi);
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    PlaySeed(seed, true);
   }
 }
 
