--- a/tests/fakes/fake_site_links.cc
+++ b/tests/fakes/fake_site_links.cc
@@ -4,6 +4,8 @@
 #include <memory>
 #include <utility>
 
+#include "wire/relay_fields.h"
+
 namespace daisyarch::fleet {
 
 namespace {
@@ -355,6 +357,11 @@
   return nullptr;
 }
 
+void CountOrders(FakeSite& site, const std::string& call) {
+  const auto read = ReadRelayCall(call, "relay");
+  if (read) site.m_relayed_orders += read.assume_value().m_orders.size();
+}
+
 bool CanTalk(const FakeSite& site, const FakeSiteNode& one,
              const FakeSiteNode& other) {
   return site.m_loop.m_now >= one.m_nodes_unreachable_until &&
@@ -506,7 +513,9 @@
 void ReturnRelayAnswer(FakeSite& site, FakeSiteNode& node, FakeSiteNode& relay,
                        const RelayedCallPointer& call,
                        const Result<std::string>& answer) {
-  if (!CanTalk(site, node, relay)) return;
+  const bool is_lost =
+      Chance(site.m_loop, site.m_faults.m_relay_answer_loss_probability);
+  if (is_lost || !CanTalk(site, node, relay)) return;
   Charge(site.m_loop, relay.m_loop, &LoopCosts::m_message);
   RunWhenDone(site.m_loop, relay.m_loop, [&site, &node, call, answer] {
     Deliver<Result<std::string>>(site, node, DrawOrderDelay(site),
@@ -535,6 +544,7 @@
         site, *relay, arrives_at - site.m_loop.m_now,
         [&site, &node, relay, call, bytes] {
           Charge(site.m_loop, relay->m_loop, &LoopCosts::m_message);
+          CountOrders(site, bytes);
           HandleRelayCall(
               *relay->m_node, bytes, node.m_name,
               [&site, &node, relay, call](const Result<std::string>& answer) {
