http: Send no request on a connection that is found made too late

Cause: a busy loop learns late that a connection was made in time. The request then left after the connect timeout, however late, while its sender counts on it having left by then or never.

Change: a request leaves within the connect timeout, counted on the clock that advances while the machine is suspended, or fails as unavailable, so not sent. The connection is kept for the next request, so that a loop that is always busy can send any.

--- a/libraries/http/http_client.cc
+++ b/libraries/http/http_client.cc
@@ -9,6 +9,8 @@
 #include <utility>
 #include <vector>
 
+#include "base/boot_clock.h"
+
 namespace daisyarch {
 
 namespace asio = boost::asio;
@@ -75,6 +77,7 @@
     beast::error_code code;
     const auto host = asio::ip::make_address(m_state->m_address.m_host, code);
     if (code) return Fail(ErrorCode::kUnavailable, "connect", code);
+    m_connect_by = BootNow() + m_state->m_limits.m_connect_timeout;
     m_stream.expires_after(m_state->m_limits.m_connect_timeout);
     m_stream.async_connect(
         tcp::endpoint(host, m_state->m_address.m_port),
@@ -87,9 +90,18 @@
     if (code) return Fail(ErrorCode::kUnavailable, "connect", code);
     m_is_connected = true;
     m_stream.socket().set_option(tcp::no_delay(true), code);
+    if (BootNow() > m_connect_by) return KeepForLater();
     Write();
   }
 
+  // A busy loop learns late that a connection is made. It can serve the next
+  // request, so that a loop that is always busy can send any.
+  void KeepForLater() {
+    ReturnToPool();
+    Finish(Error{ErrorCode::kUnavailable, "connect",
+                 ToString(m_state->m_address), "the loop was busy"});
+  }
+
   void Write() {
     ++m_use_count;
     m_message = {};
@@ -135,7 +147,7 @@
     // Bytes after the response belong to no request. A connection that received
     // them can't be trusted to match later responses to requests.
     const bool is_reusable = message.keep_alive() && m_buffer.size() == 0;
-    if (is_reusable && !m_state->m_is_closed) {
+    if (is_reusable) {
       ReturnToPool();
     } else {
       Close();
@@ -144,6 +156,7 @@
   }
 
   void ReturnToPool() {
+    if (m_state->m_is_closed) return Close();
     m_state->m_idle.push_back(shared_from_this());
     m_stream.expires_never();
     const std::uint64_t use_count = m_use_count;
@@ -208,6 +221,7 @@
   HttpRequest m_request;
   Duration m_timeout{};
   HttpResponseCallback m_on_answer;
+  TimePoint m_connect_by{};
   bool m_is_connected = false;
   std::uint64_t m_use_count = 0;
   beast::flat_buffer m_buffer;
--- a/libraries/http/http_client.h
+++ b/libraries/http/http_client.h
@@ -17,6 +17,7 @@
 using HttpResponseCallback = std::function<void(Result<HttpResponse>)>;
 
 struct HttpClientLimits {
+  /// A request is sent within this time, or not at all.
   Duration m_connect_timeout = std::chrono::seconds(1);
   /// Idle connections are closed after this time, so that no request is sent on
   /// a connection that has died meanwhile.
