fleet: Count the age of a start from when it is handed over

Cause: a start counted as sent at the begin of its placement pass. It leaves after the pass and the orders before it, perhaps after a connect of up to 1 s or on a relay up to 500 ms later, while the slack for all this was 200 ms. So after a turn of 1.5 s it could take effect at a restarted worker after the task had been moved: TWICE.

Change: a direct start is dated just before it is given to its connection, a relayed one when the relay's call is sent, at the same reading of the clock from which the relay counts its age. The order and its task get the same date, since an outcome is matched by it; an order that is not the task's latest keeps its own. What can still delay it is bounded: kMaximumDispatchTime is the relay's age limit and the connect timeout, which the adapter takes from the same constant; the slack is that and 200 ms for the network. A worker counts as young for as long as such an order can be carried out and its lease last (23.7 s, was 22 s).

Looked at: LateStartUntil, RecordLateStart, MayStartLate, MayResend, UnconfirmedUntil, RestoreLateStart (follow the new date and bound); MayHaveRestarted (extended); the ages in events (from the new date); placing over m_late_start_until, AcknowledgeableEnd and the roster (use the stored bound); InheritedRunsUntil, m_lease_limit, MayHoldLease and the handover (count leases on the workers' clocks, which a late order only shortens); a poll's m_poll_sent_at is before it leaves, which is the safe side.

--- a/libraries/decisions/fleet/late_start.cc
+++ b/libraries/decisions/fleet/late_start.cc
@@ -9,13 +9,15 @@
 
 namespace {
 
-// Covers the transit of the order and of the poll that follows it.
-constexpr Duration kTransitSlack = std::chrono::milliseconds(200);
+// Covers the time until the order leaves, and the transit of the order and of
+// the poll that follows it.
+constexpr Duration kTransitSlack =
+    kMaximumDispatchTime + std::chrono::milliseconds(200);
 // Covers a worker's clock that runs 2% slow, and an order in transit.
 constexpr Duration kUnconfirmedSlack = std::chrono::milliseconds(900);
 
 TimePoint LatestEffectOf(const FleetLimits& limits, const Task& task) {
-  return task.m_start_sent_at + limits.m_longest_order_delay + kTransitSlack;
+  return task.m_start_sent_at + LongestEffectDelay(limits);
 }
 
 void RecordUntil(Fleet& fleet, Task& task, const WorkerId& worker,
@@ -32,6 +34,22 @@
 
 }  // namespace
 
+Duration LongestEffectDelay(const FleetLimits& limits) {
+  return limits.m_longest_order_delay + kTransitSlack;
+}
+
+// An order that is not its task's latest keeps a time of its own, so that its
+// outcome is not taken for that of the latest one.
+void RecordStartSent(Fleet& fleet, StartOrder& order, TimePoint now) {
+  Job* job = nullptr;
+  Task* task = FindTask(fleet, order.m_task, job);
+  const bool is_latest = task != nullptr && task->m_run == order.m_run &&
+                         task->m_worker == order.m_worker &&
+                         task->m_start_sent_at == order.m_sent_at;
+  if (!is_latest) return;
+  order.m_sent_at = task->m_start_sent_at = now;
+}
+
 TimePoint LateStartUntil(const FleetLimits& limits, const Task& task) {
   const bool is_pending =
       (task.m_state == RunState::kStarting ||
@@ -94,7 +112,7 @@
   const TimePoint until(FromMilliseconds(stored.m_late_start_until_unix_ms -
                                          fleet.m_unix_offset_ms));
   const TimePoint latest =
-      fleet.m_ticked_at + fleet.m_limits.m_longest_order_delay + kTransitSlack;
+      fleet.m_ticked_at + LongestEffectDelay(fleet.m_limits);
   if (until <= fleet.m_ticked_at) return;
   RecordUntil(fleet, task, stored.m_late_start_worker, std::min(until, latest));
 }
--- a/libraries/decisions/fleet/late_start.h
+++ b/libraries/decisions/fleet/late_start.h
@@ -1,9 +1,10 @@
 #pragma once
 
 #include "decisions/fleet/fleet.h"
+#include "decisions/fleet/relay.h"
 
 // A start order without an answer may take effect until
-// FleetLimits::m_longest_order_delay after it was sent. A report under a higher
+// FleetLimits::m_longest_order_delay after it has left. A report under a higher
 // fencing token shows that the worker's present incarnation rejects the order,
 // but the next one has seen no token. Until then the task may therefore run on
 // this worker only, and no end of this worker is acknowledged: its next
@@ -12,6 +13,18 @@
 
 namespace daisyarch::fleet {
 
+/// An order does not leave on a connection that takes longer to be made.
+constexpr Duration kMaximumConnectTime = std::chrono::seconds(1);
+/// An order that is handed to a connection or to a relay's call leaves for its
+/// worker within this time, or never.
+constexpr Duration kMaximumDispatchTime =
+    kMaximumRelayedOrderAge + kMaximumConnectTime;
+
+/// Returns how long after its handing over an order may take effect.
+Duration LongestEffectDelay(const FleetLimits& limits);
+/// Dates a start that is now handed to a connection or to a relay's call.
+/// Its age, and that of its task's latest start, count from this.
+void RecordStartSent(Fleet& fleet, StartOrder& order, TimePoint now);
 /// Returns until when an order may start the task although no answer to it is
 /// awaited any more; a time in the past if there is none.
 TimePoint LateStartUntil(const FleetLimits& limits, const Task& task);
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -279,7 +279,7 @@
 // incarnation may still hold its lease. Its clock begins at its start.
 bool MayHaveRestarted(const FleetLimits& limits, const WorkerReport& report) {
   return report.m_clock <
-         WorkerMilliseconds(ToMilliseconds(limits.m_longest_order_delay +
+         WorkerMilliseconds(ToMilliseconds(LongestEffectDelay(limits) +
                                            limits.m_longest_lease));
 }
 
--- a/services/daisyarchd/fleet/leader_orders.cc
+++ b/services/daisyarchd/fleet/leader_orders.cc
@@ -1,5 +1,6 @@
 #include <utility>
 
+#include "decisions/fleet/late_start.h"
 #include "fleet/leader.h"
 #include "fleet/send_order.h"
 #include "log/log.h"
@@ -112,7 +113,10 @@
 }
 
 void SendDirectly(const LeaderPointer& leader, const std::string& address,
-                  const Order& order) {
+                  Order& order) {
+  if (auto* start = std::get_if<StartOrder>(&order)) {
+    RecordStartSent(leader->m_fleet, *start, Now(*leader));
+  }
   const std::weak_ptr<Leader> weak = leader;
   SendOrderTo(
       leader->m_runtime.m_order_sender, address, order,
@@ -141,11 +145,11 @@
 
 void SendOrders(const LeaderPointer& leader) {
   Fleet& fleet = leader->m_fleet;
-  const std::vector<Order> orders = std::move(fleet.m_orders);
+  std::vector<Order> orders = std::move(fleet.m_orders);
   fleet.m_orders.clear();
   if (orders.empty()) return;
   const TimePoint began_at = Now(*leader);
-  for (const Order& order : orders) {
+  for (Order& order : orders) {
     ++leader->m_load.m_orders[order.index()];
     if (std::holds_alternative<StartOrder>(order)) {
       leader->m_runtime.m_metrics->IncrementCounter("daisyarch_starts_total",
--- a/services/daisyarchd/fleet/relay_links.cc
+++ b/services/daisyarchd/fleet/relay_links.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "decisions/fleet/late_start.h"
 #include "fleet/leader.h"
 #include "fleet/store_keys.h"
 #include "log/log.h"
@@ -143,17 +144,31 @@
   return taken;
 }
 
+// The relay counts the age of an order from the same time.
+void RecordStartsSent(Leader& leader, RelayLink& link,
+                      std::vector<RelayedOrder>& orders, TimePoint now) {
+  for (RelayedOrder& relayed : orders) {
+    auto* start = std::get_if<StartOrder>(&relayed.m_order);
+    if (start == nullptr) continue;
+    RecordStartSent(leader.m_fleet, *start, now);
+    const auto open = link.m_open.find(relayed.m_number);
+    if (open == link.m_open.end()) continue;
+    std::get<StartOrder>(open->second.m_order).m_sent_at = start->m_sent_at;
+  }
+}
+
 void SendCall(const LeaderPointer& leader, RelayLink& link) {
+  const TimePoint now = Now(*leader);
   RelayCall call;
   call.m_term = leader->m_claim.m_term;
   call.m_session = link.m_session;
   if (link.m_clock != RelayMicroseconds()) {
     // The relay's clock showed this or more when its answer arrived.
     call.m_sent_at =
-        link.m_clock +
-        RelayMicroseconds((Now(*leader) - link.m_clock_read_at).count());
+        link.m_clock + RelayMicroseconds((now - link.m_clock_read_at).count());
   }
   call.m_orders = TakeOrders(link);
+  RecordStartsSent(*leader, link, call.m_orders, now);
   ++leader->m_load.m_relay_calls;
   ++link.m_calls_in_flight;
   const std::weak_ptr<Leader> weak = leader;
--- /dev/null
+++ b/tests/invariants/late_turn_test.cc
@@ -0,0 +1,129 @@
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "decisions/fleet/late_start.h"
+#include "fakes/fake_site.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const Resources kCapacity{Millicores(4000), Mebibytes(8000), Accelerators(0)};
+// An order is carried out at most this long after it has left.
+constexpr Duration kLongestDelay = seconds(12);
+constexpr Duration kOrderTimeout = milliseconds(700);
+
+void BuildSite(FakeSite& site) {
+  site.m_routes = MakeTestRoutes();
+  for (const char* name : {"w0", "w1"}) {
+    AddSiteWorker(site, name, kCapacity);
+    site.m_workers.at(WorkerId(name))->m_plan_run =
+        [&site](const TaskReference&, RunNumber) {
+          ModelRun run;
+          run.m_ends_at = site.m_loop.m_now + seconds(5);
+          return run;
+        };
+  }
+  AddSiteNode(site, "n0");
+  if (site.m_has_relays) AddSiteNode(site, "n1");
+  RunFor(site.m_loop, seconds(12));
+}
+
+void SetReachable(FakeSite& site, const WorkerId& worker, bool is_reachable) {
+  for (const auto& node : site.m_nodes) {
+    if (is_reachable) {
+      node->m_unreachable_workers.erase(worker);
+    } else {
+      node->m_unreachable_workers.insert(worker);
+    }
+  }
+}
+
+// Lets the worker refuse starts until it ends shortly before `at`, and return
+// behind a cut that lasts until shortly after it.
+void RestartAround(FakeSite& site, FleetWorkerModel& worker, TimePoint at) {
+  const WorkerId id = worker.m_listing.m_worker;
+  const Duration delay = at - site.m_loop.m_now;
+  worker.m_unhealthy_until = at;
+  RunAfter(site.m_loop, delay - milliseconds(300), [&site, &worker, id] {
+    SetReachable(site, id, false);
+    Crash(worker, site.m_loop.m_now);
+  });
+  RunAfter(site.m_loop, delay - milliseconds(100),
+           [&site, &worker] { Restart(worker, site.m_loop.m_now); });
+  RunAfter(site.m_loop, delay + milliseconds(500),
+           [&site, id] { SetReachable(site, id, true); });
+}
+
+// Sending the first start takes `turn`, so that the second one, of the same
+// turn, is handed over late. It leaves after `dispatch`, gets no answer and is
+// carried out as late as an order can be, by a worker that has just restarted.
+void DelaySecondStart(FakeSite& site, Duration turn, Duration dispatch) {
+  auto starts = std::make_shared<int>(0);
+  for (const auto& node : site.m_nodes) {
+    OrderSender& sender = node->m_node->m_runtime.m_order_sender;
+    sender.m_start = [&site, turn, dispatch, starts, send = sender.m_start](
+                         const std::string& address, const StartOrder& order,
+                         auto on_answer) {
+      ++*starts;
+      if (*starts == 1) site.m_loop.m_now += turn;
+      if (*starts != 2) return send(address, order, on_answer);
+      FleetWorkerModel& worker = *site.m_workers.at(order.m_worker);
+      const Duration arrival = dispatch + kLongestDelay;
+      RestartAround(site, worker, site.m_loop.m_now + arrival);
+      RunAfter(site.m_loop, dispatch + kOrderTimeout,
+               [on_answer] { on_answer(StartOutcome::kUnanswered); });
+      RunAfter(site.m_loop, arrival, [&site, &worker, order] {
+        static_cast<void>(Receive(worker, order, site.m_loop.m_now));
+      });
+    };
+  }
+}
+
+std::string PlayLateStart(FakeSite& site, Duration turn, Duration dispatch) {
+  BuildSite(site);
+  DelaySecondStart(site, turn, dispatch);
+  SubmitToSite(site, *site.m_nodes.front(), MakeTestJob(0, 2));
+  RunFor(site.m_loop, seconds(60));
+  const std::string unfinished = FindUnfinishedJob(site);
+  return site.m_violation + site.m_repeated_task + unfinished;
+}
+
+void CheckLateStart(Duration turn, Duration dispatch) {
+  INFO("turn of " << ToMilliseconds(turn) << " ms, dispatch of "
+                  << ToMilliseconds(dispatch) << " ms");
+  FakeSite site(1);
+  CHECK(PlayLateStart(site, turn, dispatch) == "");
+}
+
+}  // namespace
+
+// Guards against a start that counts as sent when it was decided on, although
+// the orders before it took the rest of a long turn.
+TEST_CASE("A start that leaves late in a turn does not run beside another") {
+  CheckLateStart(Duration(0), Duration(0));
+  CheckLateStart(milliseconds(400), Duration(0));
+  CheckLateStart(milliseconds(1500), Duration(0));
+}
+
+// Guards against a start that counts as sent when it was handed to a relay or
+// to a connection that was still to be made.
+TEST_CASE("A start that waits for its connection does not run beside another") {
+  CheckLateStart(Duration(0), kMaximumDispatchTime);
+  CheckLateStart(milliseconds(1500), kMaximumDispatchTime);
+}
+
+// Guards against the same at a relay, which sends what is not too old.
+TEST_CASE("A relayed start that leaves late does not run beside another") {
+  const Duration turn = GENERATE(Duration(0), Duration(milliseconds(400)),
+                                 Duration(milliseconds(600)));
+  INFO("turn of " << ToMilliseconds(turn) << " ms");
+  FakeSite site(1);
+  site.m_has_relays = true;
+  CHECK(PlayLateStart(site, turn, kMaximumConnectTime) == "");
+}
+
+}  // namespace daisyarch::fleet
