fleet: Send no start once the claim has ended within the turn

Cause: whether this node may start runs was asked once, when the placement pass began. In a long turn the claim could end between the decision on a start and its leaving, so that it left a leader whose successor may have learned what runs.

Change: it is asked again as each start is handed to a connection or a relay's queue, and before the relays are called. A start that is late is not sent and counts as refused, as one whose connection was not made does.

--- a/services/daisyarchd/fleet/leader_orders.cc
+++ b/services/daisyarchd/fleet/leader_orders.cc
@@ -128,6 +128,13 @@
       });
 }
 
+// Returns whether the order must not leave any more. The claim may have ended
+// since the order was decided on, in a long turn.
+bool IsTooLate(const Leader& leader, const Order& order) {
+  return std::holds_alternative<StartOrder>(order) &&
+         !leader.m_may_start_runs();
+}
+
 }  // namespace
 
 void HandleOrderOutcome(const LeaderPointer& leader, const Order& order,
@@ -155,6 +162,11 @@
       leader->m_runtime.m_metrics->IncrementCounter("daisyarch_starts_total",
                                                     "");
     }
+    if (IsTooLate(*leader, order)) {
+      HandleOrderOutcome(leader, order,
+                         UnsentOutcome(order, "the claim has ended"));
+      continue;
+    }
     const std::string address = AddressOf(*leader, WorkerOf(order));
     if (!GiveToRelay(*leader, address, order)) {
       SendDirectly(leader, address, order);
--- a/services/daisyarchd/fleet/relay_links.cc
+++ b/services/daisyarchd/fleet/relay_links.cc
@@ -275,6 +275,23 @@
   return kOutcomeTimeout + (poll == nullptr ? Duration{} : poll->m_wait);
 }
 
+// Takes the starts back that are late before they leave; see SendOrders().
+void WithholdStarts(const LeaderPointer& leader, RelayLink& link) {
+  const auto first = std::stable_partition(
+      link.m_queue.begin(), link.m_queue.end(), [](const RelayedOrder& queued) {
+        return !std::holds_alternative<StartOrder>(queued.m_order);
+      });
+  const std::vector<RelayedOrder> starts(
+      std::make_move_iterator(first),
+      std::make_move_iterator(link.m_queue.end()));
+  link.m_queue.erase(first, link.m_queue.end());
+  for (const RelayedOrder& start : starts) {
+    link.m_open.erase(start.m_number);
+    HandleOrderOutcome(leader, start.m_order,
+                       UnsentOutcome(start.m_order, "the claim has ended"));
+  }
+}
+
 bool IsServedDirectly(Leader& leader, const WorkerId& worker) {
   auto& direct_until = leader.m_relays.m_direct_until;
   const auto found = direct_until.find(worker);
@@ -348,6 +365,7 @@
 void CallRelays(const LeaderPointer& leader) {
   for (auto& entry : leader->m_relays.m_links) {
     RelayLink& link = entry.second;
+    if (!leader->m_may_start_runs()) WithholdStarts(leader, link);
     const bool is_open = link.m_state == RelayLinkState::kServing ||
                          link.m_state == RelayLinkState::kLeaving;
     if (!is_open) continue;
--- a/tests/invariants/late_turn_test.cc
+++ b/tests/invariants/late_turn_test.cc
@@ -1,8 +1,10 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
 
 #include "decisions/fleet/late_start.h"
 #include "fakes/fake_site.h"
+#include "wire/relay_fields.h"
 
 namespace daisyarch::fleet {
 
@@ -15,6 +17,7 @@
 // An order is carried out at most this long after it has left.
 constexpr Duration kLongestDelay = seconds(12);
 constexpr Duration kOrderTimeout = milliseconds(700);
+constexpr Duration kMaximumStartDelay = seconds(30);
 
 void BuildSite(FakeSite& site) {
   site.m_routes = MakeTestRoutes();
@@ -99,6 +102,16 @@
   CHECK(PlayLateStart(site, turn, dispatch) == "");
 }
 
+bool HasStart(const std::string& call) {
+  const auto read = ReadRelayCall(call, "leader");
+  if (!read) return false;
+  const auto& orders = read.assume_value().m_orders;
+  return std::any_of(
+      orders.begin(), orders.end(), [](const RelayedOrder& relayed) {
+        return std::holds_alternative<StartOrder>(relayed.m_order);
+      });
+}
+
 }  // namespace
 
 // Guards against a start that counts as sent when it was decided on, although
@@ -126,4 +139,64 @@
   CHECK(PlayLateStart(site, turn, kMaximumConnectTime) == "");
 }
 
+// Guards against a start that is late before it leaves: the next leader may
+// have learned what runs.
+TEST_CASE("No start leaves after the claim has ended in a long turn") {
+  FakeSite site(1);
+  BuildSite(site);
+  std::size_t late_starts = 0;
+  OrderSender& sender = site.m_nodes.front()->m_node->m_runtime.m_order_sender;
+  sender.m_start = [&site, &late_starts, turn_ended_at = TimePoint::max(),
+                    send = sender.m_start](const std::string& address,
+                                           const StartOrder& order,
+                                           auto on_answer) mutable {
+    if (turn_ended_at == TimePoint::max()) {
+      site.m_loop.m_now += seconds(3);
+      turn_ended_at = site.m_loop.m_now;
+    } else if (site.m_loop.m_now == turn_ended_at) {
+      ++late_starts;
+    }
+    send(address, order, on_answer);
+  };
+  SubmitToSite(site, *site.m_nodes.front(), MakeTestJob(0, 3));
+  CHECK(RunUntilTrue(site.m_loop, kMaximumStartDelay,
+                     [&site] { return FindUnfinishedJob(site).empty(); }));
+  CHECK(late_starts == 0);
+}
+
+// The same for starts that wait for the call of their relay.
+TEST_CASE("No relayed start leaves after the claim has ended in a long turn") {
+  FakeSite site(1);
+  site.m_has_relays = true;
+  site.m_routes = MakeTestRoutes();
+  const Resources one_core{Millicores(1000), Mebibytes(8000), Accelerators(0)};
+  for (const char* name : {"w0", "w1", "w2", "w3", "w4", "w5"}) {
+    AddSiteWorker(site, name, one_core);
+  }
+  for (const char* name : {"n0", "n1", "n2"}) AddSiteNode(site, name);
+  RunFor(site.m_loop, seconds(12));
+  TimePoint turn_ended_at = TimePoint::max();
+  std::size_t late_starts = 0;
+  for (const auto& node : site.m_nodes) {
+    RelayCaller& caller = node->m_node->m_runtime.m_call_relay;
+    caller = [&, send = caller](const std::string& address,
+                                const std::string& call, Duration timeout,
+                                auto on_answer) {
+      if (!HasStart(call)) return send(address, call, timeout, on_answer);
+      if (turn_ended_at == TimePoint::max()) {
+        site.m_loop.m_now += seconds(3);
+        turn_ended_at = site.m_loop.m_now;
+      } else if (site.m_loop.m_now == turn_ended_at) {
+        ++late_starts;
+      }
+      send(address, call, timeout, on_answer);
+    };
+  }
+  SubmitToSite(site, *site.m_nodes.front(), MakeTestJob(0, 6));
+  CHECK(RunUntilTrue(site.m_loop, kMaximumStartDelay,
+                     [&site] { return FindUnfinishedJob(site).empty(); }));
+  CHECK(turn_ended_at != TimePoint::max());
+  CHECK(late_starts == 0);
+}
+
 }  // namespace daisyarch::fleet
