--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -27,7 +27,7 @@
   Duration m_lease = std::chrono::seconds(4);
   /// Maximum lease duration; the workers shorten longer leases to it.
   Duration m_longest_lease = std::chrono::seconds(10);
-  /// Maximum time from sending an unanswered order until it takes effect.
+  /// Maximum time from when an unanswered order leaves until it takes effect.
   Duration m_longest_order_delay = std::chrono::seconds(12);
   /// How long a worker may hold back its answer to a poll until a run ends.
   Duration m_poll_wait = std::chrono::milliseconds(1000);
@@ -59,7 +59,7 @@
   WorkerMilliseconds m_lease_until;
   std::string m_payload;
   std::string m_checkpoint;
-  TimePoint m_sent_at{};
+  TimePoint m_sent_at{};  ///< See Task::m_start_sent_at.
 };
 
 /// Stops one run of a task.
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -73,6 +73,8 @@
   RunNumber m_run;
   WorkerId m_worker;  ///< Empty while the task is on no worker.
   std::string m_checkpoint;
+  /// When the latest start was handed over for sending, or before that, when
+  /// it was decided.
   TimePoint m_start_sent_at{};
   TimePoint m_started_at{};  ///< When the start was confirmed; 0 before.
   /// Until then an unconfirmed start may take effect, or its run be active.
