fleet: Allow for jumps of the clock between leaders in late starts

Cause: the time until which a start may take effect late is stored by the earlier leader's time of day and read by the next one's. The two may differ by seconds, and each may jump.

Change: the stored time counts with 10 s for two jumps of 5 s, and as before for at most the longest time from when the job is loaded. So an inherited late start may be awaited for up to 10 s longer than needed, but no longer than one that was sent as the leader began.

--- a/libraries/decisions/fleet/late_start.cc
+++ b/libraries/decisions/fleet/late_start.cc
@@ -13,6 +13,8 @@
 // the poll that follows it.
 constexpr Duration kTransitSlack =
     kMaximumDispatchTime + std::chrono::milliseconds(200);
+// Each of two nodes' times of day may jump by up to 5 s.
+constexpr Duration kMaximumClockStep = std::chrono::seconds(10);
 // Covers a worker's clock that runs 2% slow, and an order in transit.
 constexpr Duration kUnconfirmedSlack = std::chrono::milliseconds(900);
 
@@ -107,10 +109,14 @@
              : worker.m_stored_end;
 }
 
-// The clock of the node that stored the time may differ from this one's.
+// The time of day of the node that stored the time may differ from this one's,
+// in either direction.
 void RestoreLateStart(Fleet& fleet, const TaskProgress& stored, Task& task) {
-  const TimePoint until(FromMilliseconds(stored.m_late_start_until_unix_ms -
-                                         fleet.m_unix_offset_ms));
+  if (stored.m_late_start_until_unix_ms == 0) return;
+  const TimePoint until =
+      TimePoint(FromMilliseconds(stored.m_late_start_until_unix_ms -
+                                 fleet.m_unix_offset_ms)) +
+      kMaximumClockStep;
   const TimePoint latest =
       fleet.m_ticked_at + LongestEffectDelay(fleet.m_limits);
   if (until <= fleet.m_ticked_at) return;
