--- a/services/daisyarchd/fleet/relay_links.cc
+++ b/services/daisyarchd/fleet/relay_links.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <utility>
 
+#include "decisions/fleet/late_start.h"
 #include "fleet/leader.h"
 #include "fleet/store_keys.h"
 #include "log/log.h"
@@ -143,17 +144,31 @@
   return taken;
 }
 
+// The relay counts the age of an order from the same time.
+void RecordStartsSent(Leader& leader, RelayLink& link,
+                      std::vector<RelayedOrder>& orders, TimePoint now) {
+  for (RelayedOrder& relayed : orders) {
+    auto* start = std::get_if<StartOrder>(&relayed.m_order);
+    if (start == nullptr) continue;
+    RecordStartSent(leader.m_fleet, *start, now);
+    const auto open = link.m_open.find(relayed.m_number);
+    if (open == link.m_open.end()) continue;
+    std::get<StartOrder>(open->second.m_order).m_sent_at = start->m_sent_at;
+  }
+}
+
 void SendCall(const LeaderPointer& leader, RelayLink& link) {
+  const TimePoint now = Now(*leader);
   RelayCall call;
   call.m_term = leader->m_claim.m_term;
   call.m_session = link.m_session;
   if (link.m_clock != RelayMicroseconds()) {
     // The relay's clock showed this or more when its answer arrived.
     call.m_sent_at =
-        link.m_clock +
-        RelayMicroseconds((Now(*leader) - link.m_clock_read_at).count());
+        link.m_clock + RelayMicroseconds((now - link.m_clock_read_at).count());
   }
   call.m_orders = TakeOrders(link);
+  RecordStartsSent(*leader, link, call.m_orders, now);
   ++leader->m_load.m_relay_calls;
   ++link.m_calls_in_flight;
   const std::weak_ptr<Leader> weak = leader;
@@ -260,6 +275,23 @@
   return kOutcomeTimeout + (poll == nullptr ? Duration{} : poll->m_wait);
 }
 
+// Takes the starts back that are late before they leave; see SendOrders().
+void WithholdStarts(const LeaderPointer& leader, RelayLink& link) {
+  const auto first = std::stable_partition(
+      link.m_queue.begin(), link.m_queue.end(), [](const RelayedOrder& queued) {
+        return !std::holds_alternative<StartOrder>(queued.m_order);
+      });
+  const std::vector<RelayedOrder> starts(
+      std::make_move_iterator(first),
+      std::make_move_iterator(link.m_queue.end()));
+  link.m_queue.erase(first, link.m_queue.end());
+  for (const RelayedOrder& start : starts) {
+    link.m_open.erase(start.m_number);
+    HandleOrderOutcome(leader, start.m_order,
+                       UnsentOutcome(start.m_order, "the claim has ended"));
+  }
+}
+
 bool IsServedDirectly(Leader& leader, const WorkerId& worker) {
   auto& direct_until = leader.m_relays.m_direct_until;
   const auto found = direct_until.find(worker);
@@ -333,6 +365,7 @@
 void CallRelays(const LeaderPointer& leader) {
   for (auto& entry : leader->m_relays.m_links) {
     RelayLink& link = entry.second;
+    if (!leader->m_may_start_runs()) WithholdStarts(leader, link);
     const bool is_open = link.m_state == RelayLinkState::kServing ||
                          link.m_state == RelayLinkState::kLeaving;
     if (!is_open) continue;
