fleet: Store the failure of a late start whose task goes on waiting

Cause: a run that fails while its task waits for a late start leaves the task in the same state. Only a change of the state marked the task for storing, so the next leader did not know of the failed attempt, and could start one more.

Change: a counted failure marks its task.

--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -161,6 +161,8 @@
   if (context.m_step.m_kind == StepKind::kService) return;
   if (!context.m_step.m_is_gang) {
     RecordFailedRun(context.m_task, run);
+    // The state may stay the same.
+    MarkTaskChanged(context.m_fleet, context.m_job, context.m_reference);
     return;
   }
   TaskReference member = context.m_reference;
--- a/tests/decisions/fleet/late_start_test.cc
+++ b/tests/decisions/fleet/late_start_test.cc
@@ -380,6 +380,27 @@
   CHECK(IsPlacedAnywhere(next));
 }
 
+// Guards against an attempt that the next leader does not know of.
+TEST_CASE("A failure of a late start is stored while its task waits") {
+  FleetFixture fixture;
+  const StartOrder first = SendUnanswered(fixture);
+  ConfirmSecondStart(fixture, first);
+  Wait(fixture, milliseconds(10));
+  Report(fixture, first.m_worker.value(), {}, {});
+  REQUIRE(TaskOf(fixture, first.m_task).m_state == RunState::kSettling);
+  Store(fixture);
+  Wait(fixture, milliseconds(400));
+  Report(fixture, first.m_worker.value(), {},
+         {EndedRunOf(first, 1, RunOutcome::kFailed)});
+  REQUIRE(TaskOf(fixture, first.m_task).m_state == RunState::kSettling);
+  REQUIRE(TaskOf(fixture, first.m_task).m_failed_runs.size() == 1);
+  const ChangeBatch stored = TakeChanges(fixture.m_fleet);
+  REQUIRE(stored.m_changes.size() == 1);
+  const auto& rows = stored.m_changes.front().m_progress.m_tasks;
+  REQUIRE(rows.size() == 1);
+  CHECK(rows.front().m_failed_runs.size() == 1);
+}
+
 // Guards against the same after the time of day has jumped on one of the
 // leaders' nodes, and against a wait that grows with the jump.
 TEST_CASE("A jump of the clock does not shorten the wait for a late start") {
