fleet: Look up each run of a report once

The runs that a report lists are now looked up once, and what was found is passed on within the call. Loads are aggregated without lists, not at all on a worker with neither serving nor best-effort tasks, and losses of headroom are computed only where the headroom is low enough to matter. Incompatible images are counted anew only when one changes sides. What is decided stays the same.

--- a/libraries/decisions/fleet/crash_count.cc
+++ b/libraries/decisions/fleet/crash_count.cc
@@ -92,24 +92,23 @@
 }
 
 // The run has not crashed the worker.
-void WithdrawCrash(Fleet& fleet, const Worker& worker,
-                   const TaskReference& reference, RunNumber run) {
-  Job* job = nullptr;
-  Task* task = FindTask(fleet, reference, job);
-  if (task == nullptr) return;
-  if (!Remove(task->m_crashed_runs, run) &&
-      !Remove(task->m_doubtful_runs, run)) {
+void WithdrawCrash(Fleet& fleet, const Worker& worker, const FoundRun& found,
+                   RunNumber run) {
+  if (found.m_task == nullptr) return;
+  if (!Remove(found.m_task->m_crashed_runs, run) &&
+      !Remove(found.m_task->m_doubtful_runs, run)) {
     return;
   }
+  const TaskReference& reference = *found.m_reference;
   fleet.m_events.push_back({"run_crash_withdrawn", reference.m_job,
                             worker.m_listing.m_worker, run, Duration{},
                             reference});
-  MarkTaskChanged(fleet, *job, reference);
+  MarkTaskChanged(fleet, *found.m_job, reference);
 }
 
 void WithdrawCrashes(Fleet& fleet, const Worker& worker) {
   for (const auto& [reference, run] : worker.m_crashed_runs) {
-    WithdrawCrash(fleet, worker, reference, run);
+    WithdrawCrash(fleet, worker, FindRun(fleet, reference), run);
   }
 }
 
@@ -217,8 +216,9 @@
   Forget(worker);
 }
 
-void RecordActive(Fleet& fleet, const Worker& worker, const ActiveRun& active) {
-  WithdrawCrash(fleet, worker, active.m_task, active.m_run);
+void RecordActive(Fleet& fleet, const Worker& worker, const FoundRun& active,
+                  RunNumber run) {
+  WithdrawCrash(fleet, worker, active, run);
 }
 
 void RecordRestart(Fleet& fleet, Worker& worker, TimePoint now) {
--- a/libraries/decisions/fleet/crash_count.h
+++ b/libraries/decisions/fleet/crash_count.h
@@ -29,9 +29,10 @@
 /// crashed.
 void RecordAnswer(Fleet& fleet, Worker& worker);
 
-/// Records that the worker reports the run as active, so that a crash which an
-/// earlier leader counted under it did not happen.
-void RecordActive(Fleet& fleet, const Worker& worker, const ActiveRun& active);
+/// Records that the worker reports the task's run as active, so that a crash
+/// which an earlier leader counted under it did not happen.
+void RecordActive(Fleet& fleet, const Worker& worker, const FoundRun& active,
+                  RunNumber run);
 
 /// Records that another incarnation of the worker has appeared.
 void RecordRestart(Fleet& fleet, Worker& worker, TimePoint now);
--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -299,6 +299,7 @@
 }
 
 Job* FindJob(Fleet& fleet, const JobKey& key) {
+  ++fleet.m_work.m_job_lookups;
   const auto found = fleet.m_jobs.find(key.value());
   return found == fleet.m_jobs.end() ? nullptr : found->second.get();
 }
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -140,6 +140,16 @@
   std::uint64_t m_workers = 0;
   std::uint64_t m_waiting_steps = 0;
   std::uint64_t m_jobs = 0;
+  /// Jobs that were looked up by their key. An event's grow with the runs that
+  /// it lists.
+  std::uint64_t m_job_lookups = 0;
+};
+
+/// A run's task and its job, looked up once for one event.
+struct FoundRun {
+  const TaskReference* m_reference = nullptr;  ///< Of the event or the worker.
+  Job* m_job = nullptr;                        ///< nullptr: unknown.
+  Task* m_task = nullptr;                      ///< nullptr: unknown.
 };
 
 struct FleetStateMachines;
@@ -314,8 +324,9 @@
 /// ended because it had started enough tasks for one pass.
 bool PlaceRuns(Fleet& fleet, TimePoint now);
 /// Adjusts the processor limits of best-effort tasks to the headroom of the
-/// serving tasks on the same worker.
-void ThrottleBestEffort(Fleet& fleet, Worker& worker, TimePoint now);
+/// serving tasks on the same worker; `runs` are all its runs, in their order.
+void ThrottleBestEffort(Fleet& fleet, Worker& worker,
+                        const std::vector<FoundRun>& runs, TimePoint now);
 
 // Helpers that the source files of the fleet share.
 
@@ -327,6 +338,8 @@
 Worker& AddWorker(Fleet& fleet, const WorkerId& worker);
 /// Returns the task and sets `job`; nullptr if the task is unknown.
 Task* FindTask(Fleet& fleet, const TaskReference& reference, Job*& job);
+/// Looks the run's task up; the result refers to `reference`.
+FoundRun FindRun(Fleet& fleet, const TaskReference& reference);
 /// Records the worker's incarnation. If it has restarted, resets what its
 /// previous incarnation reported and fires WorkerEvent::kRestarted.
 void UpdateIncarnation(Fleet& fleet, Worker& worker, Incarnation incarnation,
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -185,7 +185,8 @@
            left.m_occurrence == right.m_occurrence && left.m_job == right.m_job;
   }
   friend bool operator<(const TaskReference& left, const TaskReference& right) {
-    if (left.m_job != right.m_job) return left.m_job < right.m_job;
+    const int jobs = left.m_job.value().compare(right.m_job.value());
+    if (jobs != 0) return jobs < 0;
     if (left.m_occurrence != right.m_occurrence) {
       return left.m_occurrence < right.m_occurrence;
     }
--- a/libraries/decisions/fleet/interference.cc
+++ b/libraries/decisions/fleet/interference.cc
@@ -73,6 +73,24 @@
   double m_drift;
 };
 
+bool IsIncompatible(const Estimate& effect) {
+  return effect.m_mean >= kIncompatibleEffect;
+}
+
+// Returns the effect of the pair, which is added if it is not known.
+Estimate& AddEffect(Interference& interference, const ImageId& serving,
+                    const ImageId& best_effort_image) {
+  const auto found = interference.m_pairs.find(
+      std::pair<const ImageId&, const ImageId&>(serving, best_effort_image));
+  if (found != interference.m_pairs.end()) return found->second;
+  Estimate& effect =
+      interference.m_pairs
+          .emplace(std::make_pair(serving, best_effort_image), kUnknownEffect)
+          .first->second;
+  CountIncompatible(interference, serving);
+  return effect;
+}
+
 std::vector<Contribution> ContributionsOf(Interference& interference,
                                           const ImageId& serving,
                                           const BestEffortImages& best_effort,
@@ -81,9 +99,9 @@
   for (const auto& [best_effort_image, use] : best_effort) {
     const double share = ShareOf(use.m_used, capacity);
     if (share < kMinimumShare) continue;
-    const auto pair = interference.m_pairs.emplace(
-        std::make_pair(serving, best_effort_image), kUnknownEffect);
-    contributions.push_back({pair.first->second, -share, kEffectDrift});
+    contributions.push_back(
+        {AddEffect(interference, serving, best_effort_image), -share,
+         kEffectDrift});
   }
   return contributions;
 }
@@ -114,10 +132,19 @@
   const double headroom = HeadroomOf(serving);
   Estimate& baseline =
       interference.m_baselines
-          .emplace(image, Estimate{headroom, kHeadroomVariance})
+          .try_emplace(image, Estimate{headroom, kHeadroomVariance})
           .first->second;
   std::vector<Contribution> contributions =
       ContributionsOf(interference, image, best_effort, capacity);
+  const std::ptrdiff_t effects =
+      std::distance(contributions.begin(), contributions.end());
+  const auto count_incompatible = [&contributions, effects] {
+    return std::count_if(contributions.begin(), contributions.begin() + effects,
+                         [](const Contribution& effect) {
+                           return IsIncompatible(effect.m_estimate);
+                         });
+  };
+  const auto incompatible = count_incompatible();
   contributions.push_back({baseline, 1.0, kBaselineDrift});
   double expected = 0;
   for (const Contribution& contribution : contributions) {
@@ -125,10 +152,12 @@
   }
   serving.m_deviation = headroom - expected;
   double& swing =
-      interference.m_swings.emplace(image, kHeadroomVariance).first->second;
+      interference.m_swings.try_emplace(image, kHeadroomVariance).first->second;
   swing += kSwingGain * (serving.m_deviation * serving.m_deviation - swing);
   UpdateEstimates(contributions, serving.m_deviation);
-  CountIncompatible(interference, image);
+  if (count_incompatible() != incompatible) {
+    CountIncompatible(interference, image);
+  }
 }
 
 // A worker that has shrunk may run more than its capacity, of which no share
@@ -164,7 +193,7 @@
   for (auto pair = interference.m_pairs.lower_bound({serving, ImageId()});
        pair != interference.m_pairs.end() && pair->first.first == serving;
        ++pair) {
-    if (pair->second.m_mean >= kIncompatibleEffect) ++count;
+    if (IsIncompatible(pair->second)) ++count;
   }
 }
 
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -1,5 +1,4 @@
 #include <algorithm>
-#include <numeric>
 
 #include "decisions/fleet/crash_count.h"
 #include "decisions/fleet/fleet.h"
@@ -120,26 +119,27 @@
 }
 
 void ApplyActiveRun(Fleet& fleet, Worker& worker, const ActiveRun& active,
-                    TimePoint now) {
-  Job* job = nullptr;
-  Task* task = FindTask(fleet, active.m_task, job);
-  if (task == nullptr) return StopUnknownRun(fleet, worker, active);
-  RecordJobStart(fleet, *job);
-  RecordActive(fleet, worker, active);
-  if (!IsRunOnWorker(*task, worker, active.m_run)) {
-    if (!AdoptRun(fleet, *job, *task, worker, active.m_task, active.m_run)) {
+                    const FoundRun& found, TimePoint now) {
+  if (found.m_task == nullptr) return StopUnknownRun(fleet, worker, active);
+  Job& job = *found.m_job;
+  Task& task = *found.m_task;
+  const StepPlan& step = job.m_plan.m_steps[active.m_task.m_step];
+  RecordJobStart(fleet, job);
+  RecordActive(fleet, worker, found, active.m_run);
+  if (!IsRunOnWorker(task, worker, active.m_run)) {
+    if (!AdoptRun(fleet, job, task, worker, active.m_task, active.m_run)) {
       return StopUnknownRun(fleet, worker, active);
     }
-    CheckAdoptedLimit(*task, job->m_plan.m_steps[active.m_task.m_step], active);
+    CheckAdoptedLimit(task, step, active);
   }
-  if (task->m_start_confirmation != StartConfirmation::kConfirmed) {
-    RecordStart(fleet, *job, *task, active.m_task, now);
+  if (task.m_start_confirmation != StartConfirmation::kConfirmed) {
+    RecordStart(fleet, job, task, active.m_task, now);
   }
-  RecordCheckpoint(*job, *task, active.m_task, active.m_checkpoint);
-  RecordLoad(*task, job->m_plan.m_steps[active.m_task.m_step], active, now);
-  const bool is_unwanted = job->m_is_cancelled || job->m_has_failed;
-  if (is_unwanted && task->m_state == RunState::kRunning) {
-    SendStop(fleet, *job, active.m_task, now);
+  RecordCheckpoint(job, task, active.m_task, active.m_checkpoint);
+  RecordLoad(task, step, active, now);
+  const bool is_unwanted = job.m_is_cancelled || job.m_has_failed;
+  if (is_unwanted && task.m_state == RunState::kRunning) {
+    SendStop(fleet, job, active.m_task, now);
   }
 }
 
@@ -200,48 +200,50 @@
 }
 
 void ApplyEndedRun(Fleet& fleet, Worker& worker, const EndedRun& ended,
-                   TimePoint now) {
-  Job* job = nullptr;
-  Task* task = FindTask(fleet, ended.m_task, job);
-  if (task == nullptr) return;
-  RecordJobStart(fleet, *job);
-  if (!IsRunOnWorker(*task, worker, ended.m_run) &&
-      !AdoptRun(fleet, *job, *task, worker, ended.m_task, ended.m_run)) {
-    return ApplySupersededEnd(fleet, *job, *task, worker, ended, now);
+                   const FoundRun& found, TimePoint now) {
+  if (found.m_task == nullptr) return;
+  Job& job = *found.m_job;
+  Task& task = *found.m_task;
+  RecordJobStart(fleet, job);
+  if (!IsRunOnWorker(task, worker, ended.m_run) &&
+      !AdoptRun(fleet, job, task, worker, ended.m_task, ended.m_run)) {
+    return ApplySupersededEnd(fleet, job, task, worker, ended, now);
   }
   // Its start may have no answer yet.
-  task->m_start_confirmation = StartConfirmation::kConfirmed;
-  RecordCheckpoint(*job, *task, ended.m_task, ended.m_checkpoint);
+  task.m_start_confirmation = StartConfirmation::kConfirmed;
+  RecordCheckpoint(job, task, ended.m_task, ended.m_checkpoint);
   UpdateQuarantine(fleet, worker, ended.m_outcome, now);
   switch (ended.m_outcome) {
     case RunOutcome::kDone:
-      StepTask(fleet, *job, ended.m_task, RunEvent::kCompleted);
+      StepTask(fleet, job, ended.m_task, RunEvent::kCompleted);
       break;
     case RunOutcome::kFailed:
       fleet.m_events.push_back({"run_failed", ended.m_task.m_job,
                                 worker.m_listing.m_worker, ended.m_run,
-                                now - task->m_started_at});
-      StepTask(fleet, *job, ended.m_task, RunEvent::kRunFailed);
+                                now - task.m_started_at});
+      StepTask(fleet, job, ended.m_task, RunEvent::kRunFailed);
       break;
     default:
-      StepTask(fleet, *job, ended.m_task, RunEvent::kInterrupted);
+      StepTask(fleet, job, ended.m_task, RunEvent::kInterrupted);
       break;
   }
 }
 
-// Returns whether the job may be stored but not have reached this leader yet.
-// An earlier leader that does not know of this one may have started it.
-bool MayBecomeKnown(const Fleet& fleet, const JobKey& key) {
-  return fleet.m_jobs.count(key.value()) == 0 &&
-         fleet.m_ended_jobs.count(key) == 0;
+// Returns whether a job that was looked up may be stored but not have reached
+// this leader yet. An earlier leader that does not know of this one may have
+// started it.
+bool MayBecomeKnown(const Fleet& fleet, const Job* job, const JobKey& key) {
+  return job == nullptr && fleet.m_ended_jobs.count(key) == 0;
 }
 
 // Returns whether the ended run may belong to a job that may become known.
 bool AwaitsJob(const Fleet& fleet, Worker& worker, const EndedRun& ended,
-               TimePoint now) {
+               const FoundRun& found, TimePoint now) {
   const bool is_counted = ended.m_outcome == RunOutcome::kDone ||
                           ended.m_outcome == RunOutcome::kFailed;
-  if (!is_counted || !MayBecomeKnown(fleet, ended.m_task.m_job)) return false;
+  if (!is_counted || !MayBecomeKnown(fleet, found.m_job, ended.m_task.m_job)) {
+    return false;
+  }
   if (worker.m_unknown_end != ended.m_number) {
     worker.m_unknown_end = ended.m_number;
     worker.m_unknown_end_since = now;
@@ -253,23 +255,23 @@
 // returns whether that was all. An ended run stays ended, whatever token the
 // poll carried.
 bool ApplyEndedRuns(Fleet& fleet, Worker& worker, const WorkerReport& report,
-                    TimePoint now) {
-  worker.m_awaits_jobs =
-      std::any_of(report.m_running.begin(), report.m_running.end(),
-                  [&fleet](const ActiveRun& active) {
-                    return MayBecomeKnown(fleet, active.m_task.m_job);
-                  });
+                    const std::vector<FoundRun>& active_runs, TimePoint now) {
+  worker.m_awaits_jobs = std::any_of(
+      active_runs.begin(), active_runs.end(), [&fleet](const FoundRun& active) {
+        return MayBecomeKnown(fleet, active.m_job, active.m_reference->m_job);
+      });
   worker.m_first_listed_end = report.m_ended.empty()
                                   ? OutcomeNumber()
                                   : report.m_ended.front().m_number;
   worker.m_listed_ends = report.m_ended.size();
   for (const EndedRun& ended : report.m_ended) {
     if (ended.m_number <= worker.m_applied_end) continue;
-    if (AwaitsJob(fleet, worker, ended, now)) {
+    const FoundRun found = FindRun(fleet, ended.m_task);
+    if (AwaitsJob(fleet, worker, ended, found, now)) {
       worker.m_awaits_jobs = true;
       return false;
     }
-    ApplyEndedRun(fleet, worker, ended, now);
+    ApplyEndedRun(fleet, worker, ended, found, now);
     worker.m_applied_end = ended.m_number;
   }
   return report.m_lists_all_ends;
@@ -317,34 +319,60 @@
   StepTask(fleet, job, reference, RunEvent::kInterrupted);
 }
 
+bool IsBefore(const FoundRun& left, const FoundRun& right) {
+  return *left.m_reference < *right.m_reference;
+}
+
+void SortByReference(std::vector<FoundRun>& runs) {
+  if (std::is_sorted(runs.begin(), runs.end(), IsBefore)) return;
+  std::sort(runs.begin(), runs.end(), IsBefore);
+}
+
+// Returns the entry of the same task among the sorted runs; nullptr if there is
+// none.
+const FoundRun* FindAmong(const std::vector<FoundRun>& runs,
+                          const TaskReference& reference) {
+  const auto found = std::lower_bound(runs.begin(), runs.end(),
+                                      FoundRun{&reference}, IsBefore);
+  const bool is_there = found != runs.end() && *found->m_reference == reference;
+  return is_there ? &*found : nullptr;
+}
+
+// `active` are the runs that the report lists as active, sorted.
 void HandleMissingRuns(Fleet& fleet, Worker& worker,
-                       const WorkerReport& report) {
-  std::vector<const TaskReference*> listed;
-  listed.reserve(report.m_running.size());
-  for (const ActiveRun& active : report.m_running) {
-    listed.push_back(&active.m_task);
-  }
-  const auto is_before = [](const TaskReference* left,
-                            const TaskReference* right) {
-    return *left < *right;
-  };
-  std::sort(listed.begin(), listed.end(), is_before);
+                       const std::vector<FoundRun>& active) {
   std::vector<TaskReference> missing;
   for (const TaskReference& reference : worker.m_runs) {
-    if (std::binary_search(listed.begin(), listed.end(), &reference,
-                           is_before)) {
-      continue;
-    }
+    if (FindAmong(active, reference) != nullptr) continue;
     missing.push_back(reference);
   }
   for (const TaskReference& reference : missing) {
-    Job* job = nullptr;
-    const Task* task = FindTask(fleet, reference, job);
-    if (task == nullptr) continue;
-    HandleMissingRun(fleet, worker, *job, *task, reference);
+    const FoundRun run = FindRun(fleet, reference);
+    if (run.m_task == nullptr) continue;
+    HandleMissingRun(fleet, worker, *run.m_job, *run.m_task, reference);
   }
 }
 
+// Returns all runs on the worker, in their order.
+std::vector<FoundRun> FindRunsOn(Fleet& fleet, const Worker& worker,
+                                 const std::vector<FoundRun>& active) {
+  std::vector<FoundRun> runs;
+  runs.reserve(worker.m_runs.size());
+  for (const TaskReference& reference : worker.m_runs) {
+    const FoundRun* found = FindAmong(active, reference);
+    runs.push_back(found != nullptr ? *found : FindRun(fleet, reference));
+  }
+  return runs;
+}
+
+// Returns the plan of the run's step if the run is active; nullptr otherwise.
+const StepPlan* ActiveStepOf(const FoundRun& run) {
+  if (run.m_task == nullptr || run.m_task->m_state != RunState::kRunning) {
+    return nullptr;
+  }
+  return &run.m_job->m_plan.m_steps[run.m_reference->m_step];
+}
+
 // A task that is still initializing has no tail latency yet.
 bool HasTailLatency(const Task& task, const StepPlan& step) {
   return step.m_latency_target > Duration{} &&
@@ -353,18 +381,15 @@
 
 // Tail latencies are measured over a window, so a sample does not yet reflect
 // a best-effort task that has just started or whose limit has just changed.
-bool HasSteadyBestEffort(Fleet& fleet, const Worker& worker, TimePoint now) {
-  for (const TaskReference& reference : worker.m_runs) {
-    Job* job = nullptr;
-    const Task* task = FindTask(fleet, reference, job);
-    if (task == nullptr || task->m_state != RunState::kRunning) continue;
-    const StepPlan& step = job->m_plan.m_steps[reference.m_step];
-    if (step.m_processor_use != ProcessorUse::kBestEffort) continue;
+bool HasSteadyBestEffort(const std::vector<FoundRun>& runs, TimePoint now) {
+  return std::none_of(runs.begin(), runs.end(), [now](const FoundRun& run) {
+    const StepPlan* step = ActiveStepOf(run);
+    if (step == nullptr) return false;
+    if (step->m_processor_use != ProcessorUse::kBestEffort) return false;
     const TimePoint since =
-        std::max(task->m_started_at, task->m_limit_changed_at);
-    if (now - since < kTailLatencyWindow) return false;
-  }
-  return true;
+        std::max(run.m_task->m_started_at, run.m_task->m_limit_changed_at);
+    return now - since < kTailLatencyWindow;
+  });
 }
 
 // Raises the worker's token, unless it has been raised since the order was sent
@@ -387,33 +412,55 @@
                                                        : Duration{};
 }
 
-// Aggregates the reported loads of the runs by image.
-void AggregateLoads(Fleet& fleet, Worker& worker) {
-  std::map<ImageId, std::vector<double>> tail_latencies;
+void AggregateTailLatencies(const ImageId& image, ServingImage& serving,
+                            const std::vector<FoundRun>& runs) {
+  double sum = 0;
+  std::size_t count = 0;
+  serving.m_tail_latency_ms = serving.m_mean_tail_latency_ms = 0;
+  for (const FoundRun& run : runs) {
+    const StepPlan* step = ActiveStepOf(run);
+    if (step == nullptr || !HasTailLatency(*run.m_task, *step)) continue;
+    if (step->m_image != image) continue;
+    const auto own = static_cast<double>(run.m_task->m_load);
+    serving.m_tail_latency_ms =
+        count == 0 ? own : std::max(serving.m_tail_latency_ms, own);
+    sum += own;
+    ++count;
+  }
+  if (count == 0) return;
+  serving.m_mean_tail_latency_ms = sum / static_cast<double>(count);
+}
+
+// Aggregates the reported loads of the worker's runs by image.
+void AggregateLoads(Worker& worker, const std::vector<FoundRun>& runs) {
   for (auto& entry : worker.m_best_effort_images)
     entry.second.m_used = Millicores(0);
-  for (const TaskReference& reference : worker.m_runs) {
-    Job* job = nullptr;
-    const Task* task = FindTask(fleet, reference, job);
-    if (task == nullptr || task->m_state != RunState::kRunning) continue;
-    const StepPlan& step = job->m_plan.m_steps[reference.m_step];
-    if (step.m_processor_use == ProcessorUse::kBestEffort) {
-      worker.m_best_effort_images[step.m_image].m_used +=
-          Millicores(task->m_load);
-    }
-    if (HasTailLatency(*task, step)) {
-      tail_latencies[step.m_image].push_back(static_cast<double>(task->m_load));
-    }
+  for (const FoundRun& run : runs) {
+    const StepPlan* step = ActiveStepOf(run);
+    if (step == nullptr) continue;
+    if (step->m_processor_use != ProcessorUse::kBestEffort) continue;
+    worker.m_best_effort_images[step->m_image].m_used +=
+        Millicores(run.m_task->m_load);
   }
   for (auto& [image, serving] : worker.m_serving) {
-    const std::vector<double>& own = tail_latencies[image];
-    serving.m_tail_latency_ms = serving.m_mean_tail_latency_ms = 0;
-    if (own.empty()) continue;
-    serving.m_tail_latency_ms = *std::max_element(own.begin(), own.end());
-    serving.m_mean_tail_latency_ms =
-        std::accumulate(own.begin(), own.end(), 0.0) /
-        static_cast<double>(own.size());
+    AggregateTailLatencies(image, serving, runs);
+  }
+}
+
+// Learns from the reported loads and adjusts limits to them. Only serving and
+// best-effort tasks need either.
+void HandleLoads(Fleet& fleet, Worker& worker,
+                 const std::vector<FoundRun>& active, TimePoint now) {
+  worker.m_headrooms.clear();
+  if (worker.m_serving.empty() && worker.m_best_effort_images.empty()) return;
+  const std::vector<FoundRun> runs = FindRunsOn(fleet, worker, active);
+  AggregateLoads(worker, runs);
+  if (HasSteadyBestEffort(runs, now)) {
+    AddInterferenceSample(fleet.m_interference, worker.m_serving,
+                          worker.m_best_effort_images,
+                          worker.m_listing.m_capacity.m_processors);
   }
+  ThrottleBestEffort(fleet, worker, runs, now);
 }
 
 }  // namespace
@@ -430,6 +477,12 @@
   return &step_run.m_tasks[reference.m_index];
 }
 
+FoundRun FindRun(Fleet& fleet, const TaskReference& reference) {
+  FoundRun run{&reference};
+  run.m_task = FindTask(fleet, reference, run.m_job);
+  return run;
+}
+
 void UpdateIncarnation(Fleet& fleet, Worker& worker, Incarnation incarnation,
                        TimePoint now) {
   if (incarnation == Incarnation() ||
@@ -469,6 +522,16 @@
 
 namespace {
 
+// Returns the runs that the report lists as active, in its order.
+std::vector<FoundRun> FindActiveRuns(Fleet& fleet, const WorkerReport& report) {
+  std::vector<FoundRun> runs;
+  runs.reserve(report.m_running.size());
+  for (const ActiveRun& active : report.m_running) {
+    runs.push_back(FindRun(fleet, active.m_task));
+  }
+  return runs;
+}
+
 void ApplyReport(Fleet& fleet, Worker* worker, FencingToken token,
                  const WorkerReport& report, TimePoint now) {
   worker->m_is_polling = false;
@@ -477,7 +540,9 @@
   UpdateIncarnation(fleet, *worker, report.m_incarnation, now);
   RecordAnswer(fleet, *worker);
   const bool awaited_jobs = worker->m_awaits_jobs;
-  const bool has_all_ends = ApplyEndedRuns(fleet, *worker, report, now);
+  // No job is removed before this event ends.
+  std::vector<FoundRun> active = FindActiveRuns(fleet, report);
+  const bool has_all_ends = ApplyEndedRuns(fleet, *worker, report, active, now);
   if (awaited_jobs && !worker->m_awaits_jobs) fleet.m_needs_placement = true;
   worker->m_has_unapplied_ends = !has_all_ends;
   worker->m_is_incarnation_confirmed = true;
@@ -491,12 +556,13 @@
   if (token != worker->m_token) return;
   ExtendUnknownLease(fleet, *worker, report);
   worker->m_unknown_runs = 0;
-  for (const ActiveRun& active : report.m_running) {
-    ApplyActiveRun(fleet, *worker, active, now);
+  for (std::size_t index = 0; index < active.size(); ++index) {
+    ApplyActiveRun(fleet, *worker, report.m_running[index], active[index], now);
   }
+  SortByReference(active);
   // Only a report whose ended runs are all applied shows which runs are gone.
   if (has_all_ends) {
-    HandleMissingRuns(fleet, *worker, report);
+    HandleMissingRuns(fleet, *worker, active);
     if (worker->m_state != WorkerState::kReady) fleet.m_needs_placement = true;
     worker->m_inherited_runs_until = TimePoint();
     StepWorker(fleet, *worker, WorkerEvent::kReported);
@@ -509,14 +575,7 @@
       now + std::max(PollSpacing(fleet, *worker),
                      UnacknowledgedPollInterval(fleet, *worker, report, now));
   if (worker->m_listing.m_is_leaving) EvacuateRuns(fleet, *worker, now);
-  AggregateLoads(fleet, *worker);
-  worker->m_headrooms.clear();
-  if (HasSteadyBestEffort(fleet, *worker, now)) {
-    AddInterferenceSample(fleet.m_interference, worker->m_serving,
-                          worker->m_best_effort_images,
-                          worker->m_listing.m_capacity.m_processors);
-  }
-  ThrottleBestEffort(fleet, *worker, now);
+  HandleLoads(fleet, *worker, active, now);
 }
 
 }  // namespace
--- a/libraries/decisions/fleet/throttle_best_effort.cc
+++ b/libraries/decisions/fleet/throttle_best_effort.cc
@@ -34,12 +34,6 @@
   return static_cast<double>(ToMilliseconds(duration));
 }
 
-Task& TaskOf(Job& job, const TaskReference& reference) {
-  return job
-      .m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)]
-      .m_tasks[reference.m_index];
-}
-
 /// Adjustment of the limits of one best-effort image on one worker.
 struct ThrottleDecision {
   double m_factor = 1.0;  ///< Factor on the present limit.
@@ -73,13 +67,12 @@
   if (serving.m_tail_latency_ms <= 0) return;
   const double headroom =
       MillisecondsAsDouble(serving.m_target) / serving.m_tail_latency_ms;
+  if (headroom >= kRaiseLimitHeadroom) return;
   const double loss = HeadroomLossFrom(fleet, worker, image, best_effort_image);
-  const double total_loss = TotalHeadroomLoss(fleet, worker, image);
   const bool is_harmless = loss < kNegligibleHeadroomLoss;
-  if (headroom < kRaiseLimitHeadroom && !is_harmless) {
-    decision.m_may_raise = false;
-  }
+  if (!is_harmless) decision.m_may_raise = false;
   if (headroom >= kLowerLimitHeadroom) return;
+  const double total_loss = TotalHeadroomLoss(fleet, worker, image);
   // If no image is known to take headroom, every image is throttled.
   const bool is_responsible =
       !is_harmless || total_loss < kNegligibleHeadroomLoss;
@@ -103,18 +96,29 @@
 
 // All best-effort tasks pause if a serving task has been over its target for
 // more than a third of the maximum overrun, whatever the learned effects are.
-bool MustPause(Fleet& fleet, const Worker& worker, TimePoint now) {
-  for (const TaskReference& reference : worker.m_runs) {
-    Job* job = FindJob(fleet, reference.m_job);
-    if (job == nullptr) continue;
-    const Task& task = TaskOf(*job, reference);
-    if (task.m_over_target_since == TimePoint()) continue;
-    if (now - task.m_over_target_since >
-        fleet.m_limits.m_maximum_target_overrun / 3) {
-      return true;
-    }
+bool MustPause(const Fleet& fleet, const std::vector<FoundRun>& runs,
+               TimePoint now) {
+  return std::any_of(runs.begin(), runs.end(), [&](const FoundRun& run) {
+    if (run.m_task == nullptr) return false;
+    const TimePoint since = run.m_task->m_over_target_since;
+    return since != TimePoint() &&
+           now - since > fleet.m_limits.m_maximum_target_overrun / 3;
+  });
+}
+
+// Without serving tasks there is nothing to protect, and nothing to decide.
+std::map<ImageId, ThrottleDecision> DecideThrottles(
+    const Fleet& fleet, const Worker& worker, const std::vector<FoundRun>& runs,
+    TimePoint now) {
+  std::map<ImageId, ThrottleDecision> decisions;
+  if (worker.m_serving.empty()) return decisions;
+  const bool must_pause = MustPause(fleet, runs, now);
+  for (const auto& entry : worker.m_best_effort_images) {
+    ThrottleDecision& decision = decisions[entry.first];
+    decision = DecideThrottle(fleet, worker, entry.first);
+    decision.m_must_pause = must_pause;
   }
-  return false;
+  return decisions;
 }
 
 // Returns whether the serving tasks would tolerate this task as the only
@@ -144,25 +148,19 @@
 
 }  // namespace
 
-void ThrottleBestEffort(Fleet& fleet, Worker& worker, TimePoint now) {
+void ThrottleBestEffort(Fleet& fleet, Worker& worker,
+                        const std::vector<FoundRun>& runs, TimePoint now) {
   if (worker.m_best_effort_images.empty()) return;
   std::vector<TaskReference> moving;
-  const bool must_pause = MustPause(fleet, worker, now);
-  std::map<ImageId, ThrottleDecision> decisions;
-  for (const auto& entry : worker.m_best_effort_images) {
-    ThrottleDecision& decision = decisions[entry.first];
-    decision = DecideThrottle(fleet, worker, entry.first);
-    decision.m_must_pause = must_pause;
-  }
-  for (const TaskReference& reference : worker.m_runs) {
-    Job* job = FindJob(fleet, reference.m_job);
-    if (job == nullptr) continue;
-    const StepPlan& step = job->m_plan.m_steps[reference.m_step];
+  auto decisions = DecideThrottles(fleet, worker, runs, now);
+  for (const FoundRun& run : runs) {
+    if (run.m_task == nullptr) continue;
+    const TaskReference& reference = *run.m_reference;
+    const StepPlan& step = run.m_job->m_plan.m_steps[reference.m_step];
     if (step.m_processor_use != ProcessorUse::kBestEffort) continue;
-    Task& task = TaskOf(*job, reference);
+    Task& task = *run.m_task;
     if (task.m_state != RunState::kRunning) continue;
     if (now - task.m_limit_changed_at < kThrottleInterval) continue;
-    // Without serving tasks there is nothing to protect.
     const std::uint8_t limit = worker.m_serving.empty()
                                    ? kUnlimited
                                    : NextLimit(task.m_processor_limit_percent,
--- a/tests/decisions/fleet/fleet_cost_test.cc
+++ b/tests/decisions/fleet/fleet_cost_test.cc
@@ -75,6 +75,40 @@
   return costs;
 }
 
+constexpr std::uint32_t kServingRuns = 2;
+constexpr std::uint32_t kBestEffortRuns = 10;
+constexpr std::uint8_t kFullProgress = 100;
+
+// Starts serving and best-effort tasks on one worker; returns their runs.
+std::vector<ActiveRun> FillSharedWorker(FleetFixture& fixture) {
+  AddReadyWorkers(fixture, 1, kCore * 20);
+  JobPlan serving = MakePlan("serving", kServingRuns, kCore);
+  serving.m_steps.front().m_kind = StepKind::kService;
+  serving.m_steps.front().m_image = ImageId("shop");
+  serving.m_steps.front().m_latency_target = std::chrono::milliseconds(20);
+  AddJob(fixture.m_fleet, serving, {}, fixture.m_now);
+  JobPlan best_effort = MakePlan("filler", kBestEffortRuns, kCore);
+  best_effort.m_steps.front().m_processor_use = ProcessorUse::kBestEffort;
+  best_effort.m_steps.front().m_image = ImageId("grinder");
+  AddJob(fixture.m_fleet, best_effort, {}, fixture.m_now);
+  // The effect is known, so the worker takes all of them.
+  Interference& known = fixture.m_fleet.m_interference;
+  known.m_baselines[ImageId("shop")] = {5.0, 0.01};
+  known.m_pairs[{ImageId("shop"), ImageId("grinder")}] = {0.1, 0.1};
+  Wait(fixture, std::chrono::milliseconds(300));
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  std::vector<ActiveRun> runs;
+  for (const StartOrder& start : TakeOrders<StartOrder>(fixture)) {
+    ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                      fixture.m_now);
+    ActiveRun run = ActiveRunOf(start);
+    run.m_progress_percent = kFullProgress;
+    run.m_load = 8;
+    runs.push_back(run);
+  }
+  return runs;
+}
+
 void CheckGrowth(std::uint64_t smallest, std::uint64_t cost) {
   CHECK(static_cast<double>(cost) <=
         kMaximumGrowth *
@@ -99,4 +133,23 @@
   }
 }
 
+// Most of a busy leader's time went into finding the same tasks again.
+TEST_CASE("A report looks up the job of each listed run once") {
+  FleetFixture fixture;
+  std::vector<ActiveRun> runs = FillSharedWorker(fixture);
+  REQUIRE(runs.size() == kServingRuns + kBestEffortRuns);
+  const std::uint64_t& lookups = fixture.m_fleet.m_work.m_job_lookups;
+  Wait(fixture, std::chrono::milliseconds(700));
+  std::uint64_t before = lookups;
+  Report(fixture, "w0", runs, {});
+  CHECK(lookups - before == runs.size());
+  Wait(fixture, std::chrono::milliseconds(700));
+  const EndedRun ended{OutcomeNumber(1), runs.back().m_task, runs.back().m_run,
+                       RunOutcome::kDone, ""};
+  runs.pop_back();
+  before = lookups;
+  Report(fixture, "w0", runs, {ended});
+  CHECK(lookups - before == runs.size() + 1);
+}
+
 }  // namespace daisyarch::fleet
