wire: Encode changed rows and values without a document

Each changed row of progress was built as a JSON document with a node for each field, and the JSON writer looked at each byte of the base64 values, which need no escapes.

Rows are now written by a visitor that appends CBOR, and base64 is copied into the message. The bytes are the same, so every version reads them.

--- a/services/daisyarchd/fleet/progress_writer.cc
+++ b/services/daisyarchd/fleet/progress_writer.cc
@@ -73,10 +73,9 @@
   const EncodedRows& rows =
       leader.m_encoded_rows[ProgressPartKey(change.m_key, change.m_part)];
   leader.m_load.m_written_rows += rows.size();
-  const std::string value = WriteProgress(change.m_progress, rows);
-  return value.size() <= kMaximumProgressBytes
-             ? value
-             : RemoveCheckpoints(change, value);
+  std::string value = WriteProgress(change.m_progress, rows);
+  if (value.size() <= kMaximumProgressBytes) return value;
+  return RemoveCheckpoints(change, value);
 }
 
 // Each write expects the revision of the progress that it replaces, so that a
--- a/tests/platform/store_http_test.cc
+++ b/tests/platform/store_http_test.cc
@@ -25,6 +25,7 @@
         m_server(HttpServer::Create(m_loop, Address{"127.0.0.1", 0}, {},
                                     [this](HttpRequest request, auto respond) {
                                       m_targets.push_back(request.m_target);
+                                      m_sent.push_back(request.m_body);
                                       HttpResponse response;
                                       response.m_status =
                                           m_targets.size() > kMaximumCalls
@@ -42,6 +43,7 @@
   asio::io_context m_loop;
   std::deque<std::string> m_bodies;
   std::vector<std::string> m_targets;
+  std::vector<std::string> m_sent;  ///< The bodies of the calls.
   std::unique_ptr<HttpServer> m_server;
   Store m_store;
 };
@@ -151,4 +153,30 @@
   CHECK_FALSE(changes[1].m_value.has_value());
 }
 
+TEST_CASE("A transaction is sent with all bytes of its values") {
+  std::string bytes;
+  for (int byte = 0; byte < 256; ++byte) bytes += static_cast<char>(byte);
+  StoreTransaction transaction;
+  transaction.m_expectations.push_back({"claim", StoreRevision(3)});
+  transaction.m_puts.push_back({"odd \"key\"", bytes, StoreLeaseId(5)});
+  transaction.m_puts.push_back({"empty", "", StoreLeaseId()});
+  transaction.m_puts.push_back({"one", "1", StoreLeaseId()});
+  transaction.m_removals.push_back("gone");
+  FakeStore fake({R"({"rev":9})"});
+  std::optional<Result<TransactionResult>> answer;
+  fake.m_store.m_commit(transaction, [&](Result<TransactionResult> result) {
+    answer = std::move(result);
+  });
+  while (!answer) fake.m_loop.run_one();
+  REQUIRE(*answer);
+  CHECK(answer->assume_value().m_revision == StoreRevision(9));
+  REQUIRE(fake.m_sent.size() == 1);
+  CHECK(fake.m_sent.front() ==
+        R"({"expect":[{"key":"claim","rev":3}],"puts":[)"
+        R"({"key":"odd \"key\"","value":")" +
+            absl::Base64Escape(bytes) +
+            R"(","lease":5},{"key":"empty","value":""},)"
+            R"({"key":"one","value":"MQ=="}],"remove":["gone"]})");
+}
+
 }  // namespace daisyarch::adapter
--- a/tests/wire/encoded_progress_test.cc
+++ b/tests/wire/encoded_progress_test.cc
@@ -47,6 +47,31 @@
   CHECK(WriteProgress(progress, rows) == WriteCbor(Encode(progress)));
 }
 
+TEST_CASE("An encoded row has the bytes of the whole message's row") {
+  const std::int64_t times[] = {
+      0, 1, 23, 24, 255, 256, 65535, 65536, 1780000000000, -1, -24, -25, -300};
+  const std::size_t lengths[] = {0, 1, 23, 24, 255, 256, 70000};
+  for (const std::int64_t time : times) {
+    for (const std::size_t length : lengths) {
+      INFO("time " << time << ", length " << length);
+      TaskProgress row;
+      row.m_step_run = static_cast<std::uint32_t>(length);
+      row.m_index = 4294967295U;
+      row.m_is_done = length % 2 == 0;
+      row.m_failed_runs.assign(length % 300, RunNumber(length));
+      row.m_crashed_runs = {RunNumber(18446744073709551615U)};
+      row.m_doubtful_runs.assign(length % 2, RunNumber(24));
+      row.m_run = RunNumber(1048577);
+      row.m_checkpoint = std::string(length, 'c');
+      row.m_late_start_until_unix_ms = time;
+      row.m_late_start_worker = WorkerId(std::string(length % 30, 'w'));
+      EncodedRows rows;
+      ReplaceRows(rows, {row});
+      CHECK((rows.begin()->second == WriteCbor(Encode(row))));
+    }
+  }
+}
+
 TEST_CASE("The header of a CBOR list or map has the shortest form") {
   for (const std::size_t count : {0U, 23U, 24U, 255U, 256U, 65535U, 65536U}) {
     INFO(count << " elements");
