fleet: Keep the relays of a leader that is late itself

Change: orders may be 1 s old at a relay, and connections to workers have to be made within 0.5 s, so that an order leaves within 1.5 s as before. A relay that drops orders is left only by a leader whose ticks are less than 250 ms apart.

--- a/libraries/decisions/fleet/late_start.h
+++ b/libraries/decisions/fleet/late_start.h
@@ -14,7 +14,7 @@
 namespace daisyarch::fleet {
 
 /// An order does not leave on a connection that takes longer to be made.
-constexpr Duration kMaximumConnectTime = std::chrono::seconds(1);
+constexpr Duration kMaximumConnectTime = std::chrono::milliseconds(500);
 /// An order that is handed to a connection or to a relay's call leaves for its
 /// worker within this time, or never.
 constexpr Duration kMaximumDispatchTime =
--- a/libraries/decisions/fleet/relay.h
+++ b/libraries/decisions/fleet/relay.h
@@ -36,7 +36,7 @@
 };
 
 /// A relay does not send an order that is older.
-constexpr Duration kMaximumRelayedOrderAge = std::chrono::milliseconds(500);
+constexpr Duration kMaximumRelayedOrderAge = std::chrono::milliseconds(1000);
 
 /// What is known of the difference between a relay's clock and this node's.
 struct RelayClockOffset {
--- a/libraries/decisions/fleet/relay_messages.h
+++ b/libraries/decisions/fleet/relay_messages.h
@@ -42,8 +42,9 @@
 /// or after a limited time.
 struct RelayAnswer {
   RelayMicroseconds m_clock;
-  /// The relay is about to stop, or has dropped orders that were late.
-  bool m_is_leaving = false;
+  bool m_is_leaving = false;  ///< The relay is about to stop.
+  /// It has dropped orders since the last answer, as they were late.
+  bool m_has_dropped_orders = false;
   std::vector<RelayedOutcome> m_outcomes;
 };
 
--- a/libraries/wire/relay_fields.cc
+++ b/libraries/wire/relay_fields.cc
@@ -46,6 +46,7 @@
 struct EncodedAnswer {
   RelayMicroseconds m_clock;
   bool m_is_leaving = false;
+  bool m_has_dropped_orders = false;
   std::vector<EncodedOutcome> m_outcomes;
 };
 
@@ -167,6 +168,7 @@
 void VisitFields(Visitor& visit, EncodedAnswer& answer) {
   visit("clock", answer.m_clock);
   visit("leaving", answer.m_is_leaving);
+  visit("dropped_orders", answer.m_has_dropped_orders);
   visit("outcomes", answer.m_outcomes);
 }
 
@@ -266,7 +268,8 @@
 std::string WriteRelayCall(const RelayCall& call) { return WriteMessage(call); }
 
 std::string WriteRelayAnswer(const RelayAnswer& answer) {
-  EncodedAnswer encoded{answer.m_clock, answer.m_is_leaving, {}};
+  EncodedAnswer encoded{
+      answer.m_clock, answer.m_is_leaving, answer.m_has_dropped_orders, {}};
   encoded.m_outcomes.reserve(answer.m_outcomes.size());
   for (const RelayedOutcome& outcome : answer.m_outcomes) {
     encoded.m_outcomes.push_back(EncodeOutcome(outcome));
@@ -283,7 +286,8 @@
                                     const std::string& peer) {
   TRY_ASSIGN(EncodedAnswer encoded,
              ReadMessage<EncodedAnswer>(bytes, "read relay answer", peer));
-  RelayAnswer answer{encoded.m_clock, encoded.m_is_leaving, {}};
+  RelayAnswer answer{
+      encoded.m_clock, encoded.m_is_leaving, encoded.m_has_dropped_orders, {}};
   answer.m_outcomes.reserve(encoded.m_outcomes.size());
   for (EncodedOutcome& outcome : encoded.m_outcomes) {
     answer.m_outcomes.push_back(
--- a/services/daisyarchd/fleet/order_relay.cc
+++ b/services/daisyarchd/fleet/order_relay.cc
@@ -61,7 +61,9 @@
   if (!session.m_respond) return;
   RelayAnswer answer;
   answer.m_clock = ClockOf(node);
-  answer.m_is_leaving = node.m_is_stopping || session.m_has_dropped_orders;
+  answer.m_is_leaving = node.m_is_stopping;
+  answer.m_has_dropped_orders =
+      std::exchange(session.m_has_dropped_orders, false);
   answer.m_outcomes = TakeOutcomes(session);
   const RelayResponder respond = std::exchange(session.m_respond, nullptr);
   respond(WriteRelayAnswer(answer));
--- a/services/daisyarchd/fleet/order_relay.h
+++ b/services/daisyarchd/fleet/order_relay.h
@@ -26,7 +26,7 @@
   TimePoint m_answer_by{};   ///< When that call is answered at the latest.
   TimePoint m_called_at{};
   bool m_is_gathering = false;        ///< A timer for the next answer is set.
-  bool m_has_dropped_orders = false;  ///< Some were late.
+  bool m_has_dropped_orders = false;  ///< Since the last answer.
 };
 
 struct OrderRelay {
--- a/services/daisyarchd/fleet/relay_links.cc
+++ b/services/daisyarchd/fleet/relay_links.cc
@@ -24,6 +24,9 @@
 constexpr Duration kRetryDelay = std::chrono::seconds(3);
 constexpr Duration kDirectPeriod = std::chrono::seconds(5);
 constexpr Duration kWatchInterval = std::chrono::seconds(1);
+// A leader whose ticks come further apart makes its orders late itself, and
+// needs its relays all the more.
+constexpr Duration kPunctualTickGap = std::chrono::milliseconds(250);
 // Keeps calls well below the maximum size of a message.
 constexpr std::size_t kMaximumPayloadPerCall = 1024 * 1024;
 constexpr double kMillicoresPerCore = 1000;
@@ -131,9 +134,12 @@
     return StepLink(leader, link, RelayLinkEvent::kFailed);
   }
   AddClockReading(link.m_clock, read.m_clock, Now(*leader));
+  const bool is_relay_late =
+      read.m_has_dropped_orders && leader->m_tick_gap < kPunctualTickGap;
   StepLink(leader, link,
-           read.m_is_leaving ? RelayLinkEvent::kLeavingAnnounced
-                             : RelayLinkEvent::kAnswered);
+           read.m_is_leaving || is_relay_late
+               ? RelayLinkEvent::kLeavingAnnounced
+               : RelayLinkEvent::kAnswered);
   for (const RelayedOutcome& outcome : read.m_outcomes) {
     ApplyOutcome(leader, link, outcome);
   }
