tests: Block a loop without a second thread

Cause: the test of late answers used a thread, against one loop on one thread. Change: the peer has a loop of its own that the test runs in turn, and the client's loop is blocked by a wait on a third.

--- a/services/daisyarchd/fleet/order_relay.cc
+++ b/services/daisyarchd/fleet/order_relay.cc
@@ -101,9 +101,8 @@
 }
 
 // Returns the session of the call; nullptr if it is not open, or belongs to an
-// earlier leader than this relay knows of. Only a
-// greeting opens one: other calls are dated by the clock of the process that
-// answered the greeting.
+// earlier leader than this relay knows of. Only a greeting opens one: other
+// calls are dated by the clock of the process that answered the greeting.
 SessionPointer FindSession(OrderRelay& relay, const RelayCall& call) {
   if (call.m_term < relay.m_latest_term) return nullptr;
   relay.m_latest_term = call.m_term;
--- a/tests/http/late_loop_test.cc
+++ b/tests/http/late_loop_test.cc
@@ -1,10 +1,10 @@
-#include <atomic>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <memory>
 #include <optional>
-#include <thread>
 #include <vector>
 
 #include "http/http_client.h"
@@ -21,7 +21,14 @@
 // Long enough for the requests to be sent on a busy machine.
 constexpr Duration kTimeout = std::chrono::seconds(2);
 constexpr Duration kMargin = milliseconds(100);
-constexpr Duration kLong = std::chrono::minutes(1);
+
+/// A connection on which a request has arrived.
+struct PeerConnection {
+  explicit PeerConnection(tcp::socket socket) : m_socket(std::move(socket)) {}
+
+  tcp::socket m_socket;
+  std::string m_request;
+};
 
 /// Accepts connections and answers their requests only when told to.
 struct FakePeer {
@@ -29,6 +36,7 @@
 
   asio::io_context m_loop;
   tcp::acceptor m_acceptor;
+  std::vector<std::shared_ptr<PeerConnection>> m_received;
 };
 
 HttpRequest MakeRequest() {
@@ -42,15 +50,25 @@
   return Address{"127.0.0.1", peer.m_acceptor.local_endpoint().port()};
 }
 
-// The connections are made and the requests sent; waits for them.
-std::vector<tcp::socket> ReceiveRequests(FakePeer& peer, std::size_t count) {
-  std::vector<tcp::socket> sockets;
-  while (sockets.size() < count) {
-    sockets.push_back(peer.m_acceptor.accept());
-    std::string request;
-    asio::read_until(sockets.back(), asio::dynamic_buffer(request), "\r\n\r\n");
-  }
-  return sockets;
+void AcceptRequests(FakePeer& peer) {
+  peer.m_acceptor.async_accept([&peer](boost::system::error_code code,
+                                       tcp::socket socket) {
+    if (code) return;
+    auto connection = std::make_shared<PeerConnection>(std::move(socket));
+    asio::async_read_until(
+        connection->m_socket, asio::dynamic_buffer(connection->m_request),
+        "\r\n\r\n",
+        [&peer, connection](boost::system::error_code read_code, std::size_t) {
+          if (!read_code) peer.m_received.push_back(connection);
+        });
+    AcceptRequests(peer);
+  });
+}
+
+// Keeps the thread busy, as a long turn of the loop does.
+void Block(Duration duration) {
+  asio::io_context other_loop;
+  asio::steady_timer(other_loop, duration).wait();
 }
 
 void Answer(tcp::socket& socket, std::size_t bytes) {
@@ -80,17 +98,16 @@
                   ++(is_complete ? answers.m_complete : answers.m_failed);
                 });
   }
-  std::vector<tcp::socket> sockets;
-  std::atomic<bool> has_received = false;
-  std::thread receiver([&] {
-    sockets = ReceiveRequests(peer, requests);
-    has_received = true;
-  });
-  while (!has_received) loop.poll();
-  receiver.join();
-  for (tcp::socket& socket : sockets) Answer(socket, bytes);
+  AcceptRequests(peer);
+  while (peer.m_received.size() < requests) {
+    loop.poll();
+    peer.m_loop.run_one_for(milliseconds(1));
+  }
+  for (const auto& connection : peer.m_received) {
+    Answer(connection->m_socket, bytes);
+  }
   REQUIRE(answers.m_failed == 0);
-  std::this_thread::sleep_for(kTimeout + kMargin);
+  Block(kTimeout + kMargin);
   while (answers.m_complete + answers.m_failed < requests) loop.run_one();
   return answers;
 }
@@ -111,7 +128,7 @@
     late.emplace(std::move(result));
   });
   tcp::socket socket = peer.m_acceptor.accept();
-  std::this_thread::sleep_for(kConnectTimeout + kMargin);
+  Block(kConnectTimeout + kMargin);
   loop.poll();
   REQUIRE(late.has_value());
   REQUIRE_FALSE(*late);
