fleet: Log each end that is not of its task's present run

Only an end "done" of a placed task left a line.

Change: the event superseded_end, with outcome, the task's state and run, and what the end changed. The handling of ends moves from reports.cc, which was too long, to ended_runs.cc; no decision changes.

--- /dev/null
+++ b/libraries/decisions/fleet/ended_runs.cc
@@ -0,0 +1,224 @@
+#include "decisions/fleet/ended_runs.h"
+
+#include <algorithm>
+
+#include "decisions/fleet/late_start.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+// After this many failures without a success, the worker is deemed faulty.
+constexpr std::uint32_t kFailuresBeforeQuarantine = 3;
+constexpr Duration kQuarantine = std::chrono::seconds(3);
+
+void UpdateQuarantine(Fleet& fleet, Worker& worker, RunOutcome outcome,
+                      TimePoint now) {
+  if (outcome == RunOutcome::kDone) {
+    worker.m_consecutive_failures = 0;
+    return;
+  }
+  if (outcome != RunOutcome::kFailed) return;
+  if (++worker.m_consecutive_failures < kFailuresBeforeQuarantine) return;
+  worker.m_quarantined_until = now + kQuarantine;
+  fleet.m_events.push_back({"worker_set_aside", JobKey(),
+                            worker.m_listing.m_worker, RunNumber(),
+                            Duration{}});
+}
+
+// A done run that was taken as interrupted makes a waiting task done. While a
+// later run is active, that run decides: its worker's lease has expired, so the
+// done run may not be relied on.
+EndEffect ApplySupersededDone(Fleet& fleet, Job& job, Task& task,
+                              const Worker& worker, const EndedRun& ended,
+                              TimePoint now) {
+  if (task.m_state == RunState::kWaiting && ended.m_run <= task.m_run) {
+    StepTask(fleet, job, ended.m_task, RunEvent::kCompleted);
+    return EndEffect::kCompleted;
+  }
+  if (IsPlaced(task.m_state)) {
+    fleet.m_events.push_back({"done_run_ignored", ended.m_task.m_job,
+                              worker.m_listing.m_worker, ended.m_run,
+                              now - task.m_start_sent_at, ended.m_task});
+  }
+  return EndEffect::kNone;
+}
+
+// The failure of a run that was taken as interrupted still counts as an
+// attempt.
+EndEffect RecordSupersededFailure(Fleet& fleet, Job& job, Task& task,
+                                  const EndedRun& ended) {
+  if (task.m_state == RunState::kDone) return EndEffect::kNone;
+  if (ended.m_run > task.m_run || !RecordFailedRun(task, ended.m_run)) {
+    return EndEffect::kNone;
+  }
+  MarkTaskChanged(fleet, job, ended.m_task);
+  const bool is_waiting = task.m_state == RunState::kWaiting;
+  if (is_waiting && task.m_failed_runs.size() >= job.m_maximum_attempts) {
+    StepTask(fleet, job, ended.m_task, RunEvent::kAttemptsExhausted);
+  }
+  return EndEffect::kCounted;
+}
+
+EndEffect EffectOfSupersededEnd(Fleet& fleet, Job& job, Task& task,
+                                const Worker& worker, const EndedRun& ended,
+                                TimePoint now) {
+  if (job.m_plan.m_steps[ended.m_task.m_step].m_kind == StepKind::kService) {
+    return EndEffect::kNone;
+  }
+  if (ended.m_outcome == RunOutcome::kDone) {
+    return ApplySupersededDone(fleet, job, task, worker, ended, now);
+  }
+  if (ended.m_outcome == RunOutcome::kFailed) {
+    return RecordSupersededFailure(fleet, job, task, ended);
+  }
+  return EndEffect::kNone;
+}
+
+// Applies the end of a run that is not the task's present one.
+void ApplySupersededEnd(Fleet& fleet, Job& job, Task& task,
+                        const Worker& worker, const EndedRun& ended,
+                        TimePoint now) {
+  SupersededEnd superseded{ended.m_outcome, task.m_state, task.m_run};
+  superseded.m_effect =
+      EffectOfSupersededEnd(fleet, job, task, worker, ended, now);
+  fleet.m_events.push_back({"superseded_end", ended.m_task.m_job,
+                            worker.m_listing.m_worker, ended.m_run, Duration{},
+                            ended.m_task, superseded});
+}
+
+void ApplyEndedRun(Fleet& fleet, Worker& worker, const EndedRun& ended,
+                   const FoundRun& found, TimePoint now) {
+  if (found.m_task == nullptr) return;
+  Job& job = *found.m_job;
+  Task& task = *found.m_task;
+  RecordJobStart(fleet, job);
+  if (!IsRunOnWorker(task, worker, ended.m_run) &&
+      !AdoptRun(fleet, job, task, worker, ended.m_task, ended.m_run)) {
+    return ApplySupersededEnd(fleet, job, task, worker, ended, now);
+  }
+  // Its start may have no answer yet.
+  task.m_start_confirmation = StartConfirmation::kConfirmed;
+  RecordCheckpoint(job, task, ended.m_task, ended.m_checkpoint);
+  UpdateQuarantine(fleet, worker, ended.m_outcome, now);
+  switch (ended.m_outcome) {
+    case RunOutcome::kDone:
+      StepTask(fleet, job, ended.m_task, RunEvent::kCompleted);
+      break;
+    case RunOutcome::kFailed:
+      fleet.m_events.push_back({"run_failed", ended.m_task.m_job,
+                                worker.m_listing.m_worker, ended.m_run,
+                                now - task.m_started_at});
+      StepTask(fleet, job, ended.m_task, RunEvent::kRunFailed);
+      break;
+    default:
+      StepTask(fleet, job, ended.m_task, RunEvent::kInterrupted);
+      break;
+  }
+}
+
+// Returns whether the ended run may belong to a job that may become known.
+bool AwaitsJob(const Fleet& fleet, Worker& worker, const EndedRun& ended,
+               const FoundRun& found, TimePoint now) {
+  const bool is_counted = ended.m_outcome == RunOutcome::kDone ||
+                          ended.m_outcome == RunOutcome::kFailed;
+  if (!is_counted || !MayBecomeKnown(fleet, found.m_job, ended.m_task.m_job)) {
+    return false;
+  }
+  if (worker.m_unknown_end != ended.m_number) {
+    worker.m_unknown_end = ended.m_number;
+    worker.m_unknown_end_since = now;
+  }
+  return fleet.m_jobs_known_at <= worker.m_unknown_end_since;
+}
+
+}  // namespace
+
+bool IsRunOnWorker(const Task& task, const Worker& worker,
+                   const RunNumber& run) {
+  return IsPlaced(task.m_state) && task.m_run == run &&
+         task.m_worker == worker.m_listing.m_worker;
+}
+
+// An earlier leader that does not know of this one may have started the job.
+bool MayBecomeKnown(const Fleet& fleet, const Job* job, const JobKey& key) {
+  return job == nullptr && fleet.m_ended_jobs.count(key) == 0;
+}
+
+void RecordJobStart(Fleet& fleet, Job& job) {
+  if (job.m_has_started) return;
+  job.m_has_started = true;
+  UpdatePendingCount(fleet, job);
+}
+
+// An empty checkpoint does not replace the last one.
+void RecordCheckpoint(Job& job, Task& task, const TaskReference& reference,
+                      const std::string& checkpoint) {
+  if (checkpoint.empty() || checkpoint == task.m_checkpoint) return;
+  task.m_checkpoint = checkpoint;
+  MarkProgressChanged(job, reference);
+}
+
+bool AdoptRun(Fleet& fleet, Job& job, Task& task, const Worker& worker,
+              const TaskReference& reference, const RunNumber& run) {
+  if (task.m_state != RunState::kWaiting || run < task.m_run) return false;
+  if (run >= FirstRun(fleet.m_term)) return false;
+  // The failure of this run is stored already, but the previous leader ended
+  // before it acknowledged it to the worker.
+  const auto& failed = task.m_failed_runs;
+  if (std::find(failed.begin(), failed.end(), run) != failed.end()) {
+    return false;
+  }
+  task.m_run = run;
+  task.m_worker = worker.m_listing.m_worker;
+  task.m_start_confirmation = StartConfirmation::kPending;
+  MarkProgressChanged(job, reference);
+  StepTask(fleet, job, reference, RunEvent::kPlaced);
+  UpdateWaitingSteps(
+      fleet, job, StepRunIndex(job, reference.m_occurrence, reference.m_step));
+  return true;
+}
+
+// An ended run stays ended, whatever token the poll carried.
+bool ApplyEndedRuns(Fleet& fleet, Worker& worker, const WorkerReport& report,
+                    const std::vector<FoundRun>& active_runs, TimePoint now) {
+  worker.m_awaits_jobs = std::any_of(
+      active_runs.begin(), active_runs.end(), [&fleet](const FoundRun& active) {
+        return MayBecomeKnown(fleet, active.m_job, active.m_reference->m_job);
+      });
+  worker.m_first_listed_end = report.m_ended.empty()
+                                  ? OutcomeNumber()
+                                  : report.m_ended.front().m_number;
+  worker.m_listed_ends = report.m_ended.size();
+  for (const EndedRun& ended : report.m_ended) {
+    if (ended.m_number <= worker.m_applied_end) continue;
+    const FoundRun found = FindRun(fleet, ended.m_task);
+    if (AwaitsJob(fleet, worker, ended, found, now)) {
+      worker.m_awaits_jobs = true;
+      return false;
+    }
+    ApplyEndedRun(fleet, worker, ended, found, now);
+    worker.m_applied_end = ended.m_number;
+  }
+  return report.m_lists_all_ends;
+}
+
+const char* NameOf(RunOutcome outcome) {
+  constexpr const char* kNames[] = {"done",   "failed", "stopped",
+                                    "lapsed", "broken", "alone"};
+  return kNames[static_cast<std::size_t>(outcome)];
+}
+
+const char* NameOf(RunState state) {
+  constexpr const char* kNames[] = {
+      "waiting",   "starting", "running", "unconfirmed", "stopping",
+      "resending", "settling", "done",    "failed",      "cancelled"};
+  return kNames[static_cast<std::size_t>(state)];
+}
+
+const char* NameOf(EndEffect effect) {
+  constexpr const char* kNames[] = {"none", "counted", "completed"};
+  return kNames[static_cast<std::size_t>(effect)];
+}
+
+}  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -107,6 +107,21 @@
   kClosed,      ///< Its host refused or closed the connection.
 };
 
+/// What the end of a run that is not its task's present one has changed.
+enum class EndEffect : std::uint8_t {
+  kNone,
+  kCounted,    ///< A failed attempt more.
+  kCompleted,  ///< The task is done.
+};
+
+/// The end of a run that is not its task's present one.
+struct SupersededEnd {
+  RunOutcome m_outcome = RunOutcome::kStopped;
+  RunState m_task_state = RunState::kWaiting;  ///< Before the end was applied.
+  RunNumber m_task_run;                        ///< The task's present run.
+  EndEffect m_effect = EndEffect::kNone;
+};
+
 /// An event that is logged and counted for operators.
 struct FleetEvent {
   const char* m_name;  ///< Name of the event in the log and the metrics.
@@ -117,6 +132,7 @@
   /// the worker's last report to the latest poll.
   Duration m_age{};
   std::optional<TaskReference> m_task;  ///< Of an event of one task.
+  std::optional<SupersededEnd> m_end;   ///< Of such an end.
 };
 
 /// The worker that a task waits for or runs on in isolation.
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "decisions/fleet/crash_count.h"
+#include "decisions/fleet/ended_runs.h"
 #include "decisions/fleet/fleet.h"
 #include "decisions/fleet/late_start.h"
 
@@ -8,9 +9,6 @@
 
 namespace {
 
-// After this many failures without a success, the worker is deemed faulty.
-constexpr std::uint32_t kFailuresBeforeQuarantine = 3;
-constexpr Duration kQuarantine = std::chrono::seconds(3);
 constexpr Duration kRefusalQuarantine = std::chrono::milliseconds(200);
 constexpr std::uint8_t kInitializedPercent = 100;
 constexpr std::int64_t kPercent = 100;
@@ -36,34 +34,6 @@
          worker.m_state == WorkerState::kSilent;
 }
 
-bool IsRunOnWorker(const Task& task, const Worker& worker,
-                   const RunNumber& run) {
-  return IsPlaced(task.m_state) && task.m_run == run &&
-         task.m_worker == worker.m_listing.m_worker;
-}
-
-// Takes over a run that an earlier leader started, unless the task has ended or
-// is known to run on another worker.
-bool AdoptRun(Fleet& fleet, Job& job, Task& task, const Worker& worker,
-              const TaskReference& reference, const RunNumber& run) {
-  if (task.m_state != RunState::kWaiting || run < task.m_run) return false;
-  if (run >= FirstRun(fleet.m_term)) return false;
-  // The failure of this run is stored already, but the previous leader ended
-  // before it acknowledged it to the worker.
-  const auto& failed = task.m_failed_runs;
-  if (std::find(failed.begin(), failed.end(), run) != failed.end()) {
-    return false;
-  }
-  task.m_run = run;
-  task.m_worker = worker.m_listing.m_worker;
-  task.m_start_confirmation = StartConfirmation::kPending;
-  MarkProgressChanged(job, reference);
-  StepTask(fleet, job, reference, RunEvent::kPlaced);
-  UpdateWaitingSteps(
-      fleet, job, StepRunIndex(job, reference.m_occurrence, reference.m_step));
-  return true;
-}
-
 // Only the earlier leader knew the limit of an adopted run, unless the task
 // uses nearly all of its demand and so has none.
 void CheckAdoptedLimit(Task& task, const StepPlan& step,
@@ -75,12 +45,6 @@
   task.m_is_limit_confirmed = is_unlimited;
 }
 
-void RecordJobStart(Fleet& fleet, Job& job) {
-  if (job.m_has_started) return;
-  job.m_has_started = true;
-  UpdatePendingCount(fleet, job);
-}
-
 void StopUnknownRun(Fleet& fleet, Worker& worker, const ActiveRun& active) {
   ++worker.m_unknown_runs;
   fleet.m_events.push_back({"run_unexpected", active.m_task.m_job,
@@ -91,14 +55,6 @@
                 active.m_task, active.m_run, worker.m_token});
 }
 
-// An empty checkpoint does not replace the last one.
-void RecordCheckpoint(Job& job, Task& task, const TaskReference& reference,
-                      const std::string& checkpoint) {
-  if (checkpoint.empty() || checkpoint == task.m_checkpoint) return;
-  task.m_checkpoint = checkpoint;
-  MarkProgressChanged(job, reference);
-}
-
 void RecordLoad(Task& task, const StepPlan& step, const ActiveRun& active,
                 TimePoint now) {
   task.m_progress_percent = active.m_progress_percent;
@@ -143,140 +99,6 @@
   }
 }
 
-void UpdateQuarantine(Fleet& fleet, Worker& worker, RunOutcome outcome,
-                      TimePoint now) {
-  if (outcome == RunOutcome::kDone) {
-    worker.m_consecutive_failures = 0;
-    return;
-  }
-  if (outcome != RunOutcome::kFailed) return;
-  if (++worker.m_consecutive_failures < kFailuresBeforeQuarantine) return;
-  worker.m_quarantined_until = now + kQuarantine;
-  fleet.m_events.push_back({"worker_set_aside", JobKey(),
-                            worker.m_listing.m_worker, RunNumber(),
-                            Duration{}});
-}
-
-// A done run that was taken as interrupted makes a waiting task done. While a
-// later run is active, that run decides: its worker's lease has expired, so the
-// done run may not be relied on.
-void ApplySupersededDone(Fleet& fleet, Job& job, Task& task,
-                         const Worker& worker, const EndedRun& ended,
-                         TimePoint now) {
-  if (task.m_state == RunState::kWaiting && ended.m_run <= task.m_run) {
-    StepTask(fleet, job, ended.m_task, RunEvent::kCompleted);
-  } else if (IsPlaced(task.m_state)) {
-    fleet.m_events.push_back({"done_run_ignored", ended.m_task.m_job,
-                              worker.m_listing.m_worker, ended.m_run,
-                              now - task.m_start_sent_at, ended.m_task});
-  }
-}
-
-// The failure of a run that was taken as interrupted still counts as an
-// attempt.
-void RecordSupersededFailure(Fleet& fleet, Job& job, Task& task,
-                             const EndedRun& ended) {
-  if (task.m_state == RunState::kDone) return;
-  if (ended.m_run > task.m_run || !RecordFailedRun(task, ended.m_run)) return;
-  MarkTaskChanged(fleet, job, ended.m_task);
-  const bool is_waiting = task.m_state == RunState::kWaiting;
-  if (is_waiting && task.m_failed_runs.size() >= job.m_maximum_attempts) {
-    StepTask(fleet, job, ended.m_task, RunEvent::kAttemptsExhausted);
-  }
-}
-
-// Applies the end of a run that is not the task's current one.
-void ApplySupersededEnd(Fleet& fleet, Job& job, Task& task,
-                        const Worker& worker, const EndedRun& ended,
-                        TimePoint now) {
-  if (job.m_plan.m_steps[ended.m_task.m_step].m_kind == StepKind::kService) {
-    return;
-  }
-  if (ended.m_outcome == RunOutcome::kDone) {
-    ApplySupersededDone(fleet, job, task, worker, ended, now);
-  } else if (ended.m_outcome == RunOutcome::kFailed) {
-    RecordSupersededFailure(fleet, job, task, ended);
-  }
-}
-
-void ApplyEndedRun(Fleet& fleet, Worker& worker, const EndedRun& ended,
-                   const FoundRun& found, TimePoint now) {
-  if (found.m_task == nullptr) return;
-  Job& job = *found.m_job;
-  Task& task = *found.m_task;
-  RecordJobStart(fleet, job);
-  if (!IsRunOnWorker(task, worker, ended.m_run) &&
-      !AdoptRun(fleet, job, task, worker, ended.m_task, ended.m_run)) {
-    return ApplySupersededEnd(fleet, job, task, worker, ended, now);
-  }
-  // Its start may have no answer yet.
-  task.m_start_confirmation = StartConfirmation::kConfirmed;
-  RecordCheckpoint(job, task, ended.m_task, ended.m_checkpoint);
-  UpdateQuarantine(fleet, worker, ended.m_outcome, now);
-  switch (ended.m_outcome) {
-    case RunOutcome::kDone:
-      StepTask(fleet, job, ended.m_task, RunEvent::kCompleted);
-      break;
-    case RunOutcome::kFailed:
-      fleet.m_events.push_back({"run_failed", ended.m_task.m_job,
-                                worker.m_listing.m_worker, ended.m_run,
-                                now - task.m_started_at});
-      StepTask(fleet, job, ended.m_task, RunEvent::kRunFailed);
-      break;
-    default:
-      StepTask(fleet, job, ended.m_task, RunEvent::kInterrupted);
-      break;
-  }
-}
-
-// Returns whether a job that was looked up may be stored but not have reached
-// this leader yet. An earlier leader that does not know of this one may have
-// started it.
-bool MayBecomeKnown(const Fleet& fleet, const Job* job, const JobKey& key) {
-  return job == nullptr && fleet.m_ended_jobs.count(key) == 0;
-}
-
-// Returns whether the ended run may belong to a job that may become known.
-bool AwaitsJob(const Fleet& fleet, Worker& worker, const EndedRun& ended,
-               const FoundRun& found, TimePoint now) {
-  const bool is_counted = ended.m_outcome == RunOutcome::kDone ||
-                          ended.m_outcome == RunOutcome::kFailed;
-  if (!is_counted || !MayBecomeKnown(fleet, found.m_job, ended.m_task.m_job)) {
-    return false;
-  }
-  if (worker.m_unknown_end != ended.m_number) {
-    worker.m_unknown_end = ended.m_number;
-    worker.m_unknown_end_since = now;
-  }
-  return fleet.m_jobs_known_at <= worker.m_unknown_end_since;
-}
-
-// Applies the ended runs up to the first whose job may still become known, and
-// returns whether that was all. An ended run stays ended, whatever token the
-// poll carried.
-bool ApplyEndedRuns(Fleet& fleet, Worker& worker, const WorkerReport& report,
-                    const std::vector<FoundRun>& active_runs, TimePoint now) {
-  worker.m_awaits_jobs = std::any_of(
-      active_runs.begin(), active_runs.end(), [&fleet](const FoundRun& active) {
-        return MayBecomeKnown(fleet, active.m_job, active.m_reference->m_job);
-      });
-  worker.m_first_listed_end = report.m_ended.empty()
-                                  ? OutcomeNumber()
-                                  : report.m_ended.front().m_number;
-  worker.m_listed_ends = report.m_ended.size();
-  for (const EndedRun& ended : report.m_ended) {
-    if (ended.m_number <= worker.m_applied_end) continue;
-    const FoundRun found = FindRun(fleet, ended.m_task);
-    if (AwaitsJob(fleet, worker, ended, found, now)) {
-      worker.m_awaits_jobs = true;
-      return false;
-    }
-    ApplyEndedRun(fleet, worker, ended, found, now);
-    worker.m_applied_end = ended.m_number;
-  }
-  return report.m_lists_all_ends;
-}
-
 // Returns whether the worker started so recently that an order to its earlier
 // incarnation may still hold its lease. Its clock begins at its start.
 bool MayHaveRestarted(const FleetLimits& limits, const WorkerReport& report) {
--- a/services/daisyarchd/fleet/leader_log.cc
+++ b/services/daisyarchd/fleet/leader_log.cc
@@ -1,5 +1,6 @@
 #include <string_view>
 
+#include "decisions/fleet/ended_runs.h"
 #include "decisions/fleet/stalled_steps.h"
 #include "fleet/leader.h"
 #include "log/log.h"
@@ -37,7 +38,23 @@
   return ++budget.m_line_count <= kLinesPerSecond;
 }
 
+void LogSupersededEnd(const Leader& leader, const FleetEvent& event,
+                      const SupersededEnd& end) {
+  LogEvent(LogLevel::kInfo, event.m_name,
+           {{"job", event.m_job.value()},
+            {"step", std::uint64_t{event.m_task->m_step}},
+            {"task", std::uint64_t{event.m_task->m_index}},
+            {"worker", event.m_worker.value()},
+            {"run", event.m_run.value()},
+            {"outcome", NameOf(end.m_outcome)},
+            {"task_state", NameOf(end.m_task_state)},
+            {"task_run", end.m_task_run.value()},
+            {"effect", NameOf(end.m_effect)},
+            {"term", leader.m_claim.m_term.value()}});
+}
+
 void LogFleetEvent(const Leader& leader, const FleetEvent& event) {
+  if (event.m_end) return LogSupersededEnd(leader, event, *event.m_end);
   if (event.m_job == JobKey()) {
     return LogEvent(LogLevel::kInfo, event.m_name,
                     {{"worker", event.m_worker.value()},
