fleet: Give up an inherited run once a later one of its task is known

Cause: a leader that cannot write goes on starting tasks until its claim may be over, so the stored rows of their runs may be too low. The next leader takes the end of such an outdated run for that of the present one and holds the task for settling there. The run that the leader before started after it is then above the task's run, on another worker: its end was dropped, counted neither as done nor as failed, and acknowledged. The leader started the task again. The other order of the same reports was right, so the order of reports decided. In the same way a later run that was still active was stopped.

Change: the highest run of the leaders before is the task's. A leader starts a task again only once no order can start an earlier run of it any more, so a later run shows that the wait for the earlier one is over. The event superseded ends that wait and the later run is adopted. A run that a worker has reported as active goes on and decides, but a later end counts all the same: done completes the task, failed is an attempt. A done run below the present one also completes a task without an active run.

--- a/libraries/decisions/fleet/ended_runs.cc
+++ b/libraries/decisions/fleet/ended_runs.cc
@@ -26,15 +26,34 @@
                             Duration{}});
 }
 
-// A done run that was taken as interrupted makes a waiting task done. While a
-// later run is active, that run decides: its worker's lease has expired, so the
-// done run may not be relied on.
+// Returns whether an earlier leader started the run, and after the task's
+// present one.
+bool IsLaterInherited(const Fleet& fleet, const Task& task,
+                      const RunNumber& run) {
+  return task.m_run < run && run < FirstRun(fleet.m_term);
+}
+
+// Returns whether a run below the present one may be active no more, while the
+// present one is not active either.
+bool IsWithoutActiveRun(const Task& task) {
+  return task.m_state == RunState::kWaiting ||
+         task.m_state == RunState::kResending ||
+         task.m_state == RunState::kSettling;
+}
+
+// A done run counts whatever its task waits for. Only an active run decides
+// against an earlier one: it was started because that one's lease had expired,
+// so the end of that one counts nowhere.
 EndEffect ApplySupersededDone(Fleet& fleet, Job& job, Task& task,
                               const Worker& worker, const EndedRun& ended,
                               TimePoint now) {
-  if (task.m_state == RunState::kWaiting && ended.m_run <= task.m_run) {
-    StepTask(fleet, job, ended.m_task, RunEvent::kCompleted);
-    return EndEffect::kCompleted;
+  const bool is_later = IsLaterInherited(fleet, task, ended.m_run);
+  const bool is_earlier = ended.m_run <= task.m_run;
+  if (is_later || (is_earlier && IsWithoutActiveRun(task))) {
+    const StepResult result =
+        StepTask(fleet, job, ended.m_task, RunEvent::kCompleted);
+    return result == StepResult::kTaken ? EndEffect::kCompleted
+                                        : EndEffect::kNone;
   }
   if (IsPlaced(task.m_state)) {
     fleet.m_events.push_back({"done_run_ignored", ended.m_task.m_job,
@@ -44,17 +63,13 @@
   return EndEffect::kNone;
 }
 
-// The failure of a run that was taken as interrupted still counts as an
-// attempt.
+// Each failed run counts as an attempt, whether the task has moved on or not.
 EndEffect RecordSupersededFailure(Fleet& fleet, Job& job, Task& task,
                                   const EndedRun& ended) {
   if (task.m_state == RunState::kDone) return EndEffect::kNone;
-  if (ended.m_run > task.m_run || !RecordFailedRun(task, ended.m_run)) {
-    return EndEffect::kNone;
-  }
+  if (!RecordFailedRun(task, ended.m_run)) return EndEffect::kNone;
   MarkTaskChanged(fleet, job, ended.m_task);
-  const bool is_waiting = task.m_state == RunState::kWaiting;
-  if (is_waiting && task.m_failed_runs.size() >= job.m_maximum_attempts) {
+  if (task.m_failed_runs.size() >= job.m_maximum_attempts) {
     StepTask(fleet, job, ended.m_task, RunEvent::kAttemptsExhausted);
   }
   return EndEffect::kCounted;
@@ -159,8 +174,32 @@
   MarkProgressChanged(job, reference);
 }
 
+namespace {
+
+// The leader before started the later run, so the present one is over and no
+// order may start it any more. All members of a gang have had the same run.
+void SupersedeRun(Fleet& fleet, Job& job, const TaskReference& reference,
+                  const RunNumber& run) {
+  const StepRun& step_run =
+      job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)];
+  const bool is_gang = job.m_plan.m_steps[reference.m_step].m_is_gang;
+  TaskReference member = reference;
+  for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
+    if (!is_gang && index != reference.m_index) continue;
+    if (!IsLaterInherited(fleet, step_run.m_tasks[index], run)) continue;
+    member.m_index = static_cast<std::uint32_t>(index);
+    StepTask(fleet, job, member, RunEvent::kSuperseded);
+  }
+}
+
+}  // namespace
+
 bool AdoptRun(Fleet& fleet, Job& job, Task& task, const Worker& worker,
               const TaskReference& reference, const RunNumber& run) {
+  const bool is_terminated = job.m_is_cancelled || job.m_has_failed;
+  if (IsLaterInherited(fleet, task, run) && !is_terminated) {
+    SupersedeRun(fleet, job, reference, run);
+  }
   if (task.m_state != RunState::kWaiting || run < task.m_run) return false;
   if (run >= FirstRun(fleet.m_term)) return false;
   // The failure of this run is stored already, but the previous leader ended
@@ -169,6 +208,7 @@
   if (std::find(failed.begin(), failed.end(), run) != failed.end()) {
     return false;
   }
+  if (task.m_run < run) ForgetLateStart(task);
   task.m_run = run;
   task.m_worker = worker.m_listing.m_worker;
   task.m_start_confirmation = StartConfirmation::kPending;
--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -71,8 +71,9 @@
   }
 }
 
+// The members of a gang whose run is superseded follow one by one.
 void AfterTransition(Fleet& fleet, Job& job, const TaskReference& reference,
-                     RunState before, RunState after) {
+                     RunEvent event, RunState before, RunState after) {
   const std::size_t step_run_index =
       StepRunIndex(job, reference.m_occurrence, reference.m_step);
   StepRun& step_run = job.m_steps[step_run_index];
@@ -92,7 +93,7 @@
   UpdateWaitingSteps(fleet, job, step_run_index);
   if (step.m_is_gang && after == RunState::kDone) {
     FinishGang(fleet, job, reference);
-  } else if (step.m_is_gang) {
+  } else if (step.m_is_gang && event != RunEvent::kSuperseded) {
     StopGang(fleet, job, reference);
   }
   const Task& task = step_run.m_tasks[reference.m_index];
@@ -333,7 +334,7 @@
   const StepResult result =
       fleet.m_state_machines->m_run.Step(task.m_state, event, context);
   if (result == StepResult::kTaken) {
-    AfterTransition(fleet, job, reference, before, task.m_state);
+    AfterTransition(fleet, job, reference, event, before, task.m_state);
   }
   return result;
 }
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -39,6 +39,7 @@
   kNotStarted,   ///< The worker's report shows that the start has not taken
                  ///< effect, and will not in this incarnation.
   kResent,
+  kSuperseded,  ///< A later run that an earlier leader started is known.
   kAttemptsExhausted,
   kCancelled,
 };
--- a/libraries/decisions/fleet/late_start.cc
+++ b/libraries/decisions/fleet/late_start.cc
@@ -71,6 +71,11 @@
   RecordLateStart(fleet, task);
 }
 
+void ForgetLateStart(Task& task) {
+  task.m_late_start_until = TimePoint();
+  task.m_late_start_worker = WorkerId();
+}
+
 // The deadline of the order is no bound: a worker that restarts accepts one
 // that has passed on its earlier clock.
 TimePoint UnconfirmedUntil(const FleetLimits& limits, const Task& task,
--- a/libraries/decisions/fleet/late_start.h
+++ b/libraries/decisions/fleet/late_start.h
@@ -32,6 +32,9 @@
 void RecordLateStart(Fleet& fleet, Task& task);
 /// Does so if that order has no answer yet.
 void RecordPendingStart(Fleet& fleet, Task& task);
+/// Forgets the late start of an earlier run: a leader starts a task again only
+/// once no order can start an earlier run of it any more.
+void ForgetLateStart(Task& task);
 /// Returns until when a run whose start is unconfirmed may be active on a
 /// worker that does not report.
 TimePoint UnconfirmedUntil(const FleetLimits& limits, const Task& task,
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -269,7 +269,7 @@
       {"waiting", "starting", "running", "unconfirmed", "stopping", "resending",
        "settling", "done", "failed", "cancelled"},
       {"placed", "started", "start_unanswered", "stop_requested", "completed",
-       "run_failed", "interrupted", "not_started", "resent",
+       "run_failed", "interrupted", "not_started", "resent", "superseded",
        "attempts_exhausted", "cancelled"},
       {{"is_service", IsService},
        {"is_job_terminated", IsJobTerminated},
--- a/tests/decisions/fleet/ended_runs_test.cc
+++ b/tests/decisions/fleet/ended_runs_test.cc
@@ -209,8 +209,7 @@
 
 // Guards against an end that is acknowledged without effect, after which its
 // task starts again although it is done, or beyond its attempts.
-TEST_CASE("Each end of a run changes its task or needs not to",
-          "[!shouldfail]") {
+TEST_CASE("Each end of a run changes its task or needs not to") {
   for (std::size_t index = 0; index < kCases.size(); ++index) {
     const Case& expected = kCases[index];
     INFO("case " << index << ": end of run " << expected.m_run.value() << ", "
@@ -228,8 +227,7 @@
 // Guards against a done run that the next leader drops: the one before had
 // started it, but could no longer store that, and another worker reports an
 // end of an earlier run first.
-TEST_CASE("A done run counts after a late end of an earlier run",
-          "[!shouldfail]") {
+TEST_CASE("A done run counts after a late end of an earlier run") {
   FleetFixture fixture;
   Load(fixture, LateRowOf(RunNumber(1)));
   SECTION("that another worker reports") {
@@ -250,8 +248,7 @@
 
 // Guards against an attempt that the next leader drops in the same order of
 // events, and against a start beyond the allowed attempts.
-TEST_CASE("A failed run counts after a late end of an earlier run",
-          "[!shouldfail]") {
+TEST_CASE("A failed run counts after a late end of an earlier run") {
   FleetFixture fixture;
   TaskProgress row = LateRowOf(RunNumber(1));
   row.m_failed_runs = {RunNumber(1)};
@@ -266,8 +263,7 @@
 
 // Guards against two runs of a task: the later one, which is active, was taken
 // for unexpected, and the task started again after the wait for the earlier.
-TEST_CASE("A later active run is adopted while its task awaits a late start",
-          "[!shouldfail]") {
+TEST_CASE("A later active run is adopted while its task awaits a late start") {
   FleetFixture fixture;
   Load(fixture, LateRowOf(kStoredRun));
   SECTION("after the end of the earlier run") {
