--- a/tests/decisions/fleet/ended_runs_test.cc
+++ b/tests/decisions/fleet/ended_runs_test.cc
@@ -281,4 +281,39 @@
   CHECK(StateOf(fixture) == RunState::kWaiting);
 }
 
+// Guards against a start beyond the allowed attempts: the failure that used up
+// the last one was reported while the task waited for a late start, was to be
+// started again, or was being stopped.
+TEST_CASE("A late failure that uses the last attempt starts nothing more") {
+  FleetFixture fixture;
+  TaskProgress row = RowOf(kStoredRun);
+  row.m_failed_runs = {kStoredRun};
+  Load(fixture, row, 2);
+  const StartOrder start = StartAnew(fixture);
+  Answer(fixture, start, StartOutcome::kUnanswered);
+  const std::string own = start.m_worker.value();
+  RunState expected = RunState::kFailed;
+  SECTION("while the start is to be sent again") {
+    Report(fixture, own, {}, {});
+    REQUIRE(StateOf(fixture) == RunState::kResending);
+  }
+  SECTION("while the start may take effect late") {
+    Report(fixture, own, {}, {EndedRunOf(start, 1, RunOutcome::kStopped)});
+    REQUIRE(StateOf(fixture) == RunState::kSettling);
+  }
+  SECTION("while the run is told to stop") {
+    SendStop(fixture.m_fleet, *FindJob(fixture.m_fleet, kTask.m_job), kTask,
+             fixture.m_now);
+    expected = RunState::kStopping;
+  }
+  Report(fixture, OtherThan(start.m_worker), {},
+         {EndOf(kLowerRun, 1, kFailed)});
+  CHECK(StateOf(fixture) == expected);
+  if (expected == RunState::kStopping) Report(fixture, own, {}, {});
+  CHECK(StateOf(fixture) == RunState::kFailed);
+  Wait(fixture, seconds(30));
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).empty());
+}
+
 }  // namespace daisyarch::fleet
