fleet: Load a job as failed whose task has used its attempts

Cause: the parts of a job's progress are stored one by one. A leader that ended after it had stored the row of the last failure, and before part 0 with the state of the job, left a job that looked as if the task could be started again. The worker's report of that end changed nothing, since the failure was in the row already.

Change: a job of which a loaded task has no attempt left is loaded as failed.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -133,6 +133,22 @@
   job.m_maximum_attempts = settings.m_maximum_attempts;
 }
 
+// Returns whether a task that is not done has failed as often as allowed.
+bool HasExhaustedTask(const Job& job) {
+  for (std::size_t index = 0; index < job.m_steps.size(); ++index) {
+    const StepPlan& step = job.m_plan.m_steps[index % job.StepCount()];
+    if (step.m_kind == StepKind::kService) continue;
+    const auto& tasks = job.m_steps[index].m_tasks;
+    const bool has_exhausted_task =
+        std::any_of(tasks.begin(), tasks.end(), [&job](const Task& task) {
+          return task.m_state != RunState::kDone &&
+                 task.m_failed_runs.size() >= job.m_maximum_attempts;
+        });
+    if (has_exhausted_task) return true;
+  }
+  return false;
+}
+
 bool IsService(const JobPlan& plan) {
   return std::any_of(
       plan.m_steps.begin(), plan.m_steps.end(),
@@ -438,6 +454,9 @@
   job = MakeJob(fleet, std::move(plan), progress);
   job->m_accepted_at = accepted_at;
   UpdateObjective(fleet, *job);
+  // The parts of a job are stored one by one, so the failure of a task may be
+  // stored without that of its job.
+  job->m_has_failed = job->m_has_failed || HasExhaustedTask(*job);
   UpdatePendingCount(fleet, *job);
   fleet.m_unranked_jobs.insert(key);
   AddIsolations(fleet, *job);
--- a/tests/decisions/fleet/ended_runs_test.cc
+++ b/tests/decisions/fleet/ended_runs_test.cc
@@ -316,4 +316,16 @@
   CHECK(TakeOrders<StartOrder>(fixture).empty());
 }
 
+// Guards against a start beyond the allowed attempts: the leader before had
+// stored the row of the last failure, but not yet that the job has failed.
+TEST_CASE("A task whose row has used all attempts is not started again") {
+  FleetFixture fixture;
+  TaskProgress row = RowOf(kStoredRun);
+  row.m_failed_runs = {kLowerRun, kStoredRun};
+  Load(fixture, row, 2);
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).empty());
+  CHECK(FindJob(fixture.m_fleet, kTask.m_job)->m_state == JobState::kFailed);
+}
+
 }  // namespace daisyarch::fleet
