--- a/libraries/decisions/fleet/ended_runs.cc
+++ b/libraries/decisions/fleet/ended_runs.cc
@@ -56,9 +56,12 @@
                                         : EndEffect::kNone;
   }
   if (IsPlaced(task.m_state)) {
+    // The start of an adopted run was sent by an earlier leader.
+    const bool is_own = task.m_start_sent_at != TimePoint();
     fleet.m_events.push_back({"done_run_ignored", ended.m_task.m_job,
                               worker.m_listing.m_worker, ended.m_run,
-                              now - task.m_start_sent_at, ended.m_task});
+                              is_own ? now - task.m_start_sent_at : Duration{},
+                              ended.m_task});
   }
   return EndEffect::kNone;
 }
