fleet: Load a gang as done if the row of one member is

What callers would see: a job that is never finished (LOST).

Cause: one member's end finishes a gang, also where only that member's start was known to the leader, but the rows of the others are left out then, as their tasks count as never started. Nor are the rows of several parts stored at once. The ends are acknowledged, and the next leader loads one member as done and the others as waiting. A gang is placed only once all its members wait.

Change: a gang of which a member is loaded as done is loaded as done.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -205,6 +205,13 @@
                      });
 }
 
+void RestoreDone(Job& job, StepRun& step_run, Task& task) {
+  task.m_state = RunState::kDone;
+  --step_run.m_waiting;
+  ++step_run.m_done;
+  --job.m_unfinished;
+}
+
 void RestoreTask(Fleet& fleet, Job& job, const TaskProgress& stored) {
   if (stored.m_step_run >= job.m_steps.size()) return;
   StepRun& step_run = job.m_steps[stored.m_step_run];
@@ -231,10 +238,24 @@
     job.m_has_failed = job.m_has_failed || HasCrashedTooOften(job, task);
     return;
   }
-  task.m_state = RunState::kDone;
-  --step_run.m_waiting;
-  ++step_run.m_done;
-  --job.m_unfinished;
+  RestoreDone(job, step_run, task);
+}
+
+void ShareDone(Job& job, StepRun& step_run) {
+  if (step_run.m_done == 0) return;
+  for (Task& task : step_run.m_tasks) {
+    if (task.m_state != RunState::kDone) RestoreDone(job, step_run, task);
+  }
+}
+
+// The end of one member counts for all. The rows of the others may not tell of
+// it: a row is left out if its task's start was not known, and the rows of
+// several parts are not stored at once.
+void RestoreGangs(Job& job) {
+  for (std::size_t index = 0; index < job.m_steps.size(); ++index) {
+    if (!job.m_plan.m_steps[index % job.StepCount()].m_is_gang) continue;
+    ShareDone(job, job.m_steps[index]);
+  }
 }
 
 std::unique_ptr<Job> MakeJob(Fleet& fleet, JobPlan plan,
@@ -263,6 +284,7 @@
   for (const TaskProgress& stored : progress.m_tasks) {
     RestoreTask(fleet, *job, stored);
   }
+  RestoreGangs(*job);
   return job;
 }
 
