fleet: Pass on the time of an inherited late start as it was read

Cause: since a leader adds 10 s for jumps of the clock to a stored wait for a late start, up to the longest delay from when it loads the job. A leader that stores the task's row again stored that longer time, so each change of leaders began the wait anew.

Change: the row of an inherited late start holds the time that was read, until this leader itself sends a start without an answer, which is later and so replaces it. However many leaders came in between, the wait lasts at most 10 s longer than the order can take effect.

--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -83,7 +83,10 @@
   /// Until then an order that got no answer may start the task; see
   /// late_start.h.
   TimePoint m_late_start_until{};
-  WorkerId m_late_start_worker;     ///< The worker that it was sent to.
+  WorkerId m_late_start_worker;  ///< The worker that it was sent to.
+  /// The same time as an earlier leader stored it, by that one's time of day;
+  /// 0: this leader has sent the order, or there is none.
+  std::int64_t m_inherited_late_start_unix_ms = 0;
   TimePoint m_over_target_since{};  ///< 0: tail latency is within its target.
   TimePoint m_limit_changed_at{};
   TimePoint m_stop_sent_at{};
--- a/libraries/decisions/fleet/job_progress.cc
+++ b/libraries/decisions/fleet/job_progress.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "decisions/fleet/late_start.h"
+
 namespace daisyarch::fleet {
 
 namespace {
@@ -15,12 +17,7 @@
   row.m_doubtful_runs = task.m_doubtful_runs;
   row.m_run = task.m_run;
   if (!row.m_is_done) row.m_checkpoint = task.m_checkpoint;
-  if (task.m_late_start_until != TimePoint()) {
-    row.m_late_start_until_unix_ms =
-        ToMilliseconds(task.m_late_start_until.time_since_epoch()) +
-        unix_offset_ms;
-    row.m_late_start_worker = task.m_late_start_worker;
-  }
+  StoreLateStart(task, unix_offset_ms, row);
   return row;
 }
 
--- a/libraries/decisions/fleet/late_start.cc
+++ b/libraries/decisions/fleet/late_start.cc
@@ -62,7 +62,10 @@
              : task.m_late_start_until;
 }
 
+// An order of this leader left later than one that it has inherited, so its
+// time replaces the longer estimate for that one.
 void RecordLateStart(Fleet& fleet, Task& task) {
+  if (task.m_inherited_late_start_unix_ms != 0) ForgetLateStart(task);
   RecordUntil(fleet, task, task.m_worker, LatestEffectOf(fleet.m_limits, task));
 }
 
@@ -74,6 +77,7 @@
 void ForgetLateStart(Task& task) {
   task.m_late_start_until = TimePoint();
   task.m_late_start_worker = WorkerId();
+  task.m_inherited_late_start_unix_ms = 0;
 }
 
 // The deadline of the order is no bound: a worker that restarts accepts one
@@ -114,6 +118,20 @@
              : worker.m_stored_end;
 }
 
+// If each leader stored its own estimate, the wait would grow with their
+// number.
+void StoreLateStart(const Task& task, std::int64_t unix_offset_ms,
+                    TaskProgress& row) {
+  if (task.m_late_start_until == TimePoint()) return;
+  const std::int64_t own_unix_ms =
+      ToMilliseconds(task.m_late_start_until.time_since_epoch()) +
+      unix_offset_ms;
+  row.m_late_start_until_unix_ms = task.m_inherited_late_start_unix_ms != 0
+                                       ? task.m_inherited_late_start_unix_ms
+                                       : own_unix_ms;
+  row.m_late_start_worker = task.m_late_start_worker;
+}
+
 // The time of day of the node that stored the time may differ from this one's,
 // in either direction.
 void RestoreLateStart(Fleet& fleet, const TaskProgress& stored, Task& task) {
@@ -126,6 +144,7 @@
       fleet.m_ticked_at + LongestEffectDelay(fleet.m_limits);
   if (until <= fleet.m_ticked_at) return;
   RecordUntil(fleet, task, stored.m_late_start_worker, std::min(until, latest));
+  task.m_inherited_late_start_unix_ms = stored.m_late_start_until_unix_ms;
 }
 
 void ForgetLateStarts(Fleet& fleet, TimePoint now) {
--- a/libraries/decisions/fleet/late_start.h
+++ b/libraries/decisions/fleet/late_start.h
@@ -54,6 +54,10 @@
 /// may be.
 OutcomeNumber AcknowledgeableEnd(const Fleet& fleet, const Worker& worker,
                                  TimePoint now);
+/// Writes the task's late start into its row. One that an earlier leader stored
+/// is passed on as it was read.
+void StoreLateStart(const Task& task, std::int64_t unix_offset_ms,
+                    TaskProgress& row);
 /// Takes over what an earlier leader has stored of a late start.
 void RestoreLateStart(Fleet& fleet, const TaskProgress& stored, Task& task);
 /// Forgets the late starts that can take effect no more.
--- /dev/null
+++ b/tests/decisions/fleet/inherited_late_start_test.cc
@@ -0,0 +1,170 @@
+#include <catch2/catch.hpp>
+#include <functional>
+
+#include "decisions/fleet/fleet_fixture.h"
+#include "decisions/fleet/late_start.h"
+
+namespace daisyarch::fleet {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Millicores kCore{1000};
+constexpr std::int64_t kUnixMs = 1'700'000'000'000;
+constexpr Duration kStep = milliseconds(50);
+// Until the next poll of a worker that answers at once, and the next pass.
+constexpr Duration kUntilNoticed = milliseconds(400);
+// By which the times of day of two nodes may differ.
+constexpr Duration kMaximumClockStep = seconds(10);
+
+/// A worker that answers each poll at once and starts nothing.
+struct SilentlyIdleWorker {
+  TimePoint m_started_at = TimePoint(seconds(40));
+  Incarnation m_incarnation{1};
+  double m_clock_rate = 1;
+  bool m_answers = true;
+};
+
+/// A start without an answer, and leaders that change after it. Each leader
+/// stores the task's row when the next one takes over.
+struct LeaderChain {
+  std::size_t m_leaders = 1;  ///< After the one that sent the start.
+  Duration m_gap = seconds(2);
+  /// By how much the time of day of the nth leader is ahead.
+  std::function<Duration(std::size_t)> m_clock_step = [](std::size_t) {
+    return Duration{};
+  };
+  /// Called as the nth leader begins, with the worker of the unanswered start.
+  std::function<void(std::size_t, SilentlyIdleWorker&)> m_on_change =
+      [](std::size_t, SilentlyIdleWorker&) {};
+  std::map<WorkerId, SilentlyIdleWorker> m_workers = {{WorkerId("w0"), {}},
+                                                      {WorkerId("w1"), {}}};
+};
+
+std::int64_t UnixMs(const FleetFixture& fixture, Duration clock_step) {
+  return kUnixMs +
+         ToMilliseconds(fixture.m_now.time_since_epoch() + clock_step);
+}
+
+void AnswerPoll(FleetFixture& fixture, const WorkerId& id,
+                const SilentlyIdleWorker& worker) {
+  const Worker& known = *FindWorker(fixture.m_fleet, id);
+  if (!known.m_is_polling || !worker.m_answers) return;
+  WorkerReport report;
+  report.m_incarnation = worker.m_incarnation;
+  report.m_clock = WorkerMilliseconds(static_cast<std::int64_t>(
+      static_cast<double>(ToMilliseconds(fixture.m_now - worker.m_started_at)) *
+      worker.m_clock_rate));
+  ApplyReport(fixture.m_fleet, id, known.m_poll_number, known.m_token, report,
+              fixture.m_now);
+}
+
+void AnswerPolls(FleetFixture& fixture, const LeaderChain& chain) {
+  for (const auto& [id, worker] : chain.m_workers) {
+    AnswerPoll(fixture, id, worker);
+  }
+}
+
+void ListWorkers(FleetFixture& fixture, const LeaderChain& chain,
+                 Duration clock_step) {
+  std::vector<ListedWorker> listing;
+  for (const auto& [id, worker] : chain.m_workers) {
+    ListedWorker entry;
+    entry.m_worker = id;
+    entry.m_address = id.value();
+    entry.m_incarnation = worker.m_incarnation;
+    entry.m_pool = PoolId("pool");
+    entry.m_capacity = Resources{kCore, Mebibytes(64000), Accelerators(0)};
+    listing.push_back(entry);
+  }
+  ApplyListing(fixture.m_fleet, listing, fixture.m_now, fixture.m_now);
+  ApplyRosterStored(fixture.m_fleet, MissingFromRoster(fixture.m_fleet));
+  TickFleet(fixture.m_fleet, fixture.m_now, UnixMs(fixture, clock_step));
+  AnswerPolls(fixture, chain);
+}
+
+// Returns whether the leader starts a task until then.
+bool StartsUntil(FleetFixture& fixture, const LeaderChain& chain,
+                 Duration clock_step, TimePoint until) {
+  while (fixture.m_now < until) {
+    fixture.m_now += kStep;
+    fixture.m_fleet.m_orders.clear();
+    TickFleet(fixture.m_fleet, fixture.m_now, UnixMs(fixture, clock_step));
+    AnswerPolls(fixture, chain);
+    PlaceRuns(fixture.m_fleet, fixture.m_now);
+    if (!TakeOrders<StartOrder>(fixture).empty()) return true;
+  }
+  return false;
+}
+
+JobProgress TakeStoredProgress(FleetFixture& fixture) {
+  Job& job = *FindJob(fixture.m_fleet, JobKey("job"));
+  MarkTaskChanged(fixture.m_fleet, job, {job.m_plan.m_key});
+  const ChangeBatch batch = TakeChanges(fixture.m_fleet);
+  REQUIRE(batch.m_changes.size() == 1);
+  return batch.m_changes.front().m_progress;
+}
+
+// Lets the first leader send a start that gets no answer.
+StartOrder SendUnanswered(FleetFixture& fixture, const LeaderChain& chain) {
+  ListWorkers(fixture, chain, chain.m_clock_step(0));
+  Submit(fixture, MakePlan("job", 1, kCore));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  ApplyStartOutcome(fixture.m_fleet, starts.front(), StartOutcome::kUnanswered,
+                    fixture.m_now);
+  return starts.front();
+}
+
+// Returns the time from the unanswered start to the next one.
+Duration PlayChain(LeaderChain& chain) {
+  FleetFixture first;
+  const WorkerId late = SendUnanswered(first, chain).m_worker;
+  const TimePoint sent_at = first.m_now;
+  TimePoint now = sent_at;
+  JobProgress stored = TakeStoredProgress(first);
+  for (std::size_t number = 1; number <= chain.m_leaders; ++number) {
+    now += chain.m_gap;
+    chain.m_on_change(number, chain.m_workers.at(late));
+    const Duration clock_step = chain.m_clock_step(number);
+    FleetFixture leader;
+    leader.m_fleet.m_term = Term(first.m_fleet.m_term.value() + number);
+    leader.m_now = now;
+    SetTime(leader.m_fleet, now, UnixMs(leader, clock_step));
+    AddJob(leader.m_fleet, MakePlan("job", 1, kCore), stored, now);
+    ListWorkers(leader, chain, clock_step);
+    const bool is_last = number == chain.m_leaders;
+    const TimePoint until = now + (is_last ? seconds(60) : chain.m_gap);
+    if (StartsUntil(leader, chain, clock_step, until)) {
+      return leader.m_now - sent_at;
+    }
+    stored = TakeStoredProgress(leader);
+  }
+  FAIL("the task was not started");
+  return {};
+}
+
+}  // namespace
+
+// Guards against a wait for a late start that grows with each leader that
+// stores the task again.
+TEST_CASE("The wait for a late start does not grow with each leader") {
+  LeaderChain chain;
+  chain.m_leaders = GENERATE(1, 3, 6, 12);
+  chain.m_gap = milliseconds(GENERATE(1000, 2000, 3000));
+  const bool answers = GENERATE(true, false);
+  chain.m_on_change = [answers](std::size_t, SilentlyIdleWorker& worker) {
+    worker.m_answers = answers;
+  };
+  INFO(chain.m_leaders << " leaders, " << ToMilliseconds(chain.m_gap)
+                       << " ms each, answers: " << answers);
+  const Duration waited = PlayChain(chain);
+  INFO("started after " << ToMilliseconds(waited) << " ms");
+  const Duration longest = LongestEffectDelay(FleetLimits());
+  CHECK(waited >= longest);
+  CHECK(waited <= longest + kMaximumClockStep + kUntilNoticed);
+}
+
+}  // namespace daisyarch::fleet
