fleet: End inherited late starts by the clock of their worker

Cause: a late start that a leader inherits was awaited by the time of day, with 10 s for jumps, although an order takes effect at its worker only, whose own clock tells when it can do so no more and is the same for all leaders.

Change: a leader stores with a late start what the worker's clock reads once the order can take effect no more, and what that of a later incarnation does. A report with such a clock ends the wait, also for what may be acknowledged to the worker. The reading counts from when the poll was sent that told of the clock, which runs slow by up to 2% but not fast; a later incarnation begins after the last answer of the known one. An idle worker is polled when its clock may be there.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -206,7 +206,13 @@
   task.m_crashed_runs = stored.m_crashed_runs;
   task.m_doubtful_runs = stored.m_doubtful_runs;
   task.m_checkpoint = stored.m_checkpoint;
-  RestoreLateStart(fleet, stored, task);
+  RestoreLateStart(
+      fleet, stored,
+      {job.m_plan.m_key,
+       static_cast<std::uint32_t>(stored.m_step_run / job.StepCount()),
+       static_cast<std::uint32_t>(stored.m_step_run % job.StepCount()),
+       stored.m_index},
+      task);
   job.m_was_placed = true;
   job.m_is_inherited = true;
   if (!stored.m_is_done) {
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -17,6 +17,7 @@
 #include "decisions/fleet/job_progress.h"
 #include "decisions/fleet/relay_link.h"
 #include "decisions/fleet/waiting_steps.h"
+#include "decisions/fleet/worker_late_starts.h"
 
 namespace daisyarch::fleet {
 
@@ -234,9 +235,9 @@
   TimePoint m_ticked_at{};  ///< When SetTime was last called.
   /// Unix time less the loop's, in ms.
   std::int64_t m_unix_offset_ms = 0;
-  /// Until when a start that got no answer may take effect at the next
-  /// incarnation of each worker; see late_start.h.
-  std::map<WorkerId, TimePoint> m_late_starts;
+  /// The starts that got no answer and may take effect at the next incarnation
+  /// of each worker; see late_start.h.
+  std::map<WorkerId, WorkerLateStarts> m_late_starts;
   /// Jobs whose rank may have changed since RefreshRanks was last called.
   std::set<JobKey> m_unranked_jobs;
   /// When the ranks of jobs with waiting tasks change by the passage of time.
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -10,6 +10,7 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "decisions/fleet/job_plan.h"
+#include "decisions/fleet/late_start_clock.h"
 
 namespace daisyarch::fleet {
 
@@ -87,6 +88,7 @@
   /// The same time as an earlier leader stored it, by that one's time of day;
   /// 0: this leader has sent the order, or there is none.
   std::int64_t m_inherited_late_start_unix_ms = 0;
+  LateStartClock m_late_start_clock;
   TimePoint m_over_target_since{};  ///< 0: tail latency is within its target.
   TimePoint m_limit_changed_at{};
   TimePoint m_stop_sent_at{};
--- a/libraries/decisions/fleet/fleet_timers.cc
+++ b/libraries/decisions/fleet/fleet_timers.cc
@@ -39,7 +39,8 @@
     worker.m_lease_until = std::max(worker.m_lease_until, poll.m_lease_until);
   }
   if (poll.m_has_lease) {
-    poll.m_wait = fleet.m_limits.m_poll_wait;
+    poll.m_wait = std::clamp<Duration>(worker.m_late_start_check_at - now,
+                                       Duration{}, fleet.m_limits.m_poll_wait);
     // Workers that mix serving and best-effort tasks are polled more often.
     if (!worker.m_serving.empty() && !worker.m_best_effort_images.empty()) {
       poll.m_wait /= 2;
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -14,13 +14,11 @@
 #include "base/time.h"
 #include "decisions/fleet/fleet_job.h"
 #include "decisions/fleet/interference.h"
+#include "decisions/fleet/worker_clock.h"
 #include "decisions/fleet/worker_index.h"
 
 namespace daisyarch::fleet {
 
-/// A reading of a worker's own steady clock, in milliseconds.
-using WorkerMilliseconds = Quantity<struct WorkerMillisecondsTag>;
-
 /// States of charts/fleet_worker.yaml, in the order of WorkerBinding().
 enum class WorkerState : std::uint8_t {
   kUnverified,
@@ -157,6 +155,10 @@
   bool m_has_clock = false;    ///< This incarnation has reported its clock.
   WorkerMilliseconds m_clock;  ///< As last reported.
   TimePoint m_clock_read_at{};
+  /// Its clock read 0 no earlier than this; 0: not known.
+  TimePoint m_clock_began_after{};
+  /// When its clock may show that an inherited late start is over.
+  TimePoint m_late_start_check_at = TimePoint::max();
   WorkerMilliseconds m_lease_until;  ///< The latest deadline sent.
   /// An order to an earlier incarnation may have granted this one a lease.
   bool m_may_hold_earlier_lease = false;
--- a/libraries/decisions/fleet/job_progress.h
+++ b/libraries/decisions/fleet/job_progress.h
@@ -29,6 +29,7 @@
   /// 0: there is none.
   std::int64_t m_late_start_until_unix_ms = 0;
   WorkerId m_late_start_worker;
+  LateStartClock m_late_start_clock;  ///< Of that worker.
   ProgressPart m_stored_part;  ///< The part that it was read from; not stored.
 };
 
--- a/libraries/decisions/fleet/late_start.cc
+++ b/libraries/decisions/fleet/late_start.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
+#include <utility>
 
 #include "decisions/fleet/crash_count.h"
 
@@ -15,6 +17,10 @@
     kMaximumDispatchTime + std::chrono::milliseconds(200);
 // Each of two nodes' times of day may jump by up to 5 s.
 constexpr Duration kMaximumClockStep = std::chrono::seconds(10);
+// A reading of a clock and a difference of times are cut to milliseconds.
+constexpr WorkerMilliseconds kRounding{2};
+constexpr WorkerMilliseconds kUnknownClock{
+    std::numeric_limits<std::int64_t>::max()};
 // Covers a worker's clock that runs 2% slow, and an order in transit.
 constexpr Duration kUnconfirmedSlack = std::chrono::milliseconds(900);
 
@@ -22,12 +28,37 @@
   return task.m_start_sent_at + LongestEffectDelay(limits);
 }
 
-void RecordUntil(Fleet& fleet, Task& task, const WorkerId& worker,
-                 TimePoint until) {
-  task.m_late_start_until = std::max(task.m_late_start_until, until);
-  task.m_late_start_worker = worker;
-  TimePoint& at_worker = fleet.m_late_starts[worker];
-  at_worker = std::max(at_worker, until);
+// Returns what the clock of the task's worker reads at `until`. It advances no
+// faster than the leader's, and the next one begins after the last answer.
+LateStartClock ClockAt(Fleet& fleet, const WorkerId& id, TimePoint until) {
+  const Worker* worker = FindWorker(fleet, id);
+  if (worker == nullptr) return {};
+  if (worker->m_clock_began_after == TimePoint()) return {};
+  const WorkerMilliseconds clock =
+      WorkerMilliseconds(ToMilliseconds(until - worker->m_clock_began_after)) +
+      kRounding;
+  return {worker->m_listing.m_incarnation, clock, clock - worker->m_clock};
+}
+
+// Returns how long the worker's clock has to run on until it shows that the
+// late start is over; max() if it cannot show that. A leader's polls reach no
+// incarnation before the one that the row of an earlier leader names.
+WorkerMilliseconds ClockLeft(const LateStartClock& late_start,
+                             const WorkerReport& report) {
+  if (late_start.m_incarnation == Incarnation()) return kUnknownClock;
+  const WorkerMilliseconds until =
+      late_start.m_incarnation == report.m_incarnation
+          ? late_start.m_until
+          : late_start.m_until_if_restarted;
+  return until - report.m_clock;
+}
+
+TimePoint LatestOf(const WorkerLateStarts& starts) {
+  TimePoint latest = starts.m_until;
+  for (const InheritedLateStart& inherited : starts.m_inherited) {
+    latest = std::max(latest, inherited.m_until);
+  }
+  return latest;
 }
 
 bool Contains(const std::vector<RunNumber>& runs, RunNumber run) {
@@ -66,7 +97,14 @@
 // time replaces the longer estimate for that one.
 void RecordLateStart(Fleet& fleet, Task& task) {
   if (task.m_inherited_late_start_unix_ms != 0) ForgetLateStart(task);
-  RecordUntil(fleet, task, task.m_worker, LatestEffectOf(fleet.m_limits, task));
+  const TimePoint until = LatestEffectOf(fleet.m_limits, task);
+  if (until >= task.m_late_start_until) {
+    task.m_late_start_until = until;
+    task.m_late_start_clock = ClockAt(fleet, task.m_worker, until);
+  }
+  task.m_late_start_worker = task.m_worker;
+  TimePoint& at_worker = fleet.m_late_starts[task.m_worker].m_until;
+  at_worker = std::max(at_worker, until);
 }
 
 void RecordPendingStart(Fleet& fleet, Task& task) {
@@ -78,6 +116,7 @@
   task.m_late_start_until = TimePoint();
   task.m_late_start_worker = WorkerId();
   task.m_inherited_late_start_unix_ms = 0;
+  task.m_late_start_clock = LateStartClock();
 }
 
 // The deadline of the order is no bound: a worker that restarts accepts one
@@ -108,7 +147,7 @@
 bool MayTakeOrderLate(const Fleet& fleet, const WorkerId& worker,
                       TimePoint now) {
   const auto found = fleet.m_late_starts.find(worker);
-  return found != fleet.m_late_starts.end() && now < found->second;
+  return found != fleet.m_late_starts.end() && now < LatestOf(found->second);
 }
 
 OutcomeNumber AcknowledgeableEnd(const Fleet& fleet, const Worker& worker,
@@ -130,11 +169,13 @@
                                        ? task.m_inherited_late_start_unix_ms
                                        : own_unix_ms;
   row.m_late_start_worker = task.m_late_start_worker;
+  row.m_late_start_clock = task.m_late_start_clock;
 }
 
 // The time of day of the node that stored the time may differ from this one's,
 // in either direction.
-void RestoreLateStart(Fleet& fleet, const TaskProgress& stored, Task& task) {
+void RestoreLateStart(Fleet& fleet, const TaskProgress& stored,
+                      const TaskReference& reference, Task& task) {
   if (stored.m_late_start_until_unix_ms == 0) return;
   const TimePoint until =
       TimePoint(FromMilliseconds(stored.m_late_start_until_unix_ms -
@@ -143,14 +184,76 @@
   const TimePoint latest =
       fleet.m_ticked_at + LongestEffectDelay(fleet.m_limits);
   if (until <= fleet.m_ticked_at) return;
-  RecordUntil(fleet, task, stored.m_late_start_worker, std::min(until, latest));
+  task.m_late_start_until = std::min(until, latest);
+  task.m_late_start_worker = stored.m_late_start_worker;
   task.m_inherited_late_start_unix_ms = stored.m_late_start_until_unix_ms;
+  task.m_late_start_clock = stored.m_late_start_clock;
+  fleet.m_late_starts[stored.m_late_start_worker].m_inherited.push_back(
+      {reference, task.m_late_start_until, stored.m_late_start_clock});
+}
+
+// The clock was read after the poll was sent, and may run slow but not fast, so
+// its beginning in terms of the leader's clock only seems to move on.
+void RecordClock(Worker& worker, const WorkerReport& report, TimePoint now) {
+  const TimePoint began_after =
+      worker.m_poll_sent_at - FromMilliseconds(report.m_clock.value());
+  worker.m_clock_began_after =
+      worker.m_has_clock ? std::max(worker.m_clock_began_after, began_after)
+                         : began_after;
+  worker.m_clock = report.m_clock;
+  worker.m_clock_read_at = now;
+  worker.m_has_clock = true;
+}
+
+// The clock of an incarnation begins with it, after the last answer of the one
+// before.
+void ResetClock(Worker& worker) {
+  if (worker.m_clock_began_after != TimePoint()) {
+    worker.m_clock_began_after += FromMilliseconds(worker.m_clock.value());
+  }
+  worker.m_clock = WorkerMilliseconds();
+  worker.m_has_clock = false;
+}
+
+namespace {
+
+// A start that this leader has sent since replaces the inherited one.
+void Forget(Fleet& fleet, const InheritedLateStart& late_start,
+            const WorkerId& worker) {
+  Job* job = nullptr;
+  Task* task = FindTask(fleet, late_start.m_task, job);
+  if (task == nullptr || task->m_inherited_late_start_unix_ms == 0) return;
+  if (task->m_late_start_worker == worker) ForgetLateStart(*task);
+}
+
+}  // namespace
+
+void ForgetLateStartsBefore(Fleet& fleet, Worker& worker,
+                            const WorkerReport& report, TimePoint now) {
+  worker.m_late_start_check_at = TimePoint::max();
+  const WorkerId& id = worker.m_listing.m_worker;
+  const auto found = fleet.m_late_starts.find(id);
+  if (found == fleet.m_late_starts.end()) return;
+  std::vector<InheritedLateStart> left;
+  for (const InheritedLateStart& late_start : found->second.m_inherited) {
+    const WorkerMilliseconds clock_left = ClockLeft(late_start.m_clock, report);
+    if (clock_left <= WorkerMilliseconds()) {
+      Forget(fleet, late_start, id);
+      continue;
+    }
+    left.push_back(late_start);
+    if (clock_left == kUnknownClock) continue;
+    worker.m_late_start_check_at =
+        std::min(worker.m_late_start_check_at,
+                 now + FromMilliseconds(clock_left.value()));
+  }
+  found->second.m_inherited = std::move(left);
 }
 
 void ForgetLateStarts(Fleet& fleet, TimePoint now) {
   auto& starts = fleet.m_late_starts;
   for (auto next = starts.begin(); next != starts.end();) {
-    next = next->second <= now ? starts.erase(next) : std::next(next);
+    next = LatestOf(next->second) <= now ? starts.erase(next) : std::next(next);
   }
 }
 
--- a/libraries/decisions/fleet/late_start.h
+++ b/libraries/decisions/fleet/late_start.h
@@ -59,7 +59,16 @@
 void StoreLateStart(const Task& task, std::int64_t unix_offset_ms,
                     TaskProgress& row);
 /// Takes over what an earlier leader has stored of a late start.
-void RestoreLateStart(Fleet& fleet, const TaskProgress& stored, Task& task);
+void RestoreLateStart(Fleet& fleet, const TaskProgress& stored,
+                      const TaskReference& reference, Task& task);
+/// Records what a report shows of the worker's clock.
+void RecordClock(Worker& worker, const WorkerReport& report, TimePoint now);
+/// Does so for a worker that has restarted and not told its clock yet.
+void ResetClock(Worker& worker);
+/// Forgets the inherited late starts that can take effect no more, as the
+/// worker's clock in its report shows.
+void ForgetLateStartsBefore(Fleet& fleet, Worker& worker,
+                            const WorkerReport& report, TimePoint now);
 /// Forgets the late starts that can take effect no more.
 void ForgetLateStarts(Fleet& fleet, TimePoint now);
 
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -323,9 +323,9 @@
   worker.m_applied_end = worker.m_stored_end = worker.m_first_listed_end =
       OutcomeNumber();
   worker.m_listed_ends = 0;
-  worker.m_has_clock = false;
   worker.m_unknown_end = OutcomeNumber();
-  worker.m_clock = worker.m_lease_until = WorkerMilliseconds();
+  ResetClock(worker);
+  worker.m_lease_until = WorkerMilliseconds();
   worker.m_may_hold_earlier_lease = true;
   worker.m_unknown_runs = 0;
   worker.m_has_unapplied_ends = worker.m_awaits_jobs = false;
@@ -372,9 +372,7 @@
   if (before != Incarnation() && before != worker->m_listing.m_incarnation) {
     return;
   }
-  worker->m_clock = report.m_clock;
-  worker->m_clock_read_at = now;
-  worker->m_has_clock = true;
+  RecordClock(*worker, report, now);
   if (token != worker->m_token) return;
   ExtendUnknownLease(fleet, *worker, report);
   worker->m_unknown_runs = 0;
@@ -384,6 +382,7 @@
   SortByReference(active);
   // Only a report whose ended runs are all applied shows which runs are gone.
   if (has_all_ends) {
+    ForgetLateStartsBefore(fleet, *worker, report, now);
     HandleMissingRuns(fleet, *worker, active);
     if (worker->m_state != WorkerState::kReady) fleet.m_needs_placement = true;
     worker->m_inherited_runs_until = TimePoint();
--- a/libraries/decisions/fleet/worker_index.cc
+++ b/libraries/decisions/fleet/worker_index.cc
@@ -109,7 +109,8 @@
   const bool has_listed_ends = worker.m_first_listed_end != OutcomeNumber();
   if (!is_idle || has_listed_ends) return worker.m_next_poll_at;
   return std::max(worker.m_next_poll_at,
-                  worker.m_poll_sent_at + kIdlePollInterval);
+                  std::min(worker.m_poll_sent_at + kIdlePollInterval,
+                           worker.m_late_start_check_at));
 }
 
 bool WorkerFigureOrder::operator()(const Entry& left,
--- a/libraries/wire/cbor_writer.h
+++ b/libraries/wire/cbor_writer.h
@@ -8,13 +8,14 @@
 #include <type_traits>
 #include <vector>
 
+#include "base/quantity.h"
 #include "base/strong_id.h"
 
 namespace daisyarch {
 
 /// Encodes a flat message as the same CBOR bytes as FieldWriter and
 /// WriteCbor(), without a document in between. For messages that are encoded
-/// often; their fields are numbers, texts, ids and lists of these.
+/// often; their fields are numbers, texts, ids, quantities and lists of these.
 class CborWriter {
  public:
   CborWriter() {
@@ -118,6 +119,10 @@
   void WriteObject(const StrongId<Tag, Representation>& id) {
     Write(id.value());
   }
+  template <typename Tag>
+  void WriteObject(const Quantity<Tag>& quantity) {
+    Write(quantity.value());
+  }
   template <typename Item>
   void WriteObject(const std::vector<Item>& items) {
     WriteHeader(kArray, items.size(), m_values);
--- a/libraries/wire/fleet_fields.h
+++ b/libraries/wire/fleet_fields.h
@@ -80,6 +80,10 @@
   visit("checkpoint", task.m_checkpoint);
   visit.Optional("late_start_until_unix_ms", task.m_late_start_until_unix_ms);
   visit.Optional("late_start_worker", task.m_late_start_worker);
+  LateStartClock& clock = task.m_late_start_clock;
+  visit.Optional("late_start_incarnation", clock.m_incarnation);
+  visit.Optional("late_start_clock_ms", clock.m_until);
+  visit.Optional("late_start_restarted_clock_ms", clock.m_until_if_restarted);
 }
 
 template <typename Visitor>
--- a/tests/wire/encoded_progress_test.cc
+++ b/tests/wire/encoded_progress_test.cc
@@ -65,6 +65,8 @@
       row.m_checkpoint = std::string(length, 'c');
       row.m_late_start_until_unix_ms = time;
       row.m_late_start_worker = WorkerId(std::string(length % 30, 'w'));
+      row.m_late_start_clock = {Incarnation(length), WorkerMilliseconds(time),
+                                WorkerMilliseconds(-time)};
       EncodedRows rows;
       ReplaceRows(rows, {row});
       CHECK((rows.begin()->second == WriteCbor(Encode(row))));
--- a/tests/wire/fleet_fields_test.cc
+++ b/tests/wire/fleet_fields_test.cc
@@ -35,14 +35,18 @@
   TaskProgress task;
   task.m_run = RunNumber(3);
   Json json = Encode(task);
-  for (const char* field : {"crashed_runs", "doubtful_runs",
-                            "late_start_until_unix_ms", "late_start_worker"}) {
+  for (const char* field :
+       {"crashed_runs", "doubtful_runs", "late_start_until_unix_ms",
+        "late_start_worker", "late_start_incarnation", "late_start_clock_ms",
+        "late_start_restarted_clock_ms"}) {
     INFO(field);
     CHECK(json.count(field) == 0);
   }
   task.m_doubtful_runs = {RunNumber(2)};
   task.m_late_start_until_unix_ms = 5;
   task.m_late_start_worker = WorkerId("w0");
+  task.m_late_start_clock = {Incarnation(7), WorkerMilliseconds(9),
+                             WorkerMilliseconds(8)};
   json = Encode(task);
   CHECK(json.count("crashed_runs") == 0);
   const auto decoded = Decode<TaskProgress>(json, "read", "store");
@@ -51,6 +55,10 @@
   CHECK(decoded.assume_value().m_doubtful_runs == task.m_doubtful_runs);
   CHECK(decoded.assume_value().m_late_start_until_unix_ms == 5);
   CHECK(decoded.assume_value().m_late_start_worker == WorkerId("w0"));
+  const LateStartClock& clock = decoded.assume_value().m_late_start_clock;
+  CHECK(clock.m_incarnation == Incarnation(7));
+  CHECK(clock.m_until == WorkerMilliseconds(9));
+  CHECK(clock.m_until_if_restarted == WorkerMilliseconds(8));
 }
 
 }  // namespace daisyarch::fleet
