fleet: Count a loaded failed run for all members of its gang

Cause: a failed run of a gang counts for each member, but as with ends that are done, the rows of members whose start was not known are left out, and the rows of several parts are not stored at once. The next leader loads the failure for some members only, and takes the reported end for known. If another member fails next, the gang is started once too often.

Change: the failed runs of the loaded members of a gang count for all of them.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -248,6 +248,17 @@
   }
 }
 
+void ShareFailedRuns(StepRun& step_run) {
+  std::vector<RunNumber> failed_runs;
+  for (const Task& task : step_run.m_tasks) {
+    failed_runs.insert(failed_runs.end(), task.m_failed_runs.begin(),
+                       task.m_failed_runs.end());
+  }
+  for (Task& task : step_run.m_tasks) {
+    for (const RunNumber& run : failed_runs) RecordFailedRun(task, run);
+  }
+}
+
 // The end of one member counts for all. The rows of the others may not tell of
 // it: a row is left out if its task's start was not known, and the rows of
 // several parts are not stored at once.
@@ -255,6 +266,7 @@
   for (std::size_t index = 0; index < job.m_steps.size(); ++index) {
     if (!job.m_plan.m_steps[index % job.StepCount()].m_is_gang) continue;
     ShareDone(job, job.m_steps[index]);
+    ShareFailedRuns(job.m_steps[index]);
   }
 }
 
--- a/tests/decisions/fleet/next_leader_test.cc
+++ b/tests/decisions/fleet/next_leader_test.cc
@@ -7,6 +7,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 constexpr Millicores kCore{1000};
 // A run that the leader before has started.
@@ -67,6 +68,26 @@
   return TakeOrders<StartOrder>(fixture);
 }
 
+// Starts the gang and reports that the member's run has failed.
+void FailNextRun(FleetFixture& fixture, const TaskReference& member,
+                 std::uint64_t number) {
+  const auto starts = Place(fixture);
+  REQUIRE(starts.size() == 2);
+  const StartOrder& failing = starts[member.m_index];
+  for (const StartOrder& start : starts) {
+    ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                      fixture.m_now);
+  }
+  Wait(fixture, milliseconds(400));
+  for (const StartOrder& start : starts) {
+    const RunOutcome outcome = start.m_task == failing.m_task
+                                   ? RunOutcome::kFailed
+                                   : RunOutcome::kBroken;
+    Report(fixture, start.m_worker.value(), {},
+           {EndedRunOf(start, number, outcome)});
+  }
+}
+
 }  // namespace
 
 // Guards against a gang that can never be placed again: the next leader loaded
@@ -106,4 +127,39 @@
   CHECK(starts.front().m_task.m_step == 1);
 }
 
+// Guards against a start beyond the allowed attempts: a failed run was stored
+// with the row of the member alone whose start was known.
+TEST_CASE("A gang's failed run counts for all members for later leaders") {
+  FleetFixture fixture;
+  Load(fixture, {});
+  Report(fixture, "w0", {},
+         {EndOf(kFirst, kInheritedRun, 1, RunOutcome::kFailed)});
+  FleetFixture next;
+  Load(next, Store(fixture));
+  CHECK(TaskOf(next, kSecond).m_failed_runs.size() == 1);
+  FailNextRun(next, kSecond, 1);
+  FailNextRun(next, kSecond, 2);
+  CHECK(TaskOf(next, kSecond).m_state == RunState::kFailed);
+  Wait(next, seconds(10));
+  CHECK(Place(next).empty());
+}
+
+// Guards against the same if the end is known already when it is reported: the
+// leader before stored it in the item of one member.
+TEST_CASE("A gang's failed run counts for all if it is in one member's row") {
+  FleetFixture fixture;
+  JobProgress stored;
+  stored.m_state = JobState::kRunning;
+  stored.m_tasks = {RowOf(kFirst), RowOf(kSecond)};
+  stored.m_tasks.front().m_failed_runs = {kInheritedRun};
+  Load(fixture, stored);
+  Report(fixture, "w0", {},
+         {EndOf(kFirst, kInheritedRun, 1, RunOutcome::kFailed)});
+  FailNextRun(fixture, kSecond, 1);
+  FailNextRun(fixture, kSecond, 2);
+  CHECK(TaskOf(fixture, kSecond).m_state == RunState::kFailed);
+  Wait(fixture, seconds(10));
+  CHECK(Place(fixture).empty());
+}
+
 }  // namespace daisyarch::fleet
