tests: Play each order of three reports, and leaders in a row

Three workers report three runs of a task in each order, for each stored row (768 plays). A fourth test lets up to three more leaders follow, of which each cannot write for up to four seconds before the next one. A row may hold all failed attempts while the job's state was not stored as failed yet.

--- a/tests/decisions/fleet/played_leader.h
+++ b/tests/decisions/fleet/played_leader.h
@@ -29,14 +29,19 @@
 /// What is stored of a job.
 struct StoredJob {
   JobState m_state = JobState::kQueued;
+  bool m_has_ended = false;
   std::map<std::uint32_t, TaskProgress> m_rows;  ///< By the task's index.
 };
 
-/// How often messages are lost, and how late writes are.
+/// How often messages are lost until 15 s after the first takeover, how late
+/// writes are, and how often the leader changes.
 struct PlayFaults {
   double m_lost_answer_probability = 0;
   double m_lost_order_probability = 0;
   Duration m_longest_write{};
+  /// Later leaders, each of which follows one that could not write for up to
+  /// four seconds.
+  std::uint64_t m_later_leaders = 0;
 };
 
 /// How a run of a gang goes on: its members end together.
@@ -65,6 +70,9 @@
   std::vector<StartOrder> m_starts;       ///< Those without an answer.
   std::optional<ChangeBatch> m_batch;     ///< The one that is being stored.
   TimePoint m_batch_stored_at{};
+  TimePoint m_unwritable_from = TimePoint::max();
+  TimePoint m_next_leader_at = TimePoint::max();
+  std::uint64_t m_leaders_left = 0;
   std::map<JobKey, StoredJob> m_stored;
   std::map<TaskReference, TaskFacts> m_facts;
   std::map<std::pair<JobKey, RunNumber>, GangRun> m_gang_runs;
@@ -77,6 +85,9 @@
 /// what an earlier leader has left there.
 void TakeOver(PlayedLeader& play, const std::vector<PastJob>& past);
 
+/// Draws when each worker's first answer to the present leader may arrive.
+void DrawFirstAnswers(PlayedLeader& play);
+
 /// Plays until all finite jobs have ended, all lasting tasks run and no end is
 /// left to acknowledge, or until a rule is broken. Returns what is wrong, or
 /// "".
