--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -71,8 +71,9 @@
   }
 }
 
+// The members of a gang whose run is superseded follow one by one.
 void AfterTransition(Fleet& fleet, Job& job, const TaskReference& reference,
-                     RunState before, RunState after) {
+                     RunEvent event, RunState before, RunState after) {
   const std::size_t step_run_index =
       StepRunIndex(job, reference.m_occurrence, reference.m_step);
   StepRun& step_run = job.m_steps[step_run_index];
@@ -92,7 +93,7 @@
   UpdateWaitingSteps(fleet, job, step_run_index);
   if (step.m_is_gang && after == RunState::kDone) {
     FinishGang(fleet, job, reference);
-  } else if (step.m_is_gang) {
+  } else if (step.m_is_gang && event != RunEvent::kSuperseded) {
     StopGang(fleet, job, reference);
   }
   const Task& task = step_run.m_tasks[reference.m_index];
@@ -132,6 +133,22 @@
   job.m_maximum_attempts = settings.m_maximum_attempts;
 }
 
+// Returns whether a task that is not done has failed as often as allowed.
+bool HasExhaustedTask(const Job& job) {
+  for (std::size_t index = 0; index < job.m_steps.size(); ++index) {
+    const StepPlan& step = job.m_plan.m_steps[index % job.StepCount()];
+    if (step.m_kind == StepKind::kService) continue;
+    const auto& tasks = job.m_steps[index].m_tasks;
+    const bool has_exhausted_task =
+        std::any_of(tasks.begin(), tasks.end(), [&job](const Task& task) {
+          return task.m_state != RunState::kDone &&
+                 task.m_failed_runs.size() >= job.m_maximum_attempts;
+        });
+    if (has_exhausted_task) return true;
+  }
+  return false;
+}
+
 bool IsService(const JobPlan& plan) {
   return std::any_of(
       plan.m_steps.begin(), plan.m_steps.end(),
@@ -188,6 +205,13 @@
                      });
 }
 
+void RestoreDone(Job& job, StepRun& step_run, Task& task) {
+  task.m_state = RunState::kDone;
+  --step_run.m_waiting;
+  ++step_run.m_done;
+  --job.m_unfinished;
+}
+
 void RestoreTask(Fleet& fleet, Job& job, const TaskProgress& stored) {
   if (stored.m_step_run >= job.m_steps.size()) return;
   StepRun& step_run = job.m_steps[stored.m_step_run];
@@ -205,7 +229,13 @@
   task.m_crashed_runs = stored.m_crashed_runs;
   task.m_doubtful_runs = stored.m_doubtful_runs;
   task.m_checkpoint = stored.m_checkpoint;
-  RestoreLateStart(fleet, stored, task);
+  RestoreLateStart(
+      fleet, stored,
+      {job.m_plan.m_key,
+       static_cast<std::uint32_t>(stored.m_step_run / job.StepCount()),
+       static_cast<std::uint32_t>(stored.m_step_run % job.StepCount()),
+       stored.m_index},
+      task);
   job.m_was_placed = true;
   job.m_is_inherited = true;
   if (!stored.m_is_done) {
@@ -214,10 +244,36 @@
     job.m_has_failed = job.m_has_failed || HasCrashedTooOften(job, task);
     return;
   }
-  task.m_state = RunState::kDone;
-  --step_run.m_waiting;
-  ++step_run.m_done;
-  --job.m_unfinished;
+  RestoreDone(job, step_run, task);
+}
+
+void ShareDone(Job& job, StepRun& step_run) {
+  if (step_run.m_done == 0) return;
+  for (Task& task : step_run.m_tasks) {
+    if (task.m_state != RunState::kDone) RestoreDone(job, step_run, task);
+  }
+}
+
+void ShareFailedRuns(StepRun& step_run) {
+  std::vector<RunNumber> failed_runs;
+  for (const Task& task : step_run.m_tasks) {
+    failed_runs.insert(failed_runs.end(), task.m_failed_runs.begin(),
+                       task.m_failed_runs.end());
+  }
+  for (Task& task : step_run.m_tasks) {
+    for (const RunNumber& run : failed_runs) RecordFailedRun(task, run);
+  }
+}
+
+// The end of one member counts for all. The rows of the others may not tell of
+// it: a row is left out if its task's start was not known, and the rows of
+// several parts are not stored at once.
+void RestoreGangs(Job& job) {
+  for (std::size_t index = 0; index < job.m_steps.size(); ++index) {
+    if (!job.m_plan.m_steps[index % job.StepCount()].m_is_gang) continue;
+    ShareDone(job, job.m_steps[index]);
+    ShareFailedRuns(job.m_steps[index]);
+  }
 }
 
 std::unique_ptr<Job> MakeJob(Fleet& fleet, JobPlan plan,
@@ -246,6 +302,7 @@
   for (const TaskProgress& stored : progress.m_tasks) {
     RestoreTask(fleet, *job, stored);
   }
+  RestoreGangs(*job);
   return job;
 }
 
@@ -333,7 +390,7 @@
   const StepResult result =
       fleet.m_state_machines->m_run.Step(task.m_state, event, context);
   if (result == StepResult::kTaken) {
-    AfterTransition(fleet, job, reference, before, task.m_state);
+    AfterTransition(fleet, job, reference, event, before, task.m_state);
   }
   return result;
 }
@@ -437,6 +494,9 @@
   job = MakeJob(fleet, std::move(plan), progress);
   job->m_accepted_at = accepted_at;
   UpdateObjective(fleet, *job);
+  // The parts of a job are stored one by one, so the failure of a task may be
+  // stored without that of its job.
+  job->m_has_failed = job->m_has_failed || HasExhaustedTask(*job);
   UpdatePendingCount(fleet, *job);
   fleet.m_unranked_jobs.insert(key);
   AddIsolations(fleet, *job);
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -17,6 +17,7 @@
 #include "decisions/fleet/job_progress.h"
 #include "decisions/fleet/relay_link.h"
 #include "decisions/fleet/waiting_steps.h"
+#include "decisions/fleet/worker_late_starts.h"
 
 namespace daisyarch::fleet {
 
@@ -107,6 +108,21 @@
   kClosed,      ///< Its host refused or closed the connection.
 };
 
+/// What the end of a run that is not its task's present one has changed.
+enum class EndEffect : std::uint8_t {
+  kNone,
+  kCounted,    ///< A failed attempt more.
+  kCompleted,  ///< The task is done.
+};
+
+/// The end of a run that is not its task's present one.
+struct SupersededEnd {
+  RunOutcome m_outcome = RunOutcome::kStopped;
+  RunState m_task_state = RunState::kWaiting;  ///< Before the end was applied.
+  RunNumber m_task_run;                        ///< The task's present run.
+  EndEffect m_effect = EndEffect::kNone;
+};
+
 /// An event that is logged and counted for operators.
 struct FleetEvent {
   const char* m_name;  ///< Name of the event in the log and the metrics.
@@ -117,6 +133,7 @@
   /// the worker's last report to the latest poll.
   Duration m_age{};
   std::optional<TaskReference> m_task;  ///< Of an event of one task.
+  std::optional<SupersededEnd> m_end;   ///< Of such an end.
 };
 
 /// The worker that a task waits for or runs on in isolation.
@@ -218,9 +235,9 @@
   TimePoint m_ticked_at{};  ///< When SetTime was last called.
   /// Unix time less the loop's, in ms.
   std::int64_t m_unix_offset_ms = 0;
-  /// Until when a start that got no answer may take effect at the next
-  /// incarnation of each worker; see late_start.h.
-  std::map<WorkerId, TimePoint> m_late_starts;
+  /// The starts that got no answer and may take effect at the next incarnation
+  /// of each worker; see late_start.h.
+  std::map<WorkerId, WorkerLateStarts> m_late_starts;
   /// Jobs whose rank may have changed since RefreshRanks was last called.
   std::set<JobKey> m_unranked_jobs;
   /// When the ranks of jobs with waiting tasks change by the passage of time.
