--- /dev/null
+++ b/tests/soak/soak_faults.cc
@@ -0,0 +1,226 @@
+#include "soak_faults.h"
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+
+#include "link_proxy/link_fault.h"
+#include "models/standin_main.h"
+
+namespace daisyarch::soak {
+
+namespace {
+
+constexpr std::uint64_t kAll = 100;
+constexpr std::uint64_t kLeader = ~std::uint64_t{0};
+
+void Note(const std::string& text) {
+  std::cout << ToMilliseconds(StandinNow().time_since_epoch()) << " " << text
+            << std::endl;
+}
+
+void SetLink(SoakSite& site, const std::string& link, LinkMode mode,
+             Duration lasts, std::uint64_t percent = kAll,
+             Duration longest_delay = Duration::zero()) {
+  Note("link " + link + " mode " + std::to_string(static_cast<int>(mode)) +
+       " for " + std::to_string(ToMilliseconds(lasts)) + " ms, " +
+       std::to_string(percent) + "%");
+  Control(*site.m_proxy_control, "/fault",
+          {{"link", link},
+           {"mode", static_cast<int>(mode)},
+           {"for_ms", ToMilliseconds(lasts)},
+           {"percent", percent},
+           {"delay_ms", ToMilliseconds(longest_delay)}});
+}
+
+SoakDaemon& DaemonOf(SoakSite& site, std::uint64_t chosen) {
+  const std::size_t index = chosen == kLeader ? site.m_leader : chosen;
+  return site.m_daemons[index];
+}
+
+void SignalDaemon(SoakSite& site, std::uint64_t chosen, int signal) {
+  SoakDaemon& daemon = DaemonOf(site, chosen);
+  Note("signal " + std::to_string(signal) + " to " + daemon.m_node.m_name);
+  if (signal == SIGKILL || signal == SIGTERM) daemon.m_is_end_expected = true;
+  Signal(daemon.m_process, signal);
+}
+
+// A frozen daemon continues after the pause, whoever leads then.
+void FreezeDaemon(SoakSite& site, std::uint64_t chosen, Duration pause) {
+  const std::size_t index = chosen == kLeader ? site.m_leader : chosen;
+  SignalDaemon(site, index, SIGSTOP);
+  site.m_agenda.emplace(StandinNow() + pause,
+                        [&site, index] { SignalDaemon(site, index, SIGCONT); });
+}
+
+void FreezeStore(SoakSite& site, Duration pause) {
+  Note("the store pauses");
+  Signal(site.m_store, SIGSTOP);
+  site.m_agenda.emplace(StandinNow() + pause, [&site] {
+    Note("the store continues");
+    Signal(site.m_store, SIGCONT);
+  });
+}
+
+std::string DrawWorker(SoakSite& site) {
+  return "w" +
+         std::to_string(Choose(site.m_plan.m_random, 1, site.m_plan.m_workers));
+}
+
+void RestartWorker(SoakSite& site, const std::string& worker,
+                   const std::string& id, Duration down) {
+  Note("worker " + worker + " ends and begins as " + id);
+  SetLink(site, worker, LinkMode::kClosed, down);
+  Control(*site.m_worker_control, "/restart",
+          {{"worker", worker}, {"id", id}, {"down_ms", ToMilliseconds(down)}});
+}
+
+// Adds the action to the agenda and returns when its effect has ended.
+TimePoint Plan(SoakSite& site, TimePoint at, Duration lasts,
+               std::function<void()> action) {
+  site.m_agenda.emplace(at, std::move(action));
+  return at + lasts;
+}
+
+std::uint64_t DrawDaemon(SoakSite& site) {
+  Random& random = site.m_plan.m_random;
+  if (NextBelow(random, 3) > 0) return kLeader;
+  return NextBelow(random, site.m_daemons.size());
+}
+
+TimePoint PlanLinkFault(SoakSite& site, TimePoint at, const std::string& link,
+                        LinkMode mode, Duration lasts, std::uint64_t percent,
+                        Duration longest_delay) {
+  return Plan(site, at, lasts + longest_delay,
+              [&site, link, mode, lasts, percent, longest_delay] {
+                SetLink(site, link, mode, lasts, percent, longest_delay);
+              });
+}
+
+// Answers of many workers are lost for a short time, so runs are unconfirmed.
+TimePoint PlanLostAnswers(SoakSite& site, TimePoint at, Duration lasts) {
+  TimePoint end = at;
+  for (std::uint64_t number = 1; number <= site.m_plan.m_workers; ++number) {
+    Random& random = site.m_plan.m_random;
+    if (NextBelow(random, 2) == 0) continue;
+    const TimePoint begin = at + ChooseTime(random, 0, 400);
+    end = std::max(end,
+                   PlanLinkFault(site, begin, "w" + std::to_string(number),
+                                 LinkMode::kLoseAnswers, lasts,
+                                 Choose(random, 30, kAll), Duration::zero()));
+  }
+  return end;
+}
+
+// The order of events of issue 46: starts without an answer; their tasks start
+// again elsewhere while the leader cannot write; then a new leader gets the
+// reports of the workers in any order.
+TimePoint PlanUnstoredRuns(SoakSite& site, SoakTraffic& traffic, TimePoint at) {
+  Random& random = site.m_plan.m_random;
+  const int jobs = static_cast<int>(Choose(random, 3, 6));
+  Plan(site, at, Duration::zero(),
+       [&site, &traffic, jobs] { SubmitFailingJobs(site, traffic, jobs); });
+  PlanLostAnswers(site, at + ChooseTime(random, 100, 700),
+                  ChooseTime(random, 400, 1500));
+  // A start without an answer keeps its task for 13.7 s.
+  const TimePoint cut = at + ChooseTime(random, 9000, 14500);
+  Plan(site, cut - ChooseTime(random, 300, 1200), Duration::zero(),
+       [&site, &traffic, jobs] { SubmitFailingJobs(site, traffic, jobs); });
+  const Duration lost = ChooseTime(random, 0, 1500);
+  const Duration silent = ChooseTime(random, 2000, 4000);
+  const LinkMode first =
+      NextBelow(random, 2) == 0 ? LinkMode::kLoseAnswers : LinkMode::kClosed;
+  Plan(site, cut, Duration::zero(), [&site, first, lost, silent] {
+    const std::string leader = DaemonOf(site, kLeader).m_node.m_name;
+    SetLink(site, leader, first, lost);
+    site.m_agenda.emplace(StandinNow() + lost, [&site, leader, silent] {
+      SetLink(site, leader, LinkMode::kLoseRequests, silent);
+    });
+  });
+  const TimePoint end = cut + lost + silent;
+  return std::max(
+      end, PlanLostAnswers(site, cut + lost + ChooseTime(random, 1500, 3500),
+                           ChooseTime(random, 300, 1500)));
+}
+
+TimePoint PlanDaemonFault(SoakSite& site, TimePoint at) {
+  Random& random = site.m_plan.m_random;
+  const std::uint64_t daemon = DrawDaemon(site);
+  const Duration pause = ChooseTime(random, 500, 8000);
+  constexpr Duration kGrace = std::chrono::seconds(8);
+  switch (NextBelow(random, 4)) {
+    case 0:
+      return Plan(site, at, kGrace,
+                  [&site, daemon] { SignalDaemon(site, daemon, SIGKILL); });
+    case 1:
+      return Plan(site, at, kGrace,
+                  [&site, daemon] { SignalDaemon(site, daemon, SIGTERM); });
+    case 2:
+      return Plan(site, at, Duration::zero(),
+                  [&site, daemon] { SignalDaemon(site, daemon, SIGHUP); });
+    default:
+      return Plan(site, at, pause, [&site, daemon, pause] {
+        FreezeDaemon(site, daemon, pause);
+      });
+  }
+}
+
+TimePoint PlanStoreFault(SoakSite& site, TimePoint at) {
+  Random& random = site.m_plan.m_random;
+  const Duration pause = ChooseTime(random, 300, 3000);
+  if (NextBelow(random, 4) == 0) {
+    return Plan(site, at, pause, [&site, pause] { FreezeStore(site, pause); });
+  }
+  const std::uint64_t daemon = DrawDaemon(site);
+  const auto mode = static_cast<LinkMode>(Choose(random, 1, 4));
+  const Duration lasts = ChooseTime(random, 2000, 4000);
+  return Plan(site, at, lasts + pause, [&site, daemon, mode, lasts, pause] {
+    SetLink(site, DaemonOf(site, daemon).m_node.m_name, mode, lasts, kAll,
+            pause);
+  });
+}
+
+TimePoint PlanWorkerFault(SoakSite& site, TimePoint at, std::uint64_t number) {
+  Random& random = site.m_plan.m_random;
+  const std::string worker = DrawWorker(site);
+  if (NextBelow(random, 3) == 0) {
+    const bool is_same = NextBelow(random, 2) == 0;
+    const std::string id =
+        is_same ? worker : worker + "x" + std::to_string(number);
+    const Duration down = ChooseTime(random, 100, 3000);
+    return Plan(site, at, down, [&site, worker, id, down] {
+      RestartWorker(site, worker, id, down);
+    });
+  }
+  constexpr std::int64_t kLatestMs = 12000;
+  const auto mode = static_cast<LinkMode>(Choose(random, 1, 3));
+  return PlanLinkFault(site, at, worker, mode, ChooseTime(random, 500, 3000),
+                       Choose(random, 20, kAll),
+                       ChooseTime(random, 500, kLatestMs));
+}
+
+}  // namespace
+
+TimePoint PlanFaults(SoakSite& site, SoakTraffic& traffic, TimePoint start) {
+  Random& random = site.m_plan.m_random;
+  const TimePoint end = start + site.m_plan.m_traffic;
+  constexpr Duration kEpisode = std::chrono::seconds(15);
+  TimePoint calm = end;
+  // Episodes of issue 46 overlap with all other faults.
+  for (TimePoint at = start + ChooseTime(random, 500, 3000);
+       at + kEpisode < end; at += ChooseTime(random, 4000, 9000)) {
+    calm = std::max(calm, PlanUnstoredRuns(site, traffic, at));
+  }
+  std::uint64_t number = 0;
+  for (TimePoint at = start + ChooseTime(random, 2000, 5000); at < end;
+       at += ChooseTime(random, 500, 5000)) {
+    const std::uint64_t kind = NextBelow(random, 3);
+    ++number;
+    if (kind == 0) calm = std::max(calm, PlanDaemonFault(site, at));
+    if (kind == 1) calm = std::max(calm, PlanStoreFault(site, at));
+    if (kind == 2) calm = std::max(calm, PlanWorkerFault(site, at, number));
+  }
+  return calm;
+}
+
+}  // namespace daisyarch::soak
