--- a/tests/soak/child_process.cc
+++ b/tests/soak/child_process.cc
@@ -37,6 +37,7 @@
             const std::vector<std::string>& words) {
   std::vector<std::string> copies = words;
   std::vector<char*> pointers;
+  pointers.reserve(copies.size() + 1);
   for (std::string& word : copies) pointers.push_back(word.data());
   pointers.push_back(nullptr);
   child.m_pid = fork();
