tests: Keep the soak's files below the build directory

Cause: two builds that are tested at a time wrote to one folder of a seed.

Change: the folder is below the build, or below SOAK_FOLDER.

--- a/tests/soak/soak_plan.cc
+++ b/tests/soak/soak_plan.cc
@@ -1,7 +1,6 @@
 #include "soak_plan.h"
 
 #include <cstdlib>
-#include <filesystem>
 
 namespace daisyarch::soak {
 
@@ -30,8 +29,10 @@
   plan.m_random.m_state = seed;
   plan.m_root = root;
   plan.m_build = build;
-  plan.m_folder =
-      std::filesystem::temp_directory_path() / ("soak-" + std::to_string(seed));
+  // Below the build, so that builds that are tested at a time share no files.
+  const char* folder = std::getenv("SOAK_FOLDER");
+  plan.m_folder = (folder == nullptr ? build : std::string(folder)) + "/soak-" +
+                  std::to_string(seed);
   // Drawn in any case, so that the rest of the seed stays the same.
   const std::uint64_t daemons = Choose(plan.m_random, 3, 6);
   const std::uint64_t workers = Choose(plan.m_random, 6, 40);
