fleet: Keep a worker that may run a task of an unknown job

What callers would see: two runs of a task at a time (TWICE).

Cause: a worker reports a run of a job that another leader has started and that this one does not know yet. It falls silent, and the platform lists it no more. As no known task is on it, it was forgotten, and with it that its lease may last. Once the job was known, its task started elsewhere.

Change: such a worker is kept until its lease has certainly expired.

--- a/libraries/decisions/fleet/listing.cc
+++ b/libraries/decisions/fleet/listing.cc
@@ -98,6 +98,7 @@
 
 void DropUnlistedWorker(Fleet& fleet, Worker& worker, TimePoint now) {
   if (now < worker.m_inherited_runs_until) return;
+  if (MayRunUnknownJobs(fleet, worker, now)) return;
   StepWorker(fleet, worker, WorkerEvent::kDelisted);
   const bool is_unused = worker.m_runs.empty();
   const bool is_out_of_contact = worker.m_state != WorkerState::kReady;
--- a/libraries/decisions/fleet/roster.cc
+++ b/libraries/decisions/fleet/roster.cc
@@ -38,6 +38,11 @@
   return worker.m_has_unapplied_ends && MayHoldLease(fleet, worker, now);
 }
 
+bool MayRunUnknownJobs(const Fleet& fleet, const Worker& worker,
+                       TimePoint now) {
+  return worker.m_awaits_jobs && MayHoldLease(fleet, worker, now);
+}
+
 std::vector<RosterEntry> MissingFromRoster(const Fleet& fleet) {
   std::vector<RosterEntry> missing;
   for (const Worker* worker : fleet.m_worker_index.m_roster_candidates) {
@@ -157,12 +162,12 @@
 
 bool MayHaveInheritedRuns(const Fleet& fleet, TimePoint now) {
   const WorkerSet& workers = fleet.m_worker_index.m_inherited_runs;
-  return std::any_of(
-      workers.begin(), workers.end(), [&fleet, now](const Worker* worker) {
-        ++fleet.m_work.m_workers;
-        return now < worker->m_inherited_runs_until ||
-               (worker->m_awaits_jobs && MayHoldLease(fleet, *worker, now));
-      });
+  return std::any_of(workers.begin(), workers.end(),
+                     [&fleet, now](const Worker* worker) {
+                       ++fleet.m_work.m_workers;
+                       return now < worker->m_inherited_runs_until ||
+                              MayRunUnknownJobs(fleet, *worker, now);
+                     });
 }
 
 void ApplyPredecessorEnded(Fleet& fleet, const Predecessor& predecessor) {
--- a/libraries/decisions/fleet/roster.h
+++ b/libraries/decisions/fleet/roster.h
@@ -27,6 +27,9 @@
 bool MayHaveUnstoredEnds(const Fleet& fleet, const Worker& worker,
                          TimePoint now);
 
+/// Returns whether the worker may run a task of a job that is not known yet.
+bool MayRunUnknownJobs(const Fleet& fleet, const Worker& worker, TimePoint now);
+
 /// Records that the removal of these workers is about to be sent. They get no
 /// tasks until they are stored again, as the removal may take effect at any
 /// time from now on.
--- a/tests/decisions/fleet/run_once_test.cc
+++ b/tests/decisions/fleet/run_once_test.cc
@@ -259,6 +259,33 @@
   CHECK(TakeOrders<StartOrder>(fixture).empty());
 }
 
+// Guards against the same if the worker falls silent and is listed no more
+// before the job is known: with the worker, the leader forgot the run.
+TEST_CASE("A worker that may run an unknown job is not forgotten") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 2, kCore);
+  const ListedWorker other =
+      FindWorker(fixture.m_fleet, WorkerId("w1"))->m_listing;
+  fixture.m_now += seconds(11);
+  Wait(fixture, milliseconds(10));
+  Report(fixture, "w0", {ActiveRunOf(StartOrderOf("job", RunNumber(7)))}, {});
+  Report(fixture, "w1", {}, {});
+  Wait(fixture, milliseconds(10));
+  FailPoll(fixture, "w0");
+  ApplyListing(fixture.m_fleet, {other}, fixture.m_now, fixture.m_now);
+  AddJob(fixture.m_fleet, MakePlan("job", 1, kCore), {}, fixture.m_now);
+  FindJob(fixture.m_fleet, JobKey("job"))->m_is_inherited = true;
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).empty());
+  // The longest lease that another leader may have granted is over.
+  FailPollsFor(fixture, WorkerId("w0"), seconds(11));
+  ApplyListing(fixture.m_fleet, {other}, fixture.m_now, fixture.m_now);
+  CHECK(FindWorker(fixture.m_fleet, WorkerId("w0")) == nullptr);
+  fixture.m_fleet.m_orders.clear();
+  PlaceRuns(fixture.m_fleet, fixture.m_now);
+  CHECK(TakeOrders<StartOrder>(fixture).size() == 1);
+}
+
 TEST_CASE("An ended run of a job that has ended is acknowledged") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, kCore);
