--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -133,6 +133,22 @@
   job.m_maximum_attempts = settings.m_maximum_attempts;
 }
 
+// Returns whether a task that is not done has failed as often as allowed.
+bool HasExhaustedTask(const Job& job) {
+  for (std::size_t index = 0; index < job.m_steps.size(); ++index) {
+    const StepPlan& step = job.m_plan.m_steps[index % job.StepCount()];
+    if (step.m_kind == StepKind::kService) continue;
+    const auto& tasks = job.m_steps[index].m_tasks;
+    const bool has_exhausted_task =
+        std::any_of(tasks.begin(), tasks.end(), [&job](const Task& task) {
+          return task.m_state != RunState::kDone &&
+                 task.m_failed_runs.size() >= job.m_maximum_attempts;
+        });
+    if (has_exhausted_task) return true;
+  }
+  return false;
+}
+
 bool IsService(const JobPlan& plan) {
   return std::any_of(
       plan.m_steps.begin(), plan.m_steps.end(),
@@ -189,6 +205,13 @@
                      });
 }
 
+void RestoreDone(Job& job, StepRun& step_run, Task& task) {
+  task.m_state = RunState::kDone;
+  --step_run.m_waiting;
+  ++step_run.m_done;
+  --job.m_unfinished;
+}
+
 void RestoreTask(Fleet& fleet, Job& job, const TaskProgress& stored) {
   if (stored.m_step_run >= job.m_steps.size()) return;
   StepRun& step_run = job.m_steps[stored.m_step_run];
@@ -221,10 +244,36 @@
     job.m_has_failed = job.m_has_failed || HasCrashedTooOften(job, task);
     return;
   }
-  task.m_state = RunState::kDone;
-  --step_run.m_waiting;
-  ++step_run.m_done;
-  --job.m_unfinished;
+  RestoreDone(job, step_run, task);
+}
+
+void ShareDone(Job& job, StepRun& step_run) {
+  if (step_run.m_done == 0) return;
+  for (Task& task : step_run.m_tasks) {
+    if (task.m_state != RunState::kDone) RestoreDone(job, step_run, task);
+  }
+}
+
+void ShareFailedRuns(StepRun& step_run) {
+  std::vector<RunNumber> failed_runs;
+  for (const Task& task : step_run.m_tasks) {
+    failed_runs.insert(failed_runs.end(), task.m_failed_runs.begin(),
+                       task.m_failed_runs.end());
+  }
+  for (Task& task : step_run.m_tasks) {
+    for (const RunNumber& run : failed_runs) RecordFailedRun(task, run);
+  }
+}
+
+// The end of one member counts for all. The rows of the others may not tell of
+// it: a row is left out if its task's start was not known, and the rows of
+// several parts are not stored at once.
+void RestoreGangs(Job& job) {
+  for (std::size_t index = 0; index < job.m_steps.size(); ++index) {
+    if (!job.m_plan.m_steps[index % job.StepCount()].m_is_gang) continue;
+    ShareDone(job, job.m_steps[index]);
+    ShareFailedRuns(job.m_steps[index]);
+  }
 }
 
 std::unique_ptr<Job> MakeJob(Fleet& fleet, JobPlan plan,
@@ -253,6 +302,7 @@
   for (const TaskProgress& stored : progress.m_tasks) {
     RestoreTask(fleet, *job, stored);
   }
+  RestoreGangs(*job);
   return job;
 }
 
@@ -444,6 +494,9 @@
   job = MakeJob(fleet, std::move(plan), progress);
   job->m_accepted_at = accepted_at;
   UpdateObjective(fleet, *job);
+  // The parts of a job are stored one by one, so the failure of a task may be
+  // stored without that of its job.
+  job->m_has_failed = job->m_has_failed || HasExhaustedTask(*job);
   UpdatePendingCount(fleet, *job);
   fleet.m_unranked_jobs.insert(key);
   AddIsolations(fleet, *job);
