--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 #include "models/site_job.h"
@@ -129,15 +130,16 @@
   const Json body = Json::parse(answer, nullptr, false);
   if (!body.is_object()) return;
   const std::string holder = body.value("holder", std::string());
-  site.m_has_leader = false;
+  // The last match: the name of n12 holds that of n1.
+  std::optional<std::size_t> leader;
   for (std::size_t index = 0; index < site.m_daemons.size(); ++index) {
-    if (holder.find(site.m_daemons[index].m_node.m_name) == std::string::npos) {
-      continue;
-    }
-    site.m_has_leader = true;
-    if (index != site.m_leader) ++site.m_leader_changes;
-    site.m_leader = index;
+    const std::string& name = site.m_daemons[index].m_node.m_name;
+    if (holder.find(name) != std::string::npos) leader = index;
   }
+  site.m_has_leader = leader.has_value();
+  if (!leader) return;
+  if (*leader != site.m_leader) ++site.m_leader_changes;
+  site.m_leader = *leader;
 }
 
 }  // namespace
