--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -229,7 +229,13 @@
   task.m_crashed_runs = stored.m_crashed_runs;
   task.m_doubtful_runs = stored.m_doubtful_runs;
   task.m_checkpoint = stored.m_checkpoint;
-  RestoreLateStart(fleet, stored, task);
+  RestoreLateStart(
+      fleet, stored,
+      {job.m_plan.m_key,
+       static_cast<std::uint32_t>(stored.m_step_run / job.StepCount()),
+       static_cast<std::uint32_t>(stored.m_step_run % job.StepCount()),
+       stored.m_index},
+      task);
   job.m_was_placed = true;
   job.m_is_inherited = true;
   if (!stored.m_is_done) {
@@ -248,6 +254,17 @@
   }
 }
 
+void ShareFailedRuns(StepRun& step_run) {
+  std::vector<RunNumber> failed_runs;
+  for (const Task& task : step_run.m_tasks) {
+    failed_runs.insert(failed_runs.end(), task.m_failed_runs.begin(),
+                       task.m_failed_runs.end());
+  }
+  for (Task& task : step_run.m_tasks) {
+    for (const RunNumber& run : failed_runs) RecordFailedRun(task, run);
+  }
+}
+
 // The end of one member counts for all. The rows of the others may not tell of
 // it: a row is left out if its task's start was not known, and the rows of
 // several parts are not stored at once.
@@ -255,6 +272,7 @@
   for (std::size_t index = 0; index < job.m_steps.size(); ++index) {
     if (!job.m_plan.m_steps[index % job.StepCount()].m_is_gang) continue;
     ShareDone(job, job.m_steps[index]);
+    ShareFailedRuns(job.m_steps[index]);
   }
 }
 
