fleet: Mark the row of a late start that has ended as changed

What callers would see: nothing but a longer wait at the next takeover. The check of the stored rows in the tests of whole sites failed.

Cause: a late start that is over by its worker's clock is taken out of its task, but the task's row was not marked as changed.

Change: it is marked.

--- a/libraries/decisions/fleet/late_start.cc
+++ b/libraries/decisions/fleet/late_start.cc
@@ -223,7 +223,9 @@
   Job* job = nullptr;
   Task* task = FindTask(fleet, late_start.m_task, job);
   if (task == nullptr || task->m_inherited_late_start_unix_ms == 0) return;
-  if (task->m_late_start_worker == worker) ForgetLateStart(*task);
+  if (task->m_late_start_worker != worker) return;
+  ForgetLateStart(*task);
+  MarkProgressChanged(*job, late_start.m_task);
 }
 
 }  // namespace
--- a/tests/decisions/fleet/inherited_late_start_test.cc
+++ b/tests/decisions/fleet/inherited_late_start_test.cc
@@ -275,4 +275,36 @@
                       kUntilNoticed);
 }
 
+// Guards against a row that is stored with a late start that is over: the
+// change was not marked, so that only the next one of the task would store it.
+TEST_CASE("An inherited late start that is over leaves its row") {
+  FleetFixture fixture;
+  SetTime(fixture.m_fleet, fixture.m_now, kUnixMs);
+  const WorkerMilliseconds over(
+      ToMilliseconds(fixture.m_now.time_since_epoch()) + 5);
+  TaskProgress row;
+  row.m_run = RunNumber(6);
+  row.m_late_start_until_unix_ms = kUnixMs + 8000;
+  row.m_late_start_worker = WorkerId("w0");
+  row.m_late_start_clock = {Incarnation(1), over, over};
+  JobProgress stored;
+  stored.m_state = JobState::kRunning;
+  stored.m_tasks = {row};
+  AddJob(fixture.m_fleet, MakePlan("job", 1, kCore), stored, fixture.m_now);
+  AddReadyWorkers(fixture, 1, kCore);
+  Job& job = *FindJob(fixture.m_fleet, JobKey("job"));
+  REQUIRE(job.m_steps[0].m_tasks[0].m_late_start_until > fixture.m_now);
+  MarkChanged(fixture.m_fleet, job);
+  ApplyStoredBatch(fixture.m_fleet, TakeChanges(fixture.m_fleet));
+  Wait(fixture, milliseconds(400));
+  Report(fixture, "w0", {}, {});
+  REQUIRE(job.m_steps[0].m_tasks[0].m_late_start_until == TimePoint());
+  MarkChanged(fixture.m_fleet, job);
+  const ChangeBatch batch = TakeChanges(fixture.m_fleet);
+  REQUIRE(batch.m_changes.size() == 1);
+  const auto& rows = batch.m_changes.front().m_progress.m_tasks;
+  REQUIRE(rows.size() == 1);
+  CHECK(rows.front().m_late_start_until_unix_ms == 0);
+}
+
 }  // namespace daisyarch::fleet
