fleet: Count a late failure for all members of its gang

Cause: a failed run of a gang counts for each member, but a failure of an earlier run counted for the member alone that reported it, so the gang got an attempt too many through another member. And where the task of the member that failed stayed settling, its row was marked, but the job not queued for storing, so that the end could be acknowledged before it was stored.

Change: one function counts a failed run for a task or its gang, marks the rows and queues the job.

--- a/libraries/decisions/fleet/ended_runs.cc
+++ b/libraries/decisions/fleet/ended_runs.cc
@@ -70,8 +70,9 @@
 EndEffect RecordSupersededFailure(Fleet& fleet, Job& job, Task& task,
                                   const EndedRun& ended) {
   if (task.m_state == RunState::kDone) return EndEffect::kNone;
-  if (!RecordFailedRun(task, ended.m_run)) return EndEffect::kNone;
-  MarkTaskChanged(fleet, job, ended.m_task);
+  if (!CountFailedRun(fleet, job, ended.m_task, ended.m_run)) {
+    return EndEffect::kNone;
+  }
   if (task.m_failed_runs.size() >= job.m_maximum_attempts) {
     StepTask(fleet, job, ended.m_task, RunEvent::kAttemptsExhausted);
   }
--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -486,6 +486,25 @@
   QueueForStoring(fleet, job);
 }
 
+// The state of the task may stay the same.
+bool CountFailedRun(Fleet& fleet, Job& job, const TaskReference& reference,
+                    RunNumber run) {
+  StepRun& step_run =
+      job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)];
+  const bool is_gang = job.m_plan.m_steps[reference.m_step].m_is_gang;
+  TaskReference member = reference;
+  member.m_index = is_gang ? 0 : reference.m_index;
+  const std::size_t end =
+      is_gang ? step_run.m_tasks.size() : member.m_index + std::size_t{1};
+  bool is_new = false;
+  for (; member.m_index < end; ++member.m_index) {
+    if (!RecordFailedRun(step_run.m_tasks[member.m_index], run)) continue;
+    MarkTaskChanged(fleet, job, member);
+    is_new = true;
+  }
+  return is_new;
+}
+
 void AddJob(Fleet& fleet, JobPlan plan, const JobProgress& progress,
             TimePoint accepted_at) {
   const JobKey key = plan.m_key;
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -386,6 +386,10 @@
 void MarkChanged(Fleet& fleet, Job& job);
 /// Does so for a change of one task's progress.
 void MarkTaskChanged(Fleet& fleet, Job& job, const TaskReference& reference);
+/// Counts a failed run as an attempt of its task, and of all members of its
+/// gang; returns false if it is counted already.
+bool CountFailedRun(Fleet& fleet, Job& job, const TaskReference& reference,
+                    RunNumber run);
 /// Returns the current settings of the job's queue, or those at acceptance if
 /// the queue no longer exists.
 const Queue& QueueSettingsOf(const Fleet& fleet, const Job& job);
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -160,23 +160,11 @@
   context.m_task.m_checkpoint.clear();
 }
 
-// A failed gang counts as one failure, however many members report it.
 void CountFailure(RunContext& context) {
-  const RunNumber run = context.m_task.m_run;
   // A service task has unlimited attempts, so failures are not recorded.
   if (context.m_step.m_kind == StepKind::kService) return;
-  if (!context.m_step.m_is_gang) {
-    RecordFailedRun(context.m_task, run);
-    // The state may stay the same.
-    MarkTaskChanged(context.m_fleet, context.m_job, context.m_reference);
-    return;
-  }
-  TaskReference member = context.m_reference;
-  member.m_index = 0;
-  for (Task& task : context.m_step_run.m_tasks) {
-    if (RecordFailedRun(task, run)) MarkProgressChanged(context.m_job, member);
-    ++member.m_index;
-  }
+  CountFailedRun(context.m_fleet, context.m_job, context.m_reference,
+                 context.m_task.m_run);
 }
 
 void FailJob(RunContext& context) {
--- a/tests/decisions/fleet/next_leader_test.cc
+++ b/tests/decisions/fleet/next_leader_test.cc
@@ -162,4 +162,51 @@
   CHECK(Place(fixture).empty());
 }
 
+// Guards against a start beyond the allowed attempts: the failure of an earlier
+// run counted for the member alone that reported it.
+TEST_CASE("A late failure of a gang's earlier run counts for all members") {
+  FleetFixture fixture;
+  JobProgress stored;
+  stored.m_state = JobState::kRunning;
+  stored.m_tasks = {RowOf(kFirst), RowOf(kSecond)};
+  Load(fixture, stored);
+  const auto starts = Place(fixture);
+  REQUIRE(starts.size() == 2);
+  for (const StartOrder& start : starts) {
+    ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                      fixture.m_now);
+  }
+  Wait(fixture, milliseconds(10));
+  Report(fixture, "w2", {},
+         {EndOf(kFirst, kInheritedRun, 1, RunOutcome::kFailed)});
+  CHECK(TaskOf(fixture, kFirst).m_failed_runs.size() == 1);
+  CHECK(TaskOf(fixture, kSecond).m_failed_runs.size() == 1);
+}
+
+// Guards against a failed run that is acknowledged before it is stored: its
+// task stays in the same state, as a start may still be carried out late.
+TEST_CASE("A gang's failed run is stored also if its task goes on settling") {
+  FleetFixture fixture;
+  constexpr std::int64_t kUnixMs = 1'700'000'000'000;
+  SetTime(fixture.m_fleet, fixture.m_now, kUnixMs);
+  JobProgress stored;
+  stored.m_state = JobState::kRunning;
+  stored.m_tasks = {RowOf(kFirst), RowOf(kSecond)};
+  stored.m_tasks.front().m_late_start_until_unix_ms = kUnixMs + 8000;
+  stored.m_tasks.front().m_late_start_worker = WorkerId("w0");
+  Load(fixture, stored);
+  Report(fixture, "w0", {},
+         {EndOf(kFirst, kInheritedRun, 1, RunOutcome::kStopped)});
+  REQUIRE(TaskOf(fixture, kFirst).m_state == RunState::kSettling);
+  ApplyStoredBatch(fixture.m_fleet, TakeChanges(fixture.m_fleet));
+  Wait(fixture, milliseconds(400));
+  Report(fixture, "w0", {},
+         {EndOf(kFirst, kInheritedRun, 1, RunOutcome::kStopped),
+          EndOf(kFirst, kInheritedRun, 2, RunOutcome::kFailed)});
+  REQUIRE(TaskOf(fixture, kFirst).m_failed_runs.size() == 1);
+  const Worker& worker = *FindWorker(fixture.m_fleet, WorkerId("w0"));
+  CHECK(worker.m_stored_end == OutcomeNumber(1));
+  CHECK(TakeChanges(fixture.m_fleet).m_changes.size() == 1);
+}
+
 }  // namespace daisyarch::fleet
