fleet: Adopt an active run of a gang although its failure is counted

What callers would see: two runs of a task at once (TWICE).

Cause: a failed run counts for all members of a gang, and a run with a counted failure was never adopted. A new leader that heard of one member's failure first, or loaded it, told another member's active run to stop, but held its task for waiting and could place the gang beside it. The order of reports decided.

Change: only the end of such a run is known already; an active one is adopted and stopped.

--- a/libraries/decisions/fleet/ended_runs.cc
+++ b/libraries/decisions/fleet/ended_runs.cc
@@ -112,8 +112,13 @@
   Job& job = *found.m_job;
   Task& task = *found.m_task;
   RecordJobStart(fleet, job);
-  if (!IsRunOnWorker(task, worker, ended.m_run) &&
-      !AdoptRun(fleet, job, task, worker, ended.m_task, ended.m_run)) {
+  // An earlier leader may have stored the failure, but not acknowledged it.
+  const bool is_known_failure = HasFailedIn(task, ended.m_run);
+  const bool is_present =
+      IsRunOnWorker(task, worker, ended.m_run) ||
+      (!is_known_failure &&
+       AdoptRun(fleet, job, task, worker, ended.m_task, ended.m_run));
+  if (!is_present) {
     return ApplySupersededEnd(fleet, job, task, worker, ended, now);
   }
   // Its start may have no answer yet.
@@ -206,12 +211,6 @@
   }
   if (task.m_state != RunState::kWaiting || run < task.m_run) return false;
   if (run >= FirstRun(fleet.m_term)) return false;
-  // The failure of this run is stored already, but the previous leader ended
-  // before it acknowledged it to the worker.
-  const auto& failed = task.m_failed_runs;
-  if (std::find(failed.begin(), failed.end(), run) != failed.end()) {
-    return false;
-  }
   if (task.m_run < run) ForgetLateStart(task);
   task.m_run = run;
   task.m_worker = worker.m_listing.m_worker;
--- a/libraries/decisions/fleet/fleet_job.cc
+++ b/libraries/decisions/fleet/fleet_job.cc
@@ -4,10 +4,14 @@
 
 namespace daisyarch::fleet {
 
+bool HasFailedIn(const Task& task, RunNumber run) {
+  const std::vector<RunNumber>& runs = task.m_failed_runs;
+  return std::find(runs.begin(), runs.end(), run) != runs.end();
+}
+
 bool RecordFailedRun(Task& task, RunNumber run) {
-  std::vector<RunNumber>& runs = task.m_failed_runs;
-  if (std::find(runs.begin(), runs.end(), run) != runs.end()) return false;
-  runs.push_back(run);
+  if (HasFailedIn(task, run)) return false;
+  task.m_failed_runs.push_back(run);
   return true;
 }
 
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -218,6 +218,9 @@
          state == RunState::kResending || state == RunState::kSettling;
 }
 
+/// Returns whether the run is recorded as failed.
+bool HasFailedIn(const Task& task, RunNumber run);
+
 /// Records a failed run; returns false if it is recorded already.
 bool RecordFailedRun(Task& task, RunNumber run);
 
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -93,7 +93,9 @@
   }
   RecordCheckpoint(job, task, active.m_task, active.m_checkpoint);
   RecordLoad(task, step, active, now);
-  const bool is_unwanted = job.m_is_cancelled || job.m_has_failed;
+  // Another member of its gang has failed.
+  const bool is_over = step.m_is_gang && HasFailedIn(task, active.m_run);
+  const bool is_unwanted = job.m_is_cancelled || job.m_has_failed || is_over;
   if (is_unwanted && task.m_state == RunState::kRunning) {
     SendStop(fleet, job, active.m_task, now);
   }
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -1,5 +1,3 @@
-#include <algorithm>
-
 #include "decisions/fleet/crash_count.h"
 #include "decisions/fleet/fleet.h"
 #include "decisions/fleet/late_start.h"
@@ -20,10 +18,9 @@
 bool MayRetry(const RunContext& context) {
   if (context.m_step.m_kind == StepKind::kService) return true;
   // Another member of the gang may have counted the run already.
-  const auto& failed = context.m_task.m_failed_runs;
-  const bool is_counted = std::find(failed.begin(), failed.end(),
-                                    context.m_task.m_run) != failed.end();
-  const std::size_t attempts = failed.size() + (is_counted ? 0 : 1);
+  const bool is_counted = HasFailedIn(context.m_task, context.m_task.m_run);
+  const std::size_t attempts =
+      context.m_task.m_failed_runs.size() + (is_counted ? 0 : 1);
   return attempts < context.m_job.m_maximum_attempts;
 }
 
