fleet: Store a late start also where its task's state stays

What callers would see: two runs of a task (TWICE) after a change of leaders.

Cause: an order that timed out while its run was active already, and a pending one whose worker had restarted, marked the row of the task as changed but did not queue the job for storing. The next leader knew a shorter wait or none.

Change: both queue the job.

Measured: both tests of the audit failed before and pass.

--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -465,7 +465,7 @@
       if (task->m_start_confirmation == StartConfirmation::kConfirmed) {
         if (task->m_late_start_until > now) {
           RecordLateStart(fleet, *task);
-          MarkProgressChanged(*job, order.m_task);
+          MarkTaskChanged(fleet, *job, order.m_task);
         }
         break;
       }
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -222,7 +222,7 @@
       StepTask(context.m_fleet, *job, reference, RunEvent::kInterrupted);
     } else {
       RecordPendingStart(context.m_fleet, *task);
-      MarkProgressChanged(*job, reference);
+      MarkTaskChanged(context.m_fleet, *job, reference);
       task->m_start_confirmation = StartConfirmation::kUnconfirmed;
     }
   }
