--- a/tests/decisions/fleet/ended_runs_test.cc
+++ b/tests/decisions/fleet/ended_runs_test.cc
@@ -18,6 +18,8 @@
 const RunNumber kLowerRun{4};
 const RunNumber kStoredRun{5};
 const RunNumber kHigherRun{6};
+// Below all runs of this leader.
+const RunNumber kInheritedRun{6};
 
 /// What is known of the task when the end is reported.
 enum class Known {
@@ -192,17 +194,17 @@
     {Known::kSeenDone, kHigherRun, kFailed, RunState::kDone},
     {Known::kOwnStarting, kLowerRun, kDone, RunState::kStarting},
     {Known::kOwnStarting, kLowerRun, kFailed, RunState::kStarting, 1},
-    {Known::kOwnRunning, kHigherRun, kDone, RunState::kRunning},
-    {Known::kOwnRunning, kHigherRun, kFailed, RunState::kRunning, 1},
-    {Known::kOwnRunning, kHigherRun, kLapsed, RunState::kRunning},
-    {Known::kOwnUnconfirmed, kHigherRun, kDone, RunState::kUnconfirmed},
-    {Known::kOwnUnconfirmed, kHigherRun, kFailed, RunState::kUnconfirmed, 1},
-    {Known::kOwnResending, kHigherRun, kDone, RunState::kDone},
-    {Known::kOwnResending, kHigherRun, kFailed, RunState::kResending, 1},
-    {Known::kOwnResending, kHigherRun, kLapsed, RunState::kResending},
-    {Known::kOwnSettling, kHigherRun, kDone, RunState::kDone},
-    {Known::kOwnSettling, kHigherRun, kFailed, RunState::kSettling, 1},
-    {Known::kOwnSettling, kHigherRun, kLapsed, RunState::kSettling},
+    {Known::kOwnRunning, kInheritedRun, kDone, RunState::kRunning},
+    {Known::kOwnRunning, kInheritedRun, kFailed, RunState::kRunning, 1},
+    {Known::kOwnRunning, kInheritedRun, kLapsed, RunState::kRunning},
+    {Known::kOwnUnconfirmed, kInheritedRun, kDone, RunState::kUnconfirmed},
+    {Known::kOwnUnconfirmed, kInheritedRun, kFailed, RunState::kUnconfirmed, 1},
+    {Known::kOwnResending, kInheritedRun, kDone, RunState::kDone},
+    {Known::kOwnResending, kInheritedRun, kFailed, RunState::kResending, 1},
+    {Known::kOwnResending, kInheritedRun, kLapsed, RunState::kResending},
+    {Known::kOwnSettling, kInheritedRun, kDone, RunState::kDone},
+    {Known::kOwnSettling, kInheritedRun, kFailed, RunState::kSettling, 1},
+    {Known::kOwnSettling, kInheritedRun, kLapsed, RunState::kSettling},
 };
 
 }  // namespace
