--- a/tests/invariants/store_outage_takeover_test.cc
+++ b/tests/invariants/store_outage_takeover_test.cc
@@ -52,8 +52,7 @@
 
 // Guards against tasks that last and stay away for the leases of a leader that
 // has given up during the outage, because a worker is lost as well.
-TEST_CASE("Tasks run again soon after an outage of the store",
-          "[!shouldfail]") {
+TEST_CASE("Tasks run again soon after an outage of the store") {
   const std::uint64_t first = FirstSeed();
   for (std::uint64_t seed = first; seed < first + SeedCount(kSeedsInCi);
        ++seed) {
