--- a/tests/soak/soak_record.cc
+++ b/tests/soak/soak_record.cc
@@ -1,6 +1,5 @@
 #include "soak_record.h"
 
-#include <fstream>
 #include <set>
 #include <sstream>
 #include <tuple>
@@ -27,11 +26,10 @@
 
 }  // namespace
 
-Record ReadRecord(const std::string& path) {
+Record ReadRecord(std::istream& lines) {
   Record record;
-  std::ifstream file(path);
   std::string text;
-  while (std::getline(file, text)) record.m_lines.push_back(ReadLine(text));
+  while (std::getline(lines, text)) record.m_lines.push_back(ReadLine(text));
   // An end is noted by a later line of the same worker, task and run.
   std::set<std::tuple<std::string, std::string, std::uint64_t>> noted;
   for (std::size_t left = record.m_lines.size(); left > 0; --left) {
--- a/tests/soak/soak_record.h
+++ b/tests/soak/soak_record.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <istream>
 #include <map>
 #include <string>
 #include <vector>
@@ -27,7 +28,7 @@
   std::map<std::string, std::vector<std::size_t>> m_of_task;
 };
 
-Record ReadRecord(const std::string& path);
+Record ReadRecord(std::istream& lines);
 
 std::string ToString(const RecordLine& line);
 
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 
 #include "models/standin_main.h"
@@ -53,6 +54,11 @@
   run.m_calm_at = PlanFaults(run.m_site, run.m_traffic, now);
 }
 
+Record RecordOf(const SoakPlan& plan) {
+  std::ifstream file(RecordPath(plan));
+  return ReadRecord(file);
+}
+
 bool IsSettled(const SoakRun& run) {
   const auto& jobs = run.m_traffic.m_jobs;
   const bool have_ended =
@@ -60,7 +66,7 @@
         return job.m_is_lasting || !job.m_is_accepted || HasEnded(job);
       });
   if (!have_ended) return false;
-  const Record record = ReadRecord(RecordPath(run.m_site.m_plan));
+  const Record record = RecordOf(run.m_site.m_plan);
   return std::all_of(jobs.begin(), jobs.end(), [&record](const SoakJob& job) {
     return !job.m_is_lasting || !job.m_is_accepted || IsRunning(record, job);
   });
@@ -130,7 +136,7 @@
 
 bool Report(const SoakRun& run) {
   const SoakPlan& plan = run.m_site.m_plan;
-  const Record record = ReadRecord(RecordPath(plan));
+  const Record record = RecordOf(plan);
   const std::vector<BrokenRule> broken = CheckRules(record, run.m_traffic);
   const auto count = [&record](const std::string& event,
                                const std::string& outcome) {
