--- a/tests/invariants/new_leader_reports_test.cc
+++ b/tests/invariants/new_leader_reports_test.cc
@@ -80,15 +80,23 @@
   });
 }
 
-// Each worker can be reached by the next leader from a drawn time on.
+// Cuts the workers off from all nodes but the leader, so that the next one
+// reaches none before its term begins.
+void CutOthers(FakeSite& site, const FakeSiteNode* leader) {
+  for (const auto& node : site.m_nodes) {
+    if (node.get() == leader) continue;
+    for (const auto& entry : site.m_workers) {
+      node->m_unreachable_workers.insert(entry.first);
+    }
+  }
+}
+
+// Each worker can be reached from a drawn time on.
 void DrawFirstAnswers(FakeSite& site) {
   const Duration latest =
       DelayBetween(site.m_loop, milliseconds(50), kLatestFirstAnswer);
   for (const auto& entry : site.m_workers) {
     const WorkerId id = entry.first;
-    for (const auto& node : site.m_nodes) {
-      node->m_unreachable_workers.insert(id);
-    }
     RunAfter(site.m_loop, DelayBetween(site.m_loop, Duration{}, latest),
              [&site, id] {
                for (const auto& node : site.m_nodes) {
@@ -114,6 +122,7 @@
          kSettled - seconds(2) -
              DelayBetween(site.m_loop, Duration{}, milliseconds(2500)));
   const FakeSiteNode* earlier = FindLeader(site);
+  CutOthers(site, earlier);
   LoseLeader(site);
   RunUntilTrue(site.m_loop, kTakeover, [&site, earlier] {
     const FakeSiteNode* leader = FindLeader(site);
