--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -207,6 +207,16 @@
 }
 
 void EndSite(SoakSite& site) {
+  // An open connection and its client own each other.
+  for (SoakDaemon& daemon : site.m_daemons) {
+    daemon.m_callers->CloseAllConnections();
+  }
+  for (const auto* client :
+       {&site.m_store_control, &site.m_worker_control, &site.m_proxy_control}) {
+    if (*client) (*client)->CloseAllConnections();
+  }
+  site.m_loop.restart();
+  site.m_loop.poll();
   for (SoakDaemon& daemon : site.m_daemons) End(daemon.m_process);
   End(site.m_proxy);
   End(site.m_workers);
