--- a/tests/decisions/fleet/unstored_late_start_test.cc
+++ b/tests/decisions/fleet/unstored_late_start_test.cc
@@ -56,4 +56,24 @@
   CHECK(TakeChanges(fixture.m_fleet).m_changes.size() == 1);
 }
 
+// Guards against an end that the next leader acknowledges while an order may
+// still start its task: only the state of an ended job was stored.
+TEST_CASE("A late start of a job that has ended is stored", "[!shouldfail]") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  Submit(fixture, MakePlan("job", 1, kCore));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  ApplyStartOutcome(fixture.m_fleet, starts[0], StartOutcome::kUnanswered,
+                    fixture.m_now);
+  Wait(fixture, milliseconds(10));
+  Report(fixture, "w0", {}, {EndedRunOf(starts[0], 1, RunOutcome::kDone)});
+  const ChangeBatch stored = TakeChanges(fixture.m_fleet);
+  REQUIRE(stored.m_changes.size() == 1);
+  REQUIRE(stored.m_changes.front().m_has_ended);
+  const auto& rows = stored.m_changes.front().m_progress.m_tasks;
+  REQUIRE(rows.size() == 1);
+  CHECK(rows.front().m_late_start_worker == WorkerId("w0"));
+}
+
 }  // namespace daisyarch::fleet
