fleet: Store the late starts of a job that has ended

What callers would see: a task starts after its run was done (TWICE).

Cause: of an ended job only its final state was stored. An order of it without an answer may still start a task at the next incarnation of its worker, which is why no end of that worker is acknowledged. The next leader did not know.

Change: the stored item of an ended job keeps the rows of such tasks, and a leader that loads it withholds the acknowledgements of their workers.

Measured: "A late start of a job that has ended is stored" was listed, and passes.

--- a/libraries/decisions/fleet/change_batch.cc
+++ b/libraries/decisions/fleet/change_batch.cc
@@ -14,7 +14,8 @@
 }
 
 // Part 0 comes last, as it may have to wait for the others. Of an ended job
-// only its final state is stored, in part 0.
+// only its final state is stored, in part 0, and the orders that may still
+// start one of its tasks.
 void TakeChangesOf(const Fleet& fleet, Job& job, ChangeBatch& batch) {
   const bool has_ended = HasEnded(job);
   auto parts = std::move(job.m_changed_parts);
@@ -29,6 +30,10 @@
   if (!has_part_0) return;
   JobChange change = TakeChange(fleet, job, ProgressPart(), tasks_of_part_0);
   change.m_has_ended = has_ended;
+  if (has_ended) {
+    change.m_progress.m_tasks =
+        LateStartsOf(job, fleet.m_ticked_at, fleet.m_unix_offset_ms);
+  }
   change.m_moves_rows = job.m_has_rows_to_move && !has_ended;
   job.m_has_rows_to_move = false;
   batch.m_changes.push_back(std::move(change));
--- a/libraries/decisions/fleet/job_progress.cc
+++ b/libraries/decisions/fleet/job_progress.cc
@@ -97,6 +97,19 @@
   return progress;
 }
 
+std::vector<TaskProgress> LateStartsOf(const Job& job, TimePoint now,
+                                       std::int64_t unix_offset_ms) {
+  JobProgress late;
+  for (std::size_t index = 0; index < job.m_steps.size(); ++index) {
+    const auto& tasks = job.m_steps[index].m_tasks;
+    for (std::size_t task = 0; task < tasks.size(); ++task) {
+      if (tasks[task].m_late_start_until <= now) continue;
+      AddRow(job, NumberOf(job, index, task), unix_offset_ms, late);
+    }
+  }
+  return std::move(late.m_tasks);
+}
+
 std::size_t RemoveLongCheckpoints(JobProgress& progress,
                                   std::size_t maximum_bytes) {
   std::vector<TaskProgress*> longest_first;
--- a/libraries/decisions/fleet/job_progress.h
+++ b/libraries/decisions/fleet/job_progress.h
@@ -68,6 +68,10 @@
                          const std::set<TaskNumber>& changed,
                          std::int64_t unix_offset_ms);
 
+/// Returns the rows of the tasks that an order may still start late at `now`.
+std::vector<TaskProgress> LateStartsOf(const Job& job, TimePoint now,
+                                       std::int64_t unix_offset_ms);
+
 /// Removes the longest checkpoints until the others have at most
 /// `maximum_bytes` in total; returns how many were removed. A task without a
 /// checkpoint starts from its beginning under the next leader.
--- a/libraries/decisions/fleet/late_start.cc
+++ b/libraries/decisions/fleet/late_start.cc
@@ -207,6 +207,12 @@
       {reference, task.m_late_start_until, stored.m_late_start_clock});
 }
 
+void RestoreLateStartOfEndedJob(Fleet& fleet, const TaskProgress& stored,
+                                const JobKey& job) {
+  Task unknown;
+  RestoreLateStart(fleet, stored, {job}, unknown);
+}
+
 // The clock was read after the poll was sent, and may run slow but not fast, so
 // its beginning in terms of the leader's clock only seems to move on.
 void RecordClock(Worker& worker, const WorkerReport& report, TimePoint now) {
--- a/libraries/decisions/fleet/late_start.h
+++ b/libraries/decisions/fleet/late_start.h
@@ -61,6 +61,10 @@
 /// Takes over what an earlier leader has stored of a late start.
 void RestoreLateStart(Fleet& fleet, const TaskProgress& stored,
                       const TaskReference& reference, Task& task);
+/// Does so for a job that has ended. Its ends may not be acknowledged either
+/// while an order may start one of its tasks again.
+void RestoreLateStartOfEndedJob(Fleet& fleet, const TaskProgress& stored,
+                                const JobKey& job);
 /// Records what a report shows of the worker's clock.
 void RecordClock(Worker& worker, const WorkerReport& report, TimePoint now);
 /// Does so for a worker that has restarted and not told its clock yet.
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <utility>
 
+#include "decisions/fleet/late_start.h"
 #include "decisions/fleet/load_control.h"
 #include "fleet/store_keys.h"
 #include "log/log.h"
@@ -259,6 +260,9 @@
   JobProgress& progress = decoded.assume_value();
   if (progress.m_ended_unix_ms > 0) {
     leader.m_fleet.m_ended_jobs[key] = progress.m_ended_unix_ms;
+    for (const TaskProgress& task : progress.m_tasks) {
+      RestoreLateStartOfEndedJob(leader.m_fleet, task, key);
+    }
   }
   JobProgress& whole = loaded.m_progress[key];
   if (part == ProgressPart()) {
--- a/services/daisyarchd/fleet/progress_writer.cc
+++ b/services/daisyarchd/fleet/progress_writer.cc
@@ -68,7 +68,9 @@
     if (change.m_progress.m_ended_unix_ms == 0) {
       change.m_progress.m_ended_unix_ms = leader.m_runtime.m_clock.m_unix_ms();
     }
-    return WriteProgress(change.m_progress, {});
+    EncodedRows late_starts;
+    ReplaceRows(late_starts, change.m_progress.m_tasks);
+    return WriteProgress(change.m_progress, late_starts);
   }
   const EncodedRows& rows =
       leader.m_encoded_rows[ProgressPartKey(change.m_key, change.m_part)];
--- a/tests/decisions/fleet/unstored_late_start_test.cc
+++ b/tests/decisions/fleet/unstored_late_start_test.cc
@@ -58,7 +58,7 @@
 
 // Guards against an end that the next leader acknowledges while an order may
 // still start its task: only the state of an ended job was stored.
-TEST_CASE("A late start of a job that has ended is stored", "[!shouldfail]") {
+TEST_CASE("A late start of a job that has ended is stored") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, kCore);
   Submit(fixture, MakePlan("job", 1, kCore));
