fleet: Report no end of a term while its starts may take effect late

Cause: a leader that gives up knows of starts without an answer that the next one may not know.

Change: the end is told only if no order may start a task late any more. After an outage of the store that makes a leader give up this is usually so.

--- a/libraries/decisions/fleet/late_start.cc
+++ b/libraries/decisions/fleet/late_start.cc
@@ -162,6 +162,23 @@
   return found != fleet.m_late_starts.end() && now < LatestOf(found->second);
 }
 
+bool MayAnyOrderStartLate(Fleet& fleet, TimePoint now) {
+  const auto is_open = [now](const auto& entry) {
+    return now < LatestOf(entry.second);
+  };
+  const auto& starts = fleet.m_late_starts;
+  if (std::any_of(starts.begin(), starts.end(), is_open)) return true;
+  for (const auto& [id, worker] : fleet.m_workers) {
+    for (const TaskReference& reference : worker.m_runs) {
+      Job* job = nullptr;
+      const Task* task = FindTask(fleet, reference, job);
+      if (task == nullptr) continue;
+      if (now < LateStartUntil(fleet.m_limits, *task)) return true;
+    }
+  }
+  return false;
+}
+
 OutcomeNumber AcknowledgeableEnd(const Fleet& fleet, const Worker& worker,
                                  TimePoint now) {
   return MayTakeOrderLate(fleet, worker.m_listing.m_worker, now)
--- a/libraries/decisions/fleet/late_start.h
+++ b/libraries/decisions/fleet/late_start.h
@@ -50,6 +50,9 @@
 /// next incarnation.
 bool MayTakeOrderLate(const Fleet& fleet, const WorkerId& worker,
                       TimePoint now);
+/// Returns whether an order of this leader or of an earlier one may still start
+/// a task, as far as this leader knows.
+bool MayAnyOrderStartLate(Fleet& fleet, TimePoint now);
 /// Returns the last ended run that may be acknowledged to the worker; 0 if none
 /// may be.
 OutcomeNumber AcknowledgeableEnd(const Fleet& fleet, const Worker& worker,
--- a/services/daisyarchd/fleet/node_leadership.cc
+++ b/services/daisyarchd/fleet/node_leadership.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/stable_hash.h"
+#include "decisions/fleet/late_start.h"
 #include "fleet/store_keys.h"
 #include "log/log.h"
 #include "wire/fleet_fields.h"
@@ -169,9 +170,13 @@
 void BeginClaim(FleetNode& node);
 void BeginLoad(FleetNode& node);
 
+// The next leader waits longer if a start of this one, of which it may not
+// know, may still take effect.
 void DropFleet(FleetNode& node) {
+  const bool has_ended =
+      node.m_leader && !MayAnyOrderStartLate(node.m_leader->m_fleet, Now(node));
   node.m_leader.reset();
-  if (node.m_claim.m_term <= node.m_ended_term) return;
+  if (!has_ended || node.m_claim.m_term <= node.m_ended_term) return;
   node.m_given_up_term = node.m_ended_term = node.m_claim.m_term;
   node.m_ended_seen_at = Now(node);
 }
