--- a/libraries/decisions/fleet/ended_runs.cc
+++ b/libraries/decisions/fleet/ended_runs.cc
@@ -11,6 +11,13 @@
 // After this many failures without a success, the worker is deemed faulty.
 constexpr std::uint32_t kFailuresBeforeQuarantine = 3;
 constexpr Duration kQuarantine = std::chrono::seconds(3);
+// Each in the order of its enum.
+constexpr const char* kOutcomeNames[] = {"done",   "failed", "stopped",
+                                         "lapsed", "broken", "alone"};
+constexpr const char* kStateNames[] = {
+    "waiting",   "starting", "running", "unconfirmed", "stopping",
+    "resending", "settling", "done",    "failed",      "cancelled"};
+constexpr const char* kEffectNames[] = {"none", "counted", "completed"};
 
 void UpdateQuarantine(Fleet& fleet, Worker& worker, RunOutcome outcome,
                       TimePoint now) {
@@ -247,21 +254,15 @@
 }
 
 const char* NameOf(RunOutcome outcome) {
-  constexpr const char* kNames[] = {"done",   "failed", "stopped",
-                                    "lapsed", "broken", "alone"};
-  return kNames[static_cast<std::size_t>(outcome)];
+  return kOutcomeNames[static_cast<std::size_t>(outcome)];
 }
 
 const char* NameOf(RunState state) {
-  constexpr const char* kNames[] = {
-      "waiting",   "starting", "running", "unconfirmed", "stopping",
-      "resending", "settling", "done",    "failed",      "cancelled"};
-  return kNames[static_cast<std::size_t>(state)];
+  return kStateNames[static_cast<std::size_t>(state)];
 }
 
 const char* NameOf(EndEffect effect) {
-  constexpr const char* kNames[] = {"none", "counted", "completed"};
-  return kNames[static_cast<std::size_t>(effect)];
+  return kEffectNames[static_cast<std::size_t>(effect)];
 }
 
 }  // namespace daisyarch::fleet
