tests: Count only attempts that a leader can know in the fake site

Cause: the check of attempts counted each failed run, also one whose end was lost with its worker's process before any report. The users' rule counts a failure whose end is taken note of then or later.

Change: a failure counts if its end was acknowledged under an unbroken lease, or its worker still lists it. An end that can still be noted counts as before.

--- a/tests/fakes/fake_site.cc
+++ b/tests/fakes/fake_site.cc
@@ -170,6 +170,26 @@
   }
 }
 
+// Counts the failed runs whose ends are acknowledged or may still be. An end
+// that is lost with its worker's process can be known to no leader.
+std::size_t CountAttempts(const FakeSite& site, const TaskReference& task) {
+  const auto failures = site.m_failures.find(task);
+  if (failures == site.m_failures.end()) return 0;
+  const auto counts = [&](const std::pair<WorkerId, RunNumber>& failure) {
+    if (site.m_noted_failures.count({task, failure.second}) > 0) return true;
+    const FleetWorkerModel& worker = *site.m_workers.at(failure.first);
+    return worker.m_is_up &&
+           std::any_of(worker.m_ended.begin(), worker.m_ended.end(),
+                       [&](const EndedRun& end) {
+                         return end.m_task == task &&
+                                end.m_run == failure.second &&
+                                end.m_outcome == RunOutcome::kFailed;
+                       });
+  };
+  return static_cast<std::size_t>(
+      std::count_if(failures->second.begin(), failures->second.end(), counts));
+}
+
 // Checks the invariants of the site from the workers' state alone: a task runs
 // on one worker at a time and not again after an acknowledged done run, a
 // worker's runs fit into its capacity, a task has at most three attempts, and
@@ -196,7 +216,7 @@
   if (!Fits(used, BindingCapacity(site, started)))
     RecordViolation(site, "capacity of the worker exceeded by", task);
   constexpr std::size_t kMaximumAttempts = 3;
-  if (site.m_failures[task].size() >= kMaximumAttempts) {
+  if (CountAttempts(site, task) >= kMaximumAttempts) {
     RecordViolation(site, "attempt limit exceeded by", task);
   }
   const auto cancelled = site.m_cancelled_at.find(task.m_job);
@@ -333,6 +353,9 @@
   model->m_on_acknowledged = [&site, worker](const EndedRun& ended_run) {
     AddToHistory(site, ended_run.m_task, "acknowledged", ended_run.m_run,
                  *worker);
+    if (ended_run.m_outcome == RunOutcome::kFailed) {
+      site.m_noted_failures.insert({ended_run.m_task, ended_run.m_run});
+    }
     CheckAcknowledgement(site, ended_run);
   };
   WriteWorkerEntry(site, model->m_listing);
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -102,6 +102,8 @@
   std::string m_repeated_task;
   /// The failed runs of each task, as its workers recorded them.
   std::map<TaskReference, std::set<std::pair<WorkerId, RunNumber>>> m_failures;
+  /// Those of them whose ends were acknowledged under an unbroken lease.
+  std::set<std::pair<TaskReference, RunNumber>> m_noted_failures;
   std::uint64_t m_starts = 0;
   /// What each task's workers did, for the message of a violation.
   std::map<TaskReference, std::string> m_history;
