--- a/review/standins-2/drive.cc
+++ b/review/standins-2/drive.cc
@@ -145,6 +145,12 @@
       .count();
 }
 
+std::int64_t UnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 void SleepMs(int milliseconds) {
   std::this_thread::sleep_for(std::chrono::milliseconds(milliseconds));
 }
@@ -247,7 +253,7 @@
         "/begin", {{"worker", name},
                    {"id", name},
                    {"clock_rate", 1.0},
-                   {"kind", number == 1 ? "fast" : "plain"},
+                   {"kind", number <= m_fast_workers ? "fast" : "plain"},
                    {"address", "127.0.0.1:" + std::to_string(ports.at(name))}});
   }
   std::ifstream file(m_root + "/deploy/settings.yaml");
@@ -323,6 +329,12 @@
        Json{{"key", key}, {"value", value}}.dump(), kControlTimeoutMs);
 }
 
+void Site::RemoveKey(const std::string& key) {
+  Record("removal of " + key);
+  Call(m_store_control, "POST", "/remove", "standin", Json{{"key", key}}.dump(),
+       kControlTimeoutMs);
+}
+
 void Site::ControlWorkers(const std::string& path, const Json& body) {
   Record("workers " + path + " " + body.dump());
   Call(m_workers_control, "POST", path, "standin", body.dump(),
--- a/review/standins-2/drive.h
+++ b/review/standins-2/drive.h
@@ -64,10 +64,15 @@
   /// Returns whether a process has ended by itself.
   bool HasUnexpectedEnd();
 
+  /// How many of the workers begin with the label "fast"; the others have
+  /// "plain". To be set before the start.
+  int m_fast_workers = 0;
+
   std::vector<Node>& nodes() { return m_nodes; }
   /// Returns the index of the node that holds the leadership claim; -1: none.
   int Leader();
   void PutKey(const std::string& key, const std::string& value);
+  void RemoveKey(const std::string& key);
   /// Sends an order to the workers' stand-in.
   void ControlWorkers(const std::string& path, const Json& body);
 
@@ -102,6 +107,8 @@
 
 /// Milliseconds of the monotonic clock, which the workers record too.
 std::int64_t NowMs();
+/// Milliseconds since 1970.
+std::int64_t UnixMs();
 void SleepMs(int milliseconds);
 
 /// Returns whether the environment asks for the run with the disruption.
