--- a/benchmarks/fleet_bench.cc
+++ b/benchmarks/fleet_bench.cc
@@ -6,6 +6,7 @@
 
 #include "base/random.h"
 #include "decisions/fleet/fleet.h"
+#include "decisions/fleet/occurrences.h"
 #include "decisions/fleet/roster.h"
 
 namespace daisyarch {
@@ -145,7 +146,7 @@
 std::uint32_t CountWaiting(const BusyFleet& busy) {
   std::uint32_t waiting = 0;
   for (const auto& [key, job] : busy.m_fleet.m_jobs) {
-    waiting += job->m_steps.front().m_waiting;
+    waiting += StepRunAt(*job, 0).m_waiting;
   }
   return waiting;
 }
--- a/libraries/base/ids.h
+++ b/libraries/base/ids.h
@@ -53,6 +53,8 @@
 using JobKey = StrongId<struct JobKeyTag, std::string>;
 /// Numbers the parts in which a job's progress is stored, from 0.
 using ProgressPart = StrongId<struct ProgressPartTag, std::uint64_t>;
+/// Numbers the blocks of tasks of one step run, from 0.
+using TaskBlock = StrongId<struct TaskBlockTag, std::uint32_t>;
 /// Numbers the tasks of a job over all its occurrences and steps, from 0.
 using TaskNumber = StrongId<struct TaskNumberTag, std::uint64_t>;
 /// A queue of jobs that share a target.
--- a/libraries/decisions/fleet/ended_runs.cc
+++ b/libraries/decisions/fleet/ended_runs.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "decisions/fleet/late_start.h"
+#include "decisions/fleet/occurrences.h"
 
 namespace daisyarch::fleet {
 
@@ -196,8 +197,8 @@
 // order may start it any more. All members of a gang have had the same run.
 void SupersedeRun(Fleet& fleet, Job& job, const TaskReference& reference,
                   const RunNumber& run) {
-  const StepRun& step_run =
-      job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)];
+  const StepRun& step_run = StepRunAt(
+      job, StepRunIndex(job, reference.m_occurrence, reference.m_step));
   const bool is_gang = job.m_plan.m_steps[reference.m_step].m_is_gang;
   TaskReference member = reference;
   for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -5,6 +5,7 @@
 #include "decisions/fleet/crash_count.h"
 #include "decisions/fleet/isolation.h"
 #include "decisions/fleet/late_start.h"
+#include "decisions/fleet/occurrences.h"
 
 namespace daisyarch::fleet {
 
@@ -25,43 +26,36 @@
 
 // Cancels the waiting tasks and stops the placed ones.
 void StopJobTasks(Fleet& fleet, Job& job, TimePoint now) {
-  for (std::size_t step_run_index = 0; step_run_index < job.m_steps.size();
-       ++step_run_index) {
-    StepRun& step_run = job.m_steps[step_run_index];
-    for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
-      TaskReference reference{
-          job.m_plan.m_key,
-          static_cast<std::uint32_t>(step_run_index / job.StepCount()),
-          static_cast<std::uint32_t>(step_run_index % job.StepCount()),
-          static_cast<std::uint32_t>(index)};
-      const RunState state = step_run.m_tasks[index].m_state;
-      if (state == RunState::kWaiting) {
-        --step_run.m_waiting;
+  VisitStepRuns(job, [&](std::size_t step_run_index, StepRun& step_run) {
+    step_run.m_tasks.VisitAllocated([&](std::size_t index, const Task& task) {
+      const TaskReference reference = ReferenceOf(job, step_run_index, index);
+      if (task.m_state == RunState::kWaiting) {
         StepTask(fleet, job, reference, RunEvent::kCancelled);
-      } else if (IsPlaced(state)) {
+      } else if (IsPlaced(task.m_state)) {
         SendStop(fleet, job, reference, now);
       }
-    }
+    });
+    CancelWaitingTasks(step_run);
     UpdateWaitingSteps(fleet, job, step_run_index);
-  }
+  });
 }
 
 // The other members would wait forever for the one that has ended.
 void StopGang(Fleet& fleet, Job& job, const TaskReference& ended) {
   StepRun& step_run =
-      job.m_steps[StepRunIndex(job, ended.m_occurrence, ended.m_step)];
-  for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
-    if (!IsPlaced(step_run.m_tasks[index].m_state)) continue;
+      StepRunAt(job, StepRunIndex(job, ended.m_occurrence, ended.m_step));
+  step_run.m_tasks.VisitAllocated([&](std::size_t index, const Task& task) {
+    if (!IsPlaced(task.m_state)) return;
     TaskReference member = ended;
     member.m_index = static_cast<std::uint32_t>(index);
     SendStop(fleet, job, member, TimePoint());
-  }
+  });
 }
 
 // A gang is done as soon as one member is.
 void FinishGang(Fleet& fleet, Job& job, const TaskReference& ended) {
   StepRun& step_run =
-      job.m_steps[StepRunIndex(job, ended.m_occurrence, ended.m_step)];
+      StepRunAt(job, StepRunIndex(job, ended.m_occurrence, ended.m_step));
   for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
     Task& task = step_run.m_tasks[index];
     if (!IsPlaced(task.m_state) && task.m_state != RunState::kWaiting) continue;
@@ -76,7 +70,7 @@
                      RunEvent event, RunState before, RunState after) {
   const std::size_t step_run_index =
       StepRunIndex(job, reference.m_occurrence, reference.m_step);
-  StepRun& step_run = job.m_steps[step_run_index];
+  StepRun& step_run = StepRunAt(job, step_run_index);
   const StepPlan& step = job.m_plan.m_steps[reference.m_step];
   if (!job.m_was_placed && IsPlaced(after)) {
     job.m_was_placed = true;
@@ -113,14 +107,11 @@
 
 Duration RemainingCriticalPath(const Job& job) {
   Duration longest{};
-  for (std::size_t step_run_index = 0; step_run_index < job.m_steps.size();
-       ++step_run_index) {
-    const StepRun& step_run = job.m_steps[step_run_index];
-    if (!step_run.m_is_released || step_run.m_waiting == 0) continue;
+  VisitStepRuns(job, [&](std::size_t index, const StepRun& step_run) {
+    if (!step_run.m_is_released || step_run.m_waiting == 0) return;
     longest = std::max(
-        longest,
-        RemainingCriticalPath(job.m_plan, step_run_index % job.StepCount()));
-  }
+        longest, RemainingCriticalPath(job.m_plan, index % job.StepCount()));
+  });
   return longest;
 }
 
@@ -135,18 +126,18 @@
 
 // Returns whether a task that is not done has failed as often as allowed.
 bool HasExhaustedTask(const Job& job) {
-  for (std::size_t index = 0; index < job.m_steps.size(); ++index) {
+  bool has_exhausted_task = false;
+  VisitStepRuns(job, [&](std::size_t index, const StepRun& step_run) {
     const StepPlan& step = job.m_plan.m_steps[index % job.StepCount()];
-    if (step.m_kind == StepKind::kService) continue;
-    const auto& tasks = job.m_steps[index].m_tasks;
-    const bool has_exhausted_task =
-        std::any_of(tasks.begin(), tasks.end(), [&job](const Task& task) {
-          return task.m_state != RunState::kDone &&
-                 task.m_failed_runs.size() >= job.m_maximum_attempts;
-        });
-    if (has_exhausted_task) return true;
-  }
-  return false;
+    if (step.m_kind == StepKind::kService) return;
+    step_run.m_tasks.VisitAllocated([&](std::size_t, const Task& task) {
+      const bool is_exhausted =
+          task.m_state != RunState::kDone &&
+          task.m_failed_runs.size() >= job.m_maximum_attempts;
+      has_exhausted_task = has_exhausted_task || is_exhausted;
+    });
+  });
+  return has_exhausted_task;
 }
 
 bool IsService(const JobPlan& plan) {
@@ -198,69 +189,63 @@
   job.m_rank_timer_at = at;
 }
 
-bool HasWaitingTasks(const Job& job) {
-  return std::any_of(job.m_steps.begin(), job.m_steps.end(),
-                     [](const StepRun& step_run) {
-                       return step_run.m_is_released && step_run.m_waiting > 0;
-                     });
-}
-
-void RestoreDone(Job& job, StepRun& step_run, Task& task) {
-  task.m_state = RunState::kDone;
-  --step_run.m_waiting;
-  ++step_run.m_done;
-  --job.m_unfinished;
-}
+bool HasWaitingTasks(const Job& job) { return job.m_queued_steps > 0; }
 
 void RestoreTask(Fleet& fleet, Job& job, const TaskProgress& stored) {
-  if (stored.m_step_run >= job.m_steps.size()) return;
-  StepRun& step_run = job.m_steps[stored.m_step_run];
-  if (stored.m_index >= step_run.m_tasks.size()) return;
-  Task& task = step_run.m_tasks[stored.m_index];
+  const TaskReference reference =
+      ReferenceOf(job, stored.m_step_run, stored.m_index);
+  if (reference.m_occurrence >= job.m_plan.m_occurrences) return;
+  const StepPlan& step = job.m_plan.m_steps[reference.m_step];
+  if (stored.m_index >= step.m_task_count) return;
+  if (Contains(job.m_finished_occurrences, reference.m_occurrence)) return;
+  StepRun& step_run =
+      BeginOccurrence(job, reference.m_occurrence).m_steps[reference.m_step];
   // An earlier version stored all tasks in part 0.
-  if (task.m_state == RunState::kDone) return;
+  if (step_run.m_tasks.IsDone(stored.m_index)) return;
   const ProgressPart part = PartOf(job, stored.m_step_run, stored.m_index);
   if (part != stored.m_stored_part) {
     job.m_changed_parts[part];
     job.m_has_rows_to_move = true;
   }
+  job.m_was_placed = true;
+  job.m_is_inherited = true;
+  if (stored.m_is_done && stored.m_late_start_until_unix_ms == 0) {
+    return RestoreTaskDone(fleet, job, stored.m_step_run, stored.m_index);
+  }
+  Task& task = step_run.m_tasks[stored.m_index];
   task.m_run = stored.m_run;
   task.m_failed_runs = stored.m_failed_runs;
   task.m_crashed_runs = stored.m_crashed_runs;
   task.m_doubtful_runs = stored.m_doubtful_runs;
   task.m_checkpoint = stored.m_checkpoint;
-  RestoreLateStart(
-      fleet, stored,
-      {job.m_plan.m_key,
-       static_cast<std::uint32_t>(stored.m_step_run / job.StepCount()),
-       static_cast<std::uint32_t>(stored.m_step_run % job.StepCount()),
-       stored.m_index},
-      task);
-  job.m_was_placed = true;
-  job.m_is_inherited = true;
+  RestoreLateStart(fleet, stored, reference, task);
   if (!stored.m_is_done) {
     // The earlier leader ended before it gave up the task, or before it stored
     // the crash that would have led to that.
     job.m_has_failed = job.m_has_failed || HasCrashedTooOften(job, task);
     return;
   }
-  RestoreDone(job, step_run, task);
+  RestoreTaskDone(fleet, job, stored.m_step_run, stored.m_index);
 }
 
-void ShareDone(Job& job, StepRun& step_run) {
-  if (step_run.m_done == 0) return;
-  for (Task& task : step_run.m_tasks) {
-    if (task.m_state != RunState::kDone) RestoreDone(job, step_run, task);
+void ShareDone(Fleet& fleet, Job& job, std::size_t step_run_index) {
+  const StepRun* step_run = FindStepRun(job, step_run_index);
+  const std::size_t count = step_run->m_tasks.size();
+  // The occurrence may be over before the last one.
+  for (std::size_t index = 0; index < count; ++index) {
+    if (TaskAt(job, step_run_index, index).m_state == RunState::kDone) continue;
+    RestoreTaskDone(fleet, job, step_run_index, index);
   }
 }
 
 void ShareFailedRuns(StepRun& step_run) {
-  std::vector<RunNumber> failed_runs;
-  for (const Task& task : step_run.m_tasks) {
-    failed_runs.insert(failed_runs.end(), task.m_failed_runs.begin(),
-                       task.m_failed_runs.end());
-  }
-  for (Task& task : step_run.m_tasks) {
+  std::set<RunNumber> failed_runs;
+  step_run.m_tasks.VisitAllocated([&](std::size_t, const Task& task) {
+    failed_runs.insert(task.m_failed_runs.begin(), task.m_failed_runs.end());
+  });
+  if (failed_runs.empty()) return;
+  for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
+    Task& task = step_run.m_tasks[index];
     for (const RunNumber& run : failed_runs) RecordFailedRun(task, run);
   }
 }
@@ -268,12 +253,17 @@
 // The end of one member counts for all. The rows of the others may not tell of
 // it: a row is left out if its task's start was not known, and the rows of
 // several parts are not stored at once.
-void RestoreGangs(Job& job) {
-  for (std::size_t index = 0; index < job.m_steps.size(); ++index) {
-    if (!job.m_plan.m_steps[index % job.StepCount()].m_is_gang) continue;
-    ShareDone(job, job.m_steps[index]);
-    ShareFailedRuns(job.m_steps[index]);
-  }
+void RestoreGangs(Fleet& fleet, Job& job) {
+  std::vector<std::size_t> done;
+  VisitStepRuns(job, [&](std::size_t index, StepRun& step_run) {
+    if (!job.m_plan.m_steps[index % job.StepCount()].m_is_gang) return;
+    if (step_run.m_done > 0) {
+      done.push_back(index);
+    } else {
+      ShareFailedRuns(step_run);
+    }
+  });
+  for (const std::size_t index : done) ShareDone(fleet, job, index);
 }
 
 std::unique_ptr<Job> MakeJob(Fleet& fleet, JobPlan plan,
@@ -287,31 +277,23 @@
     job->m_task_offsets.push_back(job->m_task_offsets.back() +
                                   step.m_task_count);
   }
-  for (std::uint32_t occurrence = 0; occurrence < job->m_plan.m_occurrences;
-       ++occurrence) {
-    for (const StepPlan& step : job->m_plan.m_steps) {
-      StepRun step_run;
-      step_run.m_tasks.resize(step.m_task_count);
-      step_run.m_waiting = step.m_task_count;
-      job->m_unfinished += step.m_task_count;
-      job->m_steps.push_back(std::move(step_run));
-    }
-  }
+  job->m_unfinished = job->m_task_offsets.back() * job->m_plan.m_occurrences;
   // Its other tasks may still run: they are stopped and not restarted.
   job->m_has_failed = progress.m_state == JobState::kFailed;
   for (const TaskProgress& stored : progress.m_tasks) {
     RestoreTask(fleet, *job, stored);
   }
-  RestoreGangs(*job);
+  RestoreGangs(fleet, *job);
   return job;
 }
 
 // Removes the step from the waiting steps, where it stands under this rank.
 bool Unqueue(Fleet& fleet, Job& job, std::size_t step_run_index,
              const QueueRank& rank) {
-  StepRun& run = job.m_steps[step_run_index];
+  StepRun& run = StepRunAt(job, step_run_index);
   if (!run.m_is_queued) return false;
   run.m_is_queued = false;
+  --job.m_queued_steps;
   Erase(WaitingStepsOf(fleet, job, step_run_index),
         {run.m_is_queued_as_inherited, run.m_queue_level},
         {rank, job.m_plan.m_key, step_run_index});
@@ -319,12 +301,11 @@
 }
 
 void Requeue(Fleet& fleet, Job& job, const QueueRank& before) {
-  for (std::size_t step_run_index = 0; step_run_index < job.m_steps.size();
-       ++step_run_index) {
-    if (Unqueue(fleet, job, step_run_index, before)) {
-      UpdateWaitingSteps(fleet, job, step_run_index);
+  VisitStepRuns(job, [&](std::size_t index, const StepRun&) {
+    if (Unqueue(fleet, job, index, before)) {
+      UpdateWaitingSteps(fleet, job, index);
     }
-  }
+  });
 }
 
 void RemovePendingCount(Fleet& fleet, Job& job) {
@@ -380,8 +361,8 @@
 
 StepResult StepTask(Fleet& fleet, Job& job, const TaskReference& reference,
                     RunEvent event) {
-  StepRun& step_run =
-      job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)];
+  StepRun& step_run = StepRunAt(
+      job, StepRunIndex(job, reference.m_occurrence, reference.m_step));
   Task& task = step_run.m_tasks[reference.m_index];
   RunContext context{
       fleet, job, reference, step_run, job.m_plan.m_steps[reference.m_step],
@@ -416,17 +397,20 @@
 }
 
 void UpdateWaitingSteps(Fleet& fleet, Job& job, std::size_t step_run_index) {
-  StepRun& run = job.m_steps[step_run_index];
+  StepRun& run = StepRunAt(job, step_run_index);
   fleet.m_unranked_jobs.insert(job.m_plan.m_key);
   const bool has_ended = job.m_is_cancelled || job.m_has_failed;
   if (!run.m_is_released || run.m_waiting == 0 || has_ended) {
-    Unqueue(fleet, job, step_run_index, job.m_rank);
+    if (Unqueue(fleet, job, step_run_index, job.m_rank)) {
+      ResumeOccurrences(fleet, job);
+    }
     return;
   }
   fleet.m_needs_placement = true;
   if (run.m_is_queued) return;
   const StepPlan& step = job.m_plan.m_steps[step_run_index % job.StepCount()];
   run.m_is_queued = true;
+  ++job.m_queued_steps;
   run.m_is_queued_as_inherited = job.m_is_inherited;
   run.m_queue_level = LevelOf(step.m_demand.m_processors);
   Insert(WaitingStepsOf(fleet, job, step_run_index),
@@ -437,16 +421,16 @@
 void ReleaseSteps(Fleet& fleet, Job& job, std::uint32_t occurrence) {
   for (std::uint32_t step = 0; step < job.StepCount(); ++step) {
     const std::size_t step_run_index = StepRunIndex(job, occurrence, step);
-    if (job.m_steps[step_run_index].m_is_released) continue;
+    if (StepRunAt(job, step_run_index).m_is_released) continue;
     const auto& after = job.m_plan.m_steps[step].m_after;
     const bool is_due =
         std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
           const StepRun& run =
-              job.m_steps[StepRunIndex(job, occurrence, earlier)];
+              StepRunAt(job, StepRunIndex(job, occurrence, earlier));
           return run.m_done == run.m_tasks.size();
         });
     if (!is_due) continue;
-    job.m_steps[step_run_index].m_is_released = true;
+    StepRunAt(job, step_run_index).m_is_released = true;
     UpdateWaitingSteps(fleet, job, step_run_index);
   }
 }
@@ -489,8 +473,8 @@
 // The state of the task may stay the same.
 bool CountFailedRun(Fleet& fleet, Job& job, const TaskReference& reference,
                     RunNumber run) {
-  StepRun& step_run =
-      job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)];
+  StepRun& step_run = StepRunAt(
+      job, StepRunIndex(job, reference.m_occurrence, reference.m_step));
   const bool is_gang = job.m_plan.m_steps[reference.m_step].m_is_gang;
   TaskReference member = reference;
   member.m_index = is_gang ? 0 : reference.m_index;
@@ -519,17 +503,7 @@
   UpdatePendingCount(fleet, *job);
   fleet.m_unranked_jobs.insert(key);
   AddIsolations(fleet, *job);
-  if (job->m_plan.m_is_timed) {
-    for (std::uint32_t occurrence = 0; occurrence < job->m_plan.m_occurrences;
-         ++occurrence) {
-      fleet.m_pending_occurrences.emplace(
-          job->m_plan.m_first_due_unix_ms +
-              occurrence * job->m_plan.m_interval_ms,
-          key, occurrence);
-    }
-  } else {
-    ReleaseSteps(fleet, *job, 0);
-  }
+  ScheduleOccurrences(fleet, *job);
   if (job->m_has_failed) StopJobTasks(fleet, *job, TimePoint());
   // The last task's end may be stored without the job's final state.
   if (HasEnded(*job)) MarkChanged(fleet, *job);
@@ -588,10 +562,10 @@
 void RemoveJob(Fleet& fleet, const JobKey& key) {
   Job* job = FindJob(fleet, key);
   if (job == nullptr) return;
-  for (std::size_t step_run_index = 0; step_run_index < job->m_steps.size();
-       ++step_run_index) {
-    Unqueue(fleet, *job, step_run_index, job->m_rank);
-  }
+  VisitStepRuns(*job, [&](std::size_t index, const StepRun&) {
+    Unqueue(fleet, *job, index, job->m_rank);
+  });
+  ForgetOccurrences(fleet, *job);
   fleet.m_changed_jobs.erase(key);
   fleet.m_unranked_jobs.erase(key);
   SetRankTimer(fleet, *job, TimePoint::max());
@@ -602,9 +576,9 @@
 void SendStop(Fleet& fleet, Job& job, const TaskReference& reference,
               TimePoint now) {
   StepTask(fleet, job, reference, RunEvent::kStopRequested);
-  Task& task =
-      job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)]
-          .m_tasks[reference.m_index];
+  Task& task = StepRunAt(job, StepRunIndex(job, reference.m_occurrence,
+                                           reference.m_step))
+                   .m_tasks[reference.m_index];
   const Worker* worker = FindWorker(fleet, task.m_worker);
   if (worker == nullptr) return;
   // Some callers do not know the time.
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -157,11 +157,19 @@
   std::uint64_t m_workers = 0;
   std::uint64_t m_waiting_steps = 0;
   std::uint64_t m_jobs = 0;
+  std::uint64_t m_step_runs = 0;  ///< When ranking and releasing.
   /// Jobs that were looked up by their key. An event's grow with the runs that
   /// it lists.
   std::uint64_t m_job_lookups = 0;
 };
 
+/// A block of a job's tasks, all of which are done.
+struct DoneBlock {
+  JobKey m_job;
+  std::size_t m_step_run_index = 0;
+  TaskBlock m_block;
+};
+
 /// A run's task and its job, looked up once for one event.
 struct FoundRun {
   const TaskReference* m_reference = nullptr;  ///< Of the event or the worker.
@@ -218,10 +226,14 @@
   std::map<TaskReference, Isolation> m_isolations;
   /// The latest crashes of workers, the oldest first.
   std::vector<WorkerCrash> m_recent_crashes;
-  /// Occurrences of timed jobs that are not due yet: the Unix time in ms, the
-  /// job and the occurrence.
+  /// The next occurrence of each timed job, and those that have begun but are
+  /// not released: the Unix time in ms, the job and the occurrence.
   std::set<std::tuple<std::int64_t, JobKey, std::uint32_t>>
       m_pending_occurrences;
+  /// Step runs of the timed jobs' occurrences that have begun.
+  std::size_t m_begun_step_runs = 0;
+  /// Blocks of tasks that are done, and when each can be freed.
+  std::multimap<TimePoint, DoneBlock> m_done_blocks;
   /// Jobs whose progress has changed since it was last taken for storing.
   std::set<JobKey> m_changed_jobs;
   /// Some of the changed jobs have ended.
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -10,106 +10,11 @@
 #include "base/ids.h"
 #include "base/time.h"
 #include "decisions/fleet/job_plan.h"
-#include "decisions/fleet/late_start_clock.h"
+#include "decisions/fleet/occurrence_set.h"
+#include "decisions/fleet/step_run.h"
 
 namespace daisyarch::fleet {
 
-/// States of charts/run.yaml, in the order of RunBinding().
-enum class RunState : std::uint8_t {
-  kWaiting,
-  kStarting,
-  kRunning,
-  kUnconfirmed,  ///< The start got no answer and may have taken effect.
-  kStopping,
-  kResending,  ///< The start has not taken effect and is to be sent again.
-  kSettling,   ///< Its run is over, but an order may start it again late.
-  kDone,
-  kFailed,
-  kCancelled,
-};
-
-/// Events of charts/run.yaml, in the order of RunBinding().
-enum class RunEvent : std::uint8_t {
-  kPlaced,
-  kStarted,
-  kStartUnanswered,
-  kStopRequested,
-  kCompleted,
-  kRunFailed,
-  kInterrupted,  ///< The run is over, but neither done nor failed.
-  kNotStarted,   ///< The worker's report shows that the start has not taken
-                 ///< effect, and will not in this incarnation.
-  kResent,
-  kSuperseded,  ///< A later run that an earlier leader started is known.
-  kAttemptsExhausted,
-  kCancelled,
-};
-
-/// Whether the order that started a task's latest run has taken effect.
-enum class StartConfirmation : std::uint8_t {
-  kPending,      ///< The order has no answer yet.
-  kConfirmed,    ///< The run has started.
-  kUnconfirmed,  ///< The order may take effect until a poll with a higher
-                 ///< token is answered.
-};
-
-/// One task of a step and its latest run.
-struct Task {
-  RunState m_state = RunState::kWaiting;
-  StartConfirmation m_start_confirmation = StartConfirmation::kPending;
-  std::uint8_t m_processor_limit_percent = 100;  ///< 100: unlimited.
-  /// The worker is known to apply this limit. False while the order for it has
-  /// no answer or has failed, and after an earlier leader may have set another.
-  bool m_is_limit_confirmed = true;
-  std::uint8_t m_progress_percent = 0;   ///< As last reported.
-  std::vector<RunNumber> m_failed_runs;  ///< Without duplicates.
-  /// Runs during which the worker crashed and that may have caused it; without
-  /// duplicates. See crash_count.h.
-  std::vector<RunNumber> m_crashed_runs;
-  /// The same for runs in isolation, where the crash may have had another
-  /// cause; none of them is in m_crashed_runs.
-  std::vector<RunNumber> m_doubtful_runs;
-  /// As last reported: the tail latency of a serving task in milliseconds, or
-  /// the processor use of any other task in thousandths of a core.
-  std::int64_t m_load = 0;
-  RunNumber m_run;
-  WorkerId m_worker;  ///< Empty while the task is on no worker.
-  std::string m_checkpoint;
-  /// When the latest start was handed over for sending, or before that, when
-  /// it was decided.
-  TimePoint m_start_sent_at{};
-  TimePoint m_started_at{};  ///< When the start was confirmed; 0 before.
-  /// Until then an unconfirmed start may take effect, or its run be active.
-  TimePoint m_unconfirmed_until{};
-  /// Until then an order that got no answer may start the task; see
-  /// late_start.h.
-  TimePoint m_late_start_until{};
-  WorkerId m_late_start_worker;  ///< The worker that it was sent to.
-  /// The same time as an earlier leader stored it, by that one's time of day;
-  /// 0: this leader has sent the order, or there is none.
-  std::int64_t m_inherited_late_start_unix_ms = 0;
-  LateStartClock m_late_start_clock;
-  Term m_late_start_term;           ///< Of the leader that sent the order.
-  TimePoint m_over_target_since{};  ///< 0: tail latency is within its target.
-  TimePoint m_limit_changed_at{};
-  TimePoint m_stop_sent_at{};
-};
-
-/// The tasks of one step of one occurrence.
-struct StepRun {
-  std::vector<Task> m_tasks;
-  std::uint32_t m_done = 0;
-  std::uint32_t m_placed = 0;  ///< In one of the states of IsPlaced().
-  std::uint32_t m_waiting = 0;
-  bool m_is_released = false;   ///< All steps that it waits for are done.
-  TimePoint m_stalled_since{};  ///< 0: not known to be stalled.
-  /// In the fleet's waiting steps: its level there, and whether it is among
-  /// those of inherited jobs.
-  bool m_is_queued = false;
-  bool m_is_queued_as_inherited = false;
-  std::uint32_t m_queue_level = 0;
-};
-
 /// State of a job as reported to its submitter.
 enum class JobState : std::uint8_t {
   kQueued,
@@ -145,11 +50,24 @@
   }
 };
 
+/// An occurrence of a job that has begun and is not over.
+struct Occurrence {
+  std::vector<StepRun> m_steps;
+  std::uint32_t m_steps_left = 0;  ///< Steps whose tasks are not all freed.
+};
+
 /// A job, kept until its end is stored.
 struct Job {
   JobPlan m_plan;
   JobState m_state = JobState::kQueued;
-  std::vector<StepRun> m_steps;  ///< Ordered by occurrence, then step.
+  /// The occurrences that have begun and are not over; see occurrences.h.
+  std::map<std::uint32_t, Occurrence> m_occurrences;
+  OccurrenceSet m_finished_occurrences;  ///< Those that are over.
+  /// Of a timed job: the first that has not begun.
+  std::uint32_t m_next_occurrence = 0;
+  /// That one is due, but too many others have begun.
+  bool m_is_held_back = false;
+  std::size_t m_queued_steps = 0;  ///< Step runs with StepRun::m_is_queued.
   QueueRank m_rank;
   std::uint32_t m_maximum_attempts = 1;
   std::uint64_t m_placed = 0;      ///< Tasks that may be on a worker.
@@ -204,12 +122,21 @@
   }
 };
 
-/// Returns the index into Job::m_steps.
+/// Numbers the step runs of a job by occurrence, then step.
 inline std::size_t StepRunIndex(const Job& job, std::uint32_t occurrence,
                                 std::uint32_t step) {
   return static_cast<std::size_t>(occurrence) * job.StepCount() + step;
 }
 
+/// Returns the reference to a task of the step run.
+inline TaskReference ReferenceOf(const Job& job, std::size_t step_run_index,
+                                 std::size_t task_index) {
+  return {job.m_plan.m_key,
+          static_cast<std::uint32_t>(step_run_index / job.StepCount()),
+          static_cast<std::uint32_t>(step_run_index % job.StepCount()),
+          static_cast<std::uint32_t>(task_index)};
+}
+
 /// Returns whether a task in this state may be on a worker, or may only start
 /// there.
 inline bool IsPlaced(RunState state) {
--- a/libraries/decisions/fleet/fleet_timers.cc
+++ b/libraries/decisions/fleet/fleet_timers.cc
@@ -2,6 +2,7 @@
 
 #include "decisions/fleet/fleet.h"
 #include "decisions/fleet/late_start.h"
+#include "decisions/fleet/occurrences.h"
 
 namespace daisyarch::fleet {
 
@@ -130,14 +131,8 @@
 
 void TickFleet(Fleet& fleet, TimePoint now, std::int64_t unix_ms) {
   SetTime(fleet, now, unix_ms);
-  while (!fleet.m_pending_occurrences.empty() &&
-         std::get<0>(*fleet.m_pending_occurrences.begin()) <= unix_ms) {
-    const auto [due, key, occurrence] = *fleet.m_pending_occurrences.begin();
-    fleet.m_pending_occurrences.erase(fleet.m_pending_occurrences.begin());
-    Job* job = FindJob(fleet, key);
-    if (job != nullptr && !HasEnded(*job))
-      ReleaseSteps(fleet, *job, occurrence);
-  }
+  FreeDoneTasks(fleet, now);
+  ReleaseDueOccurrences(fleet, unix_ms);
   if (now >= fleet.m_next_ranking_at) {
     fleet.m_next_ranking_at = now + kRankingInterval;
     RefreshRanks(fleet, now);
--- a/libraries/decisions/fleet/isolation.cc
+++ b/libraries/decisions/fleet/isolation.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "decisions/fleet/crash_count.h"
+#include "decisions/fleet/occurrences.h"
 #include "decisions/fleet/roster.h"
 
 namespace daisyarch::fleet {
@@ -25,8 +26,8 @@
 
 bool IsWaiting(const Job& job, const Task& task,
                const TaskReference& reference) {
-  const StepRun& step_run =
-      job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)];
+  const StepRun& step_run = StepRunAt(
+      job, StepRunIndex(job, reference.m_occurrence, reference.m_step));
   // A gang starts once all its members wait.
   const bool has_placed_members =
       StepOf(job, reference).m_is_gang && step_run.m_placed > 0;
@@ -216,17 +217,12 @@
 }
 
 void AddIsolations(Fleet& fleet, const Job& job) {
-  for (std::size_t step_run = 0; step_run < job.m_steps.size(); ++step_run) {
-    const auto& tasks = job.m_steps[step_run].m_tasks;
-    for (std::size_t index = 0; index < tasks.size(); ++index) {
-      if (!NeedsIsolation(tasks[index])) continue;
-      AddIsolation(fleet,
-                   {job.m_plan.m_key,
-                    static_cast<std::uint32_t>(step_run / job.StepCount()),
-                    static_cast<std::uint32_t>(step_run % job.StepCount()),
-                    static_cast<std::uint32_t>(index)});
-    }
-  }
+  VisitStepRuns(job, [&](std::size_t index, const StepRun& step_run) {
+    step_run.m_tasks.VisitAllocated([&](std::size_t task, const Task& found) {
+      if (NeedsIsolation(found))
+        AddIsolation(fleet, ReferenceOf(job, index, task));
+    });
+  });
 }
 
 void UpdateIsolations(Fleet& fleet, TimePoint now) {
--- a/libraries/decisions/fleet/job_progress.cc
+++ b/libraries/decisions/fleet/job_progress.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "decisions/fleet/late_start.h"
+#include "decisions/fleet/occurrences.h"
 
 namespace daisyarch::fleet {
 
@@ -12,12 +13,17 @@
 TaskProgress ProgressOf(const Task& task, std::int64_t unix_offset_ms) {
   TaskProgress row;
   row.m_is_done = task.m_state == RunState::kDone;
+  StoreLateStart(task, unix_offset_ms, row);
+  // No run of a done task counts any more, and its memory is freed.
+  if (row.m_is_done) {
+    row.m_run = UnallocatedTask(RunState::kDone).m_run;
+    return row;
+  }
   row.m_failed_runs = task.m_failed_runs;
   row.m_crashed_runs = task.m_crashed_runs;
   row.m_doubtful_runs = task.m_doubtful_runs;
   row.m_run = task.m_run;
-  if (!row.m_is_done) row.m_checkpoint = task.m_checkpoint;
-  StoreLateStart(task, unix_offset_ms, row);
+  row.m_checkpoint = task.m_checkpoint;
   return row;
 }
 
@@ -37,8 +43,10 @@
       StepRunIndex(job, static_cast<std::uint32_t>(occurrence),
                    static_cast<std::uint32_t>(step - offsets.begin()));
   const std::uint64_t index = in_occurrence - *step;
-  const Task& task = job.m_steps[step_run].m_tasks[index];
-  if (task.m_run == RunNumber()) return;
+  const Task& task = TaskAt(job, step_run, index);
+  // Of a gang, members that have not started may be done as well.
+  const bool is_done = task.m_state == RunState::kDone;
+  if (task.m_run == RunNumber() && !is_done) return;
   TaskProgress row = ProgressOf(task, unix_offset_ms);
   row.m_step_run = static_cast<std::uint32_t>(step_run);
   row.m_index = static_cast<std::uint32_t>(index);
@@ -100,13 +108,12 @@
 std::vector<TaskProgress> LateStartsOf(const Job& job, TimePoint now,
                                        std::int64_t unix_offset_ms) {
   JobProgress late;
-  for (std::size_t index = 0; index < job.m_steps.size(); ++index) {
-    const auto& tasks = job.m_steps[index].m_tasks;
-    for (std::size_t task = 0; task < tasks.size(); ++task) {
-      if (tasks[task].m_late_start_until <= now) continue;
+  VisitStepRuns(job, [&](std::size_t index, const StepRun& step_run) {
+    step_run.m_tasks.VisitAllocated([&](std::size_t task, const Task& found) {
+      if (found.m_late_start_until <= now) return;
       AddRow(job, NumberOf(job, index, task), unix_offset_ms, late);
-    }
-  }
+    });
+  });
   return std::move(late.m_tasks);
 }
 
--- a/libraries/decisions/fleet/job_progress.h
+++ b/libraries/decisions/fleet/job_progress.h
@@ -17,7 +17,7 @@
 
 /// Stored state of one task: its outcome, attempts and checkpoint.
 struct TaskProgress {
-  std::uint32_t m_step_run = 0;  ///< Index into Job::m_steps.
+  std::uint32_t m_step_run = 0;  ///< See StepRunIndex().
   std::uint32_t m_index = 0;
   bool m_is_done = false;
   std::vector<RunNumber> m_failed_runs;
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -4,6 +4,7 @@
 #include "decisions/fleet/choose_worker.h"
 #include "decisions/fleet/crash_count.h"
 #include "decisions/fleet/isolation.h"
+#include "decisions/fleet/occurrences.h"
 #include "decisions/fleet/roster.h"
 #include "decisions/fleet/share_worker.h"
 
@@ -33,9 +34,9 @@
 
 void Start(PlacementPass& pass, Job& job, const TaskReference& reference,
            Worker& worker, RunNumber run, const std::string& checkpoint) {
-  Task& task =
-      job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)]
-          .m_tasks[reference.m_index];
+  Task& task = StepRunAt(job, StepRunIndex(job, reference.m_occurrence,
+                                           reference.m_step))
+                   .m_tasks[reference.m_index];
   if (!job.m_was_placed) {
     pass.m_fleet.m_events.push_back({"job_started", job.m_plan.m_key,
                                      worker.m_listing.m_worker, run,
@@ -86,14 +87,6 @@
   return std::max(Next(task.m_run), FirstRun(fleet.m_term));
 }
 
-TaskReference ReferenceOf(const Job& job, std::size_t step_run,
-                          std::size_t index) {
-  return {job.m_plan.m_key,
-          static_cast<std::uint32_t>(step_run / job.StepCount()),
-          static_cast<std::uint32_t>(step_run % job.StepCount()),
-          static_cast<std::uint32_t>(index)};
-}
-
 // Reserved tasks are placed regardless of interference anyway.
 bool MustStartJob(const PlacementPass& pass, const Job& job,
                   const StepPlan& step) {
@@ -101,13 +94,25 @@
          step.m_processor_use == ProcessorUse::kBestEffort;
 }
 
+void SkipPlacedTasks(StepRun& step_run) {
+  const TaskTable& tasks = step_run.m_tasks;
+  std::uint32_t& first = step_run.m_first_waiting;
+  while (first < tasks.size() && tasks[first].m_state != RunState::kWaiting) {
+    ++first;
+  }
+}
+
 void PlaceStep(PlacementPass& pass, Job& job, std::size_t step_run_index,
                PoolInPass& pool) {
-  StepRun& step_run = job.m_steps[step_run_index];
+  StepRun& step_run = StepRunAt(job, step_run_index);
   const StepPlan& step = job.m_plan.m_steps[step_run_index % job.StepCount()];
   StepChoice choice = BeginStepChoice(pass, pool, step);
-  for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
-    Task& task = step_run.m_tasks[index];
+  // Reading a task must not allocate it.
+  const TaskTable& tasks = step_run.m_tasks;
+  SkipPlacedTasks(step_run);
+  for (std::size_t index = step_run.m_first_waiting; index < tasks.size();
+       ++index) {
+    const Task& task = tasks[index];
     if (task.m_state != RunState::kWaiting || NeedsIsolation(task)) continue;
     if (pass.m_now < task.m_late_start_until) continue;
     if (pass.m_starts_left == 0) return;
@@ -131,13 +136,12 @@
 // meanwhile, and starts the members only if all have a worker.
 void PlaceGang(PlacementPass& pass, Job& job, std::size_t step_run_index,
                const PoolId& pool) {
-  StepRun& step_run = job.m_steps[step_run_index];
+  const StepRun& step_run = StepRunAt(job, step_run_index);
   if (step_run.m_waiting != step_run.m_tasks.size()) return;
-  const bool may_start_late =
-      std::any_of(step_run.m_tasks.begin(), step_run.m_tasks.end(),
-                  [&pass](const Task& task) {
-                    return pass.m_now < task.m_late_start_until;
-                  });
+  bool may_start_late = false;
+  step_run.m_tasks.VisitAllocated([&](std::size_t, const Task& task) {
+    may_start_late = may_start_late || pass.m_now < task.m_late_start_until;
+  });
   if (may_start_late) return;
   pass.m_must_start_job = false;
   const StepPlan& step = job.m_plan.m_steps[step_run_index % job.StepCount()];
@@ -211,7 +215,7 @@
   } else {
     PlaceStep(pass, *job, step_run_index, pool);
   }
-  if (job->m_steps[step_run_index].m_waiting == 0) {
+  if (StepRunAt(*job, step_run_index).m_waiting == 0) {
     UpdateWaitingSteps(fleet, *job, step_run_index);
   }
 }
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -4,6 +4,7 @@
 #include "decisions/fleet/ended_runs.h"
 #include "decisions/fleet/fleet.h"
 #include "decisions/fleet/late_start.h"
+#include "decisions/fleet/occurrences.h"
 
 namespace daisyarch::fleet {
 
@@ -295,10 +296,18 @@
       reference.m_occurrence >= job->m_plan.m_occurrences) {
     return nullptr;
   }
-  StepRun& step_run = job->m_steps[StepRunIndex(*job, reference.m_occurrence,
-                                                reference.m_step)];
-  if (reference.m_index >= step_run.m_tasks.size()) return nullptr;
-  return &step_run.m_tasks[reference.m_index];
+  if (reference.m_index >= job->m_plan.m_steps[reference.m_step].m_task_count) {
+    return nullptr;
+  }
+  auto found = job->m_occurrences.find(reference.m_occurrence);
+  if (found == job->m_occurrences.end()) {
+    if (Contains(job->m_finished_occurrences, reference.m_occurrence)) {
+      return nullptr;
+    }
+    BeginReportedOccurrence(fleet, *job, reference.m_occurrence);
+    found = job->m_occurrences.find(reference.m_occurrence);
+  }
+  return &found->second.m_steps[reference.m_step].m_tasks[reference.m_index];
 }
 
 FoundRun FindRun(Fleet& fleet, const TaskReference& reference) {
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -1,6 +1,7 @@
 #include "decisions/fleet/crash_count.h"
 #include "decisions/fleet/fleet.h"
 #include "decisions/fleet/late_start.h"
+#include "decisions/fleet/occurrences.h"
 
 namespace daisyarch::fleet {
 
@@ -149,12 +150,18 @@
        task.m_run, Duration{}, context.m_reference});
 }
 
-void Requeue(RunContext& context) { ++context.m_step_run.m_waiting; }
+void Requeue(RunContext& context) {
+  StepRun& step_run = context.m_step_run;
+  ++step_run.m_waiting;
+  step_run.m_first_waiting =
+      std::min(step_run.m_first_waiting, context.m_reference.m_index);
+}
 
 void CountDone(RunContext& context) {
   ++context.m_step_run.m_done;
   --context.m_job.m_unfinished;
   context.m_task.m_checkpoint.clear();
+  RecordTaskDone(context.m_fleet, context.m_job, context.m_reference);
 }
 
 void CountFailure(RunContext& context) {
@@ -235,9 +242,10 @@
   for (const TaskReference& reference : runs) {
     Job* job = FindJob(context.m_fleet, reference.m_job);
     if (job == nullptr) continue;
-    const Task& task = job->m_steps[StepRunIndex(*job, reference.m_occurrence,
-                                                 reference.m_step)]
-                           .m_tasks[reference.m_index];
+    const Task& task =
+        StepRunAt(*job,
+                  StepRunIndex(*job, reference.m_occurrence, reference.m_step))
+            .m_tasks[reference.m_index];
     if (task.m_start_confirmation != StartConfirmation::kUnconfirmed) continue;
     StepTask(context.m_fleet, *job, reference, RunEvent::kNotStarted);
   }
@@ -246,9 +254,9 @@
 }  // namespace
 
 void AbandonStart(Fleet& fleet, Job& job, const TaskReference& reference) {
-  const Task& task =
-      job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)]
-          .m_tasks[reference.m_index];
+  const Task& task = StepRunAt(job, StepRunIndex(job, reference.m_occurrence,
+                                                 reference.m_step))
+                         .m_tasks[reference.m_index];
   if (task.m_start_confirmation != StartConfirmation::kUnconfirmed) return;
   fleet.m_events.push_back({"start_abandoned", reference.m_job, task.m_worker,
                             task.m_run, Duration{}});
--- a/libraries/decisions/fleet/stalled_steps.cc
+++ b/libraries/decisions/fleet/stalled_steps.cc
@@ -1,8 +1,9 @@
 #include "decisions/fleet/stalled_steps.h"
 
-#include <algorithm>
+#include <utility>
 
 #include "decisions/fleet/choose_worker.h"
+#include "decisions/fleet/occurrences.h"
 #include "decisions/fleet/roster.h"
 
 namespace daisyarch::fleet {
@@ -12,7 +13,7 @@
 void CountTasks(const StepRun& step_run, FleetSummary& summary) {
   if (step_run.m_is_released) summary.m_waiting += step_run.m_waiting;
   if (step_run.m_placed == 0) return;
-  for (const Task& task : step_run.m_tasks) {
+  step_run.m_tasks.VisitAllocated([&](std::size_t, const Task& task) {
     switch (task.m_state) {
       case RunState::kStarting:
         ++summary.m_starting;
@@ -31,13 +32,15 @@
       default:
         break;
     }
-  }
+  });
 }
 
 bool HasRunningTask(const StepRun& step_run) {
-  return std::any_of(
-      step_run.m_tasks.begin(), step_run.m_tasks.end(),
-      [](const Task& task) { return task.m_state == RunState::kRunning; });
+  bool is_running = false;
+  step_run.m_tasks.VisitAllocated([&](std::size_t, const Task& task) {
+    is_running = is_running || task.m_state == RunState::kRunning;
+  });
+  return is_running;
 }
 
 // The load of a serving task says nothing about its progress.
@@ -46,22 +49,25 @@
   return step.m_latency_target > Duration{} || task.m_load > 0;
 }
 
-bool IsIdle(const Job& job, std::size_t step_run_index) {
-  const StepRun& step_run = job.m_steps[step_run_index];
+bool IsIdle(const Job& job, std::size_t step_run_index,
+            const StepRun& step_run) {
   if (job.m_is_cancelled || job.m_has_failed || !step_run.m_is_released) {
     return false;
   }
   if (step_run.m_waiting + step_run.m_placed == 0) return false;
   const StepPlan& step = job.m_plan.m_steps[step_run_index % job.StepCount()];
-  return std::none_of(
-      step_run.m_tasks.begin(), step_run.m_tasks.end(),
-      [&step](const Task& task) { return IsWorking(task, step); });
+  if (step_run.m_placed == 0) return true;
+  bool is_working = false;
+  step_run.m_tasks.VisitAllocated([&](std::size_t, const Task& task) {
+    is_working = is_working || IsWorking(task, step);
+  });
+  return !is_working;
 }
 
 StallCause CauseOf(PlacementPass& pass, const Job& job,
                    std::size_t step_run_index) {
   Fleet& fleet = pass.m_fleet;
-  const StepRun& step_run = job.m_steps[step_run_index];
+  const StepRun& step_run = StepRunAt(job, step_run_index);
   if (HasRunningTask(step_run)) return StallCause::kNotWorking;
   if (step_run.m_waiting == 0) return StallCause::kStartUnconfirmed;
   const Duration listing_age = pass.m_now - fleet.m_listed_at;
@@ -83,10 +89,11 @@
 }
 
 WorkerId FirstWorkerOf(const StepRun& step_run) {
-  for (const Task& task : step_run.m_tasks) {
-    if (IsPlaced(task.m_state)) return task.m_worker;
-  }
-  return {};
+  WorkerId worker;
+  step_run.m_tasks.VisitAllocated([&](std::size_t, const Task& task) {
+    if (worker == WorkerId() && IsPlaced(task.m_state)) worker = task.m_worker;
+  });
+  return worker;
 }
 
 }  // namespace
@@ -112,7 +119,10 @@
 FleetSummary Summarize(const Fleet& fleet) {
   FleetSummary summary;
   for (const auto& [key, job] : fleet.m_jobs) {
-    for (const StepRun& step_run : job->m_steps) CountTasks(step_run, summary);
+    VisitStepRuns(std::as_const(*job),
+                  [&](std::size_t, const StepRun& step_run) {
+                    CountTasks(step_run, summary);
+                  });
   }
   for (const auto& [id, worker] : fleet.m_workers) {
     const bool is_ready = worker.m_state == WorkerState::kReady;
@@ -128,21 +138,20 @@
                      HasAmpleCapacity(fleet)};
   std::vector<StalledStep> stalled;
   for (const auto& [key, job] : fleet.m_jobs) {
-    for (std::size_t index = 0; index < job->m_steps.size(); ++index) {
-      StepRun& step_run = job->m_steps[index];
-      if (!IsIdle(*job, index)) {
+    VisitStepRuns(*job, [&, &job = *job](std::size_t index, StepRun& step_run) {
+      if (!IsIdle(job, index, step_run)) {
         step_run.m_stalled_since = TimePoint();
-        continue;
+        return;
       }
       if (step_run.m_stalled_since == TimePoint()) {
         step_run.m_stalled_since = now;
       }
       const Duration stalled_for = now - step_run.m_stalled_since;
-      if (stalled_for < minimum || stalled.size() >= maximum_count) continue;
-      stalled.push_back({job->m_plan.m_key, index, CauseOf(pass, *job, index),
+      if (stalled_for < minimum || stalled.size() >= maximum_count) return;
+      stalled.push_back({job.m_plan.m_key, index, CauseOf(pass, job, index),
                          stalled_for, step_run.m_waiting, step_run.m_placed,
                          FirstWorkerOf(step_run)});
-    }
+    });
   }
   IndexComputedWorkers(pass);
   return stalled;
--- /dev/null
+++ b/libraries/decisions/fleet/step_run.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+
+#include "base/time.h"
+#include "decisions/fleet/task_table.h"
+
+namespace daisyarch::fleet {
+
+/// The tasks of one step of one occurrence.
+struct StepRun {
+  TaskTable m_tasks;
+  std::uint32_t m_done = 0;
+  std::uint32_t m_placed = 0;  ///< In one of the states of IsPlaced().
+  std::uint32_t m_waiting = 0;
+  std::uint32_t m_first_waiting = 0;  ///< No task before this index waits.
+  bool m_is_released = false;         ///< All steps that it waits for are done.
+  TimePoint m_stalled_since{};        ///< 0: not known to be stalled.
+  /// In the fleet's waiting steps: its level there, and whether it is among
+  /// those of inherited jobs.
+  bool m_is_queued = false;
+  bool m_is_queued_as_inherited = false;
+  std::uint32_t m_queue_level = 0;
+};
+
+}  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/waiting_steps.h
+++ b/libraries/decisions/fleet/waiting_steps.h
@@ -14,7 +14,7 @@
 namespace daisyarch::fleet {
 
 /// A step with waiting tasks, ordered by urgency: the rank and the key of the
-/// job, and the index into Job::m_steps.
+/// job, and the index of the step run.
 using WaitingStep = std::tuple<QueueRank, JobKey, std::size_t>;
 
 /// Steps that need a similar number of processors, ordered by that number. A
--- a/tests/decisions/fleet/fleet_fixture.cc
+++ b/tests/decisions/fleet/fleet_fixture.cc
@@ -1,5 +1,7 @@
 #include "decisions/fleet/fleet_fixture.h"
 
+#include "decisions/fleet/occurrences.h"
+
 namespace daisyarch::fleet {
 
 FleetFixture::FleetFixture()
@@ -105,9 +107,13 @@
 
 Task& TaskOf(FleetFixture& fixture, const TaskReference& reference) {
   Job& job = *FindJob(fixture.m_fleet, reference.m_job);
-  return job
-      .m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)]
-      .m_tasks[reference.m_index];
+  StepRun* step_run = FindStepRun(
+      job, StepRunIndex(job, reference.m_occurrence, reference.m_step));
+  if (step_run != nullptr) return step_run->m_tasks[reference.m_index];
+  // Its occurrence is over.
+  static Task done;
+  done = UnallocatedTask(RunState::kDone);
+  return done;
 }
 
 }  // namespace daisyarch::fleet
--- a/tests/decisions/fleet/inherited_late_start_test.cc
+++ b/tests/decisions/fleet/inherited_late_start_test.cc
@@ -3,6 +3,7 @@
 
 #include "decisions/fleet/fleet_fixture.h"
 #include "decisions/fleet/late_start.h"
+#include "decisions/fleet/occurrences.h"
 
 namespace daisyarch::fleet {
 
@@ -307,12 +308,12 @@
   AddJob(fixture.m_fleet, MakePlan("job", 1, kCore), stored, fixture.m_now);
   AddReadyWorkers(fixture, 1, kCore);
   Job& job = *FindJob(fixture.m_fleet, JobKey("job"));
-  REQUIRE(job.m_steps[0].m_tasks[0].m_late_start_until > fixture.m_now);
+  REQUIRE(StepRunAt(job, 0).m_tasks[0].m_late_start_until > fixture.m_now);
   MarkChanged(fixture.m_fleet, job);
   ApplyStoredBatch(fixture.m_fleet, TakeChanges(fixture.m_fleet));
   Wait(fixture, milliseconds(400));
   Report(fixture, "w0", {}, {});
-  REQUIRE(job.m_steps[0].m_tasks[0].m_late_start_until == TimePoint());
+  REQUIRE(StepRunAt(job, 0).m_tasks[0].m_late_start_until == TimePoint());
   MarkChanged(fixture.m_fleet, job);
   const ChangeBatch batch = TakeChanges(fixture.m_fleet);
   REQUIRE(batch.m_changes.size() == 1);
--- a/tests/decisions/fleet/job_progress_test.cc
+++ b/tests/decisions/fleet/job_progress_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "decisions/fleet/fleet_fixture.h"
+#include "decisions/fleet/occurrences.h"
 
 namespace daisyarch::fleet {
 
@@ -31,8 +32,12 @@
 }
 
 void StartAllTasks(Job& job) {
-  for (StepRun& step_run : job.m_steps) {
-    for (Task& task : step_run.m_tasks) task.m_run = RunNumber(1);
+  for (std::uint32_t number = 0; number < job.m_plan.m_occurrences; ++number) {
+    for (StepRun& step_run : BeginOccurrence(job, number).m_steps) {
+      for (std::size_t index = 0; index < step_run.m_tasks.size(); ++index) {
+        step_run.m_tasks[index].m_run = RunNumber(1);
+      }
+    }
   }
 }
 
@@ -150,7 +155,7 @@
     if (index == 149) stored.m_tasks.push_back(task);
   }
   Job& job = AddLargeJob(fixture, stored);
-  CHECK(job.m_steps[5].m_done == 150);
+  CHECK(StepRunAt(job, 5).m_done == 150);
   MarkChanged(fixture.m_fleet, job);
   const ChangeBatch batch = TakeChanges(fixture.m_fleet);
   REQUIRE(batch.m_changes.size() == 3);
--- a/tests/decisions/fleet/plain_placement.cc
+++ b/tests/decisions/fleet/plain_placement.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "decisions/fleet/occurrences.h"
+
 namespace daisyarch::fleet {
 
 namespace {
@@ -185,7 +187,7 @@
       ++pass.m_trials[{image, step.m_image}];
     }
   }
-  job.m_steps[StepRunIndex(job, reference.m_occurrence, reference.m_step)]
+  StepRunAt(job, StepRunIndex(job, reference.m_occurrence, reference.m_step))
       .m_tasks[reference.m_index]
       .m_worker = worker.m_listing.m_worker;
   StepTask(pass.m_fleet, job, reference, RunEvent::kPlaced);
@@ -210,7 +212,7 @@
       static_cast<std::uint32_t>(step_run_index / job.StepCount());
   reference.m_step =
       static_cast<std::uint32_t>(step_run_index % job.StepCount());
-  const auto& tasks = job.m_steps[step_run_index].m_tasks;
+  const TaskTable& tasks = StepRunAt(job, step_run_index).m_tasks;
   for (; reference.m_index < tasks.size(); ++reference.m_index) {
     if (tasks[reference.m_index].m_state != RunState::kWaiting) continue;
     if (pass.m_starts_left == 0) return;
--- a/tests/decisions/fleet/played_leader.cc
+++ b/tests/decisions/fleet/played_leader.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "decisions/fleet/occurrences.h"
+
 namespace daisyarch::fleet {
 
 namespace {
@@ -108,8 +110,10 @@
   next.m_queues = play.m_fixture.m_fleet.m_queues;
   AddJob(next, play.m_past.at(end.m_task.m_job).m_plan, progress,
          play.m_fixture.m_now);
-  Job* job = nullptr;
-  const Task& task = *FindTask(next, end.m_task, job);
+  const Job& job = *FindJob(next, end.m_task.m_job);
+  const Task& task =
+      TaskAt(job, StepRunIndex(job, end.m_task.m_occurrence, end.m_task.m_step),
+             end.m_task.m_index);
   if (task.m_state == RunState::kDone) return;
   const auto& failed = task.m_failed_runs;
   const bool is_known =
--- /dev/null
+++ b/tests/fakes/heap_meter.cc
@@ -0,0 +1,37 @@
+#include "fakes/heap_meter.h"
+
+#include <malloc.h>
+
+#include <atomic>
+#include <cstdlib>
+#include <new>
+
+namespace {
+
+// Some tests start threads.
+std::atomic<std::size_t> live_bytes{0};
+
+}  // namespace
+
+void* operator new(std::size_t size) {
+  void* memory = std::malloc(size);
+  if (memory == nullptr) throw std::bad_alloc();
+  live_bytes += malloc_usable_size(memory);
+  return memory;
+}
+
+void operator delete(void* memory) noexcept {
+  if (memory == nullptr) return;
+  live_bytes -= malloc_usable_size(memory);
+  std::free(memory);
+}
+
+void operator delete(void* memory, std::size_t) noexcept {
+  operator delete(memory);
+}
+
+namespace daisyarch {
+
+std::size_t LiveHeapBytes() { return live_bytes; }
+
+}  // namespace daisyarch
--- a/tests/invariants/site_soak_test.cc
+++ b/tests/invariants/site_soak_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <sstream>
 
+#include "decisions/fleet/occurrences.h"
 #include "decisions/fleet/stalled_steps.h"
 #include "fakes/fake_site.h"
 
@@ -323,14 +324,14 @@
   const Job* job = FindJob(fleet, key);
   out << "\n" << key.value() << (job == nullptr ? " is unknown" : "");
   if (job == nullptr) return;
-  for (const StepRun& step_run : job->m_steps) {
+  VisitStepRuns(*job, [&](std::size_t, const StepRun& step_run) {
     out << "\n  step:";
-    for (const Task& task : step_run.m_tasks) {
+    step_run.m_tasks.VisitAllocated([&](std::size_t, const Task& task) {
       out << " " << int{static_cast<std::uint8_t>(task.m_state)} << "@"
           << task.m_worker.value() << "/" << int{task.m_processor_limit_percent}
           << "%";
-    }
-  }
+    });
+  });
   for (const auto& [id, worker] : site.m_workers) {
     for (const auto& [task, run] : worker->m_running) {
       if (task.m_job != key) continue;
