fleet: Compute the order of a job's steps once

Cause: each ranking walked over all steps and predecessors for each released step, as did the objective for each step; the end of a step compared all steps with all predecessors.

Change: the graph of the steps is computed once a job; a job counts its queued steps by remaining path and a step run its unfinished predecessors.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -86,7 +86,7 @@
   if (!IsPlaced(before)) --step_run.m_waiting;
   UpdateWaitingSteps(fleet, job, step_run_index);
   if (step.m_is_gang && after == RunState::kDone) {
-    FinishGang(fleet, job, reference);
+    if (step_run.m_done == 1) FinishGang(fleet, job, reference);
   } else if (step.m_is_gang && event != RunEvent::kSuperseded) {
     StopGang(fleet, job, reference);
   }
@@ -97,7 +97,7 @@
   }
   if (after == RunState::kFailed) StopJobTasks(fleet, job, TimePoint());
   if (after == RunState::kDone && step_run.m_done == step_run.m_tasks.size()) {
-    ReleaseSteps(fleet, job, reference.m_occurrence);
+    ReleaseSuccessors(fleet, job, step_run_index);
   }
   MarkTaskChanged(fleet, job, reference);
 }
@@ -105,20 +105,20 @@
 // A job that ends later than this multiple of its objective has no value.
 constexpr int kObjectivesUntilExpiry = 3;
 
-Duration RemainingCriticalPath(const Job& job) {
-  Duration longest{};
-  VisitStepRuns(job, [&](std::size_t index, const StepRun& step_run) {
-    if (!step_run.m_is_released || step_run.m_waiting == 0) return;
-    longest = std::max(
-        longest, RemainingCriticalPath(job.m_plan, index % job.StepCount()));
-  });
-  return longest;
+Duration RemainingPath(const Job& job, std::size_t step_run_index) {
+  return job.m_graph.m_remaining_paths[step_run_index % job.StepCount()];
+}
+
+bool IsService(const JobPlan& plan) {
+  return std::any_of(
+      plan.m_steps.begin(), plan.m_steps.end(),
+      [](const StepPlan& step) { return step.m_kind == StepKind::kService; });
 }
 
 void UpdateObjective(const Fleet& fleet, Job& job) {
   const Queue& settings = QueueSettingsOf(fleet, job);
   const auto stretched_path = std::chrono::duration_cast<Duration>(
-      CriticalPath(job.m_plan) * settings.m_stretch);
+      job.m_critical_path * settings.m_stretch);
   job.m_objective = stretched_path + settings.m_target;
   job.m_rank.m_priority = settings.m_priority;
   job.m_maximum_attempts = settings.m_maximum_attempts;
@@ -140,12 +140,6 @@
   return has_exhausted_task;
 }
 
-bool IsService(const JobPlan& plan) {
-  return std::any_of(
-      plan.m_steps.begin(), plan.m_steps.end(),
-      [](const StepPlan& step) { return step.m_kind == StepKind::kService; });
-}
-
 // A job's rank, and when it changes unless the job does.
 struct TimedRank {
   QueueRank m_rank;
@@ -155,14 +149,16 @@
 TimedRank RankAt(const Job& job, TimePoint now) {
   TimedRank timed{job.m_rank};
   QueueRank& rank = timed.m_rank;
-  const Duration path = RemainingCriticalPath(job);
+  const Duration path = job.m_queued_paths.empty()
+                            ? Duration{}
+                            : job.m_queued_paths.rbegin()->first;
   const TimePoint due = job.m_accepted_at + job.m_objective;
   const TimePoint last =
       job.m_accepted_at + job.m_objective * kObjectivesUntilExpiry;
   rank.m_due = due;
   const bool is_expired = now + path > last;
   // A service has no deadline, and is unavailable until it runs.
-  if (IsService(job.m_plan)) {
+  if (job.m_is_service) {
     rank.m_tier = QueueTier::kPlaced;
   } else if (is_expired) {
     rank.m_tier = QueueTier::kExpired;
@@ -189,8 +185,6 @@
   job.m_rank_timer_at = at;
 }
 
-bool HasWaitingTasks(const Job& job) { return job.m_queued_steps > 0; }
-
 void RestoreTask(Fleet& fleet, Job& job, const TaskProgress& stored) {
   const TaskReference reference =
       ReferenceOf(job, stored.m_step_run, stored.m_index);
@@ -272,6 +266,9 @@
   job->m_plan = std::move(plan);
   job->m_state = progress.m_state;
   job->m_has_started = progress.m_state != JobState::kQueued;
+  job->m_graph = MakeStepGraph(job->m_plan);
+  job->m_critical_path = CriticalPath(job->m_graph);
+  job->m_is_service = IsService(job->m_plan);
   job->m_task_offsets.push_back(0);
   for (const StepPlan& step : job->m_plan.m_steps) {
     job->m_task_offsets.push_back(job->m_task_offsets.back() +
@@ -294,6 +291,8 @@
   if (!run.m_is_queued) return false;
   run.m_is_queued = false;
   --job.m_queued_steps;
+  const auto path = job.m_queued_paths.find(RemainingPath(job, step_run_index));
+  if (--path->second == 0) job.m_queued_paths.erase(path);
   Erase(WaitingStepsOf(fleet, job, step_run_index),
         {run.m_is_queued_as_inherited, run.m_queue_level},
         {rank, job.m_plan.m_key, step_run_index});
@@ -301,7 +300,9 @@
 }
 
 void Requeue(Fleet& fleet, Job& job, const QueueRank& before) {
+  if (job.m_queued_steps == 0) return;
   VisitStepRuns(job, [&](std::size_t index, const StepRun&) {
+    ++fleet.m_work.m_step_runs;
     if (Unqueue(fleet, job, index, before)) {
       UpdateWaitingSteps(fleet, job, index);
     }
@@ -411,6 +412,7 @@
   const StepPlan& step = job.m_plan.m_steps[step_run_index % job.StepCount()];
   run.m_is_queued = true;
   ++job.m_queued_steps;
+  ++job.m_queued_paths[RemainingPath(job, step_run_index)];
   run.m_is_queued_as_inherited = job.m_is_inherited;
   run.m_queue_level = LevelOf(step.m_demand.m_processors);
   Insert(WaitingStepsOf(fleet, job, step_run_index),
@@ -418,23 +420,6 @@
          {job.m_rank, job.m_plan.m_key, step_run_index});
 }
 
-void ReleaseSteps(Fleet& fleet, Job& job, std::uint32_t occurrence) {
-  for (std::uint32_t step = 0; step < job.StepCount(); ++step) {
-    const std::size_t step_run_index = StepRunIndex(job, occurrence, step);
-    if (StepRunAt(job, step_run_index).m_is_released) continue;
-    const auto& after = job.m_plan.m_steps[step].m_after;
-    const bool is_due =
-        std::all_of(after.begin(), after.end(), [&](std::uint32_t earlier) {
-          const StepRun& run =
-              StepRunAt(job, StepRunIndex(job, occurrence, earlier));
-          return run.m_done == run.m_tasks.size();
-        });
-    if (!is_due) continue;
-    StepRunAt(job, step_run_index).m_is_released = true;
-    UpdateWaitingSteps(fleet, job, step_run_index);
-  }
-}
-
 namespace {
 
 void UpdateState(Job& job) {
@@ -536,7 +521,7 @@
     const TimedRank timed = RankAt(*job, now);
     job->m_rank = timed.m_rank;
     SetRankTimer(fleet, *job,
-                 HasWaitingTasks(*job) ? timed.m_until : TimePoint::max());
+                 job->m_queued_steps > 0 ? timed.m_until : TimePoint::max());
     if (!(before == job->m_rank)) Requeue(fleet, *job, before);
   }
   // Requeueing changes no rank.
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -385,8 +385,6 @@
 /// Marks the task as stopping and adds a stop order for its run.
 void SendStop(Fleet& fleet, Job& job, const TaskReference& reference,
               TimePoint now);
-/// Releases the steps of an occurrence whose predecessors are all done.
-void ReleaseSteps(Fleet& fleet, Job& job, std::uint32_t occurrence);
 /// Returns the steps that a step belongs to while it has waiting tasks.
 WaitingSteps& WaitingStepsOf(Fleet& fleet, const Job& job,
                              std::size_t step_run_index);
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -59,6 +59,9 @@
 /// A job, kept until its end is stored.
 struct Job {
   JobPlan m_plan;
+  StepGraph m_graph;
+  Duration m_critical_path{};
+  bool m_is_service = false;  ///< One of its steps is a service.
   JobState m_state = JobState::kQueued;
   /// The occurrences that have begun and are not over; see occurrences.h.
   std::map<std::uint32_t, Occurrence> m_occurrences;
@@ -68,6 +71,8 @@
   /// That one is due, but too many others have begun.
   bool m_is_held_back = false;
   std::size_t m_queued_steps = 0;  ///< Step runs with StepRun::m_is_queued.
+  /// How many of these have each remaining critical path.
+  std::map<Duration, std::size_t> m_queued_paths;
   QueueRank m_rank;
   std::uint32_t m_maximum_attempts = 1;
   std::uint64_t m_placed = 0;      ///< Tasks that may be on a worker.
--- a/libraries/decisions/fleet/job_plan.cc
+++ b/libraries/decisions/fleet/job_plan.cc
@@ -1,6 +1,7 @@
 #include "decisions/fleet/job_plan.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace daisyarch::fleet {
 
@@ -53,23 +54,42 @@
   return Success();
 }
 
-Duration RemainingCriticalPath(const JobPlan& plan, std::size_t step) {
+StepGraph MakeStepGraph(const JobPlan& plan) {
+  const std::size_t count = plan.m_steps.size();
+  StepGraph graph;
+  graph.m_successors_begin.resize(count + 1);
+  graph.m_remaining_paths.resize(count);
+  for (const StepPlan& step : plan.m_steps) {
+    for (const std::uint32_t earlier : step.m_after) {
+      ++graph.m_successors_begin[earlier + 1];
+    }
+  }
+  std::partial_sum(graph.m_successors_begin.begin(),
+                   graph.m_successors_begin.end(),
+                   graph.m_successors_begin.begin());
+  graph.m_successors.resize(graph.m_successors_begin.back());
+  std::vector<std::size_t> next = graph.m_successors_begin;
+  for (std::size_t step = 0; step < count; ++step) {
+    for (const std::uint32_t earlier : plan.m_steps[step].m_after) {
+      graph.m_successors[next[earlier]++] = static_cast<std::uint32_t>(step);
+    }
+  }
   // Steps depend on earlier ones only, so one pass from the end suffices.
-  std::vector<Duration> path_lengths(plan.m_steps.size(), Duration{});
-  for (std::size_t index = plan.m_steps.size(); index-- > 0;) {
-    path_lengths[index] += plan.m_steps[index].m_estimate;
-    for (const std::uint32_t earlier : plan.m_steps[index].m_after) {
-      path_lengths[earlier] =
-          std::max(path_lengths[earlier], path_lengths[index]);
+  for (std::size_t step = count; step-- > 0;) {
+    Duration& path = graph.m_remaining_paths[step];
+    path += plan.m_steps[step].m_estimate;
+    for (const std::uint32_t earlier : plan.m_steps[step].m_after) {
+      Duration& longest = graph.m_remaining_paths[earlier];
+      longest = std::max(longest, path);
     }
   }
-  return path_lengths[step];
+  return graph;
 }
 
-Duration CriticalPath(const JobPlan& plan) {
+Duration CriticalPath(const StepGraph& graph) {
   Duration longest{};
-  for (std::size_t step = 0; step < plan.m_steps.size(); ++step) {
-    longest = std::max(longest, RemainingCriticalPath(plan, step));
+  for (const Duration path : graph.m_remaining_paths) {
+    longest = std::max(longest, path);
   }
   return longest;
 }
--- a/libraries/decisions/fleet/job_plan.h
+++ b/libraries/decisions/fleet/job_plan.h
@@ -76,10 +76,21 @@
 /// Fails with kInvalidArgument if the plan is invalid.
 Result<void> CheckPlan(const JobPlan& plan);
 
-/// Returns the length of the critical path from `step` to the job's end.
-Duration RemainingCriticalPath(const JobPlan& plan, std::size_t step);
+/// The order of a plan's steps, computed once for a job.
+struct StepGraph {
+  /// The steps that wait for each step, ordered by the latter. Those that wait
+  /// for step S have the indexes from m_successors_begin[S] on, up to
+  /// m_successors_begin[S + 1].
+  std::vector<std::uint32_t> m_successors;
+  std::vector<std::size_t> m_successors_begin;
+  /// The length of the critical path from each step to the job's end, by the
+  /// steps' estimates.
+  std::vector<Duration> m_remaining_paths;
+};
+
+StepGraph MakeStepGraph(const JobPlan& plan);
 
-/// Returns the length of the job's critical path, by the steps' estimates.
-Duration CriticalPath(const JobPlan& plan);
+/// Returns the length of the job's critical path.
+Duration CriticalPath(const StepGraph& graph);
 
 }  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/occurrences.cc
+++ b/libraries/decisions/fleet/occurrences.cc
@@ -41,17 +41,10 @@
   if (next < job.m_plan.m_occurrences) AddPending(fleet, job, next);
 }
 
-bool IsService(const Job& job) {
-  const auto& steps = job.m_plan.m_steps;
-  return std::any_of(steps.begin(), steps.end(), [](const StepPlan& step) {
-    return step.m_kind == StepKind::kService;
-  });
-}
-
 // The occurrences of a service never end, so only those that wait count.
 bool MayBegin(const Fleet& fleet, const Job& job) {
   if (job.m_occurrences.empty()) return true;
-  if (IsService(job)) return job.m_queued_steps < kMaximumStepRunsPerJob;
+  if (job.m_is_service) return job.m_queued_steps < kMaximumStepRunsPerJob;
   const std::size_t own = (job.m_occurrences.size() + 1) * job.StepCount();
   return own <= kMaximumStepRunsPerJob &&
          fleet.m_begun_step_runs + job.StepCount() <= kMaximumStepRuns;
@@ -117,6 +110,32 @@
   }
 }
 
+void ReleaseStep(Fleet& fleet, Job& job, std::size_t step_run_index) {
+  StepRun& step_run = StepRunAt(job, step_run_index);
+  ++fleet.m_work.m_step_runs;
+  if (step_run.m_is_released || step_run.m_unfinished_predecessors > 0) return;
+  step_run.m_is_released = true;
+  UpdateWaitingSteps(fleet, job, step_run_index);
+}
+
+// Calls `visit` with each step run that has waited for this one, which is done.
+// Each end of a task of a gang comes here.
+template <typename Visit>
+void VisitSuccessors(Job& job, std::size_t step_run_index, Visit visit) {
+  StepRun& step_run = StepRunAt(job, step_run_index);
+  if (step_run.m_is_done) return;
+  step_run.m_is_done = true;
+  const StepGraph& graph = job.m_graph;
+  const std::size_t step = step_run_index % job.StepCount();
+  for (std::size_t next = graph.m_successors_begin[step];
+       next < graph.m_successors_begin[step + 1]; ++next) {
+    const std::size_t successor =
+        step_run_index - step + graph.m_successors[next];
+    --StepRunAt(job, successor).m_unfinished_predecessors;
+    visit(successor);
+  }
+}
+
 }  // namespace
 
 StepRun* FindStepRun(Job& job, std::size_t step_run_index) {
@@ -161,10 +180,25 @@
     const std::uint32_t tasks = job.m_plan.m_steps[step].m_task_count;
     step_run.m_tasks = TaskTable(tasks);
     step_run.m_waiting = tasks;
+    step_run.m_unfinished_predecessors =
+        static_cast<std::uint32_t>(job.m_plan.m_steps[step].m_after.size());
   }
   return begun;
 }
 
+void ReleaseSteps(Fleet& fleet, Job& job, std::uint32_t occurrence) {
+  Occurrence& begun = job.m_occurrences.at(occurrence);
+  for (std::uint32_t step = 0; step < begun.m_steps.size(); ++step) {
+    ReleaseStep(fleet, job, StepRunIndex(job, occurrence, step));
+  }
+}
+
+void ReleaseSuccessors(Fleet& fleet, Job& job, std::size_t step_run_index) {
+  VisitSuccessors(job, step_run_index, [&](std::size_t successor) {
+    ReleaseStep(fleet, job, successor);
+  });
+}
+
 void ScheduleOccurrences(Fleet& fleet, Job& job) {
   if (!job.m_plan.m_is_timed) {
     if (Contains(job.m_finished_occurrences, 0)) return;
@@ -205,7 +239,6 @@
     if (job == nullptr || job->m_is_cancelled || job->m_has_failed) continue;
     released += ReleaseDue(fleet, *job, occurrence);
   }
-  fleet.m_work.m_step_runs += released;
 }
 
 void ResumeOccurrences(Fleet& fleet, Job& job) {
@@ -229,6 +262,9 @@
   --step_run.m_waiting;
   ++step_run.m_done;
   --job.m_unfinished;
+  if (step_run.m_done == step_run.m_tasks.size()) {
+    VisitSuccessors(job, step_run_index, [](std::size_t) {});
+  }
   if (!step_run.m_tasks.MarkDone(task_index)) return;
   const TaskBlock block = BlockOf(task_index);
   // The rows that follow may tell of orders that may start late.
--- a/libraries/decisions/fleet/occurrences.h
+++ b/libraries/decisions/fleet/occurrences.h
@@ -45,6 +45,13 @@
 /// others must have left that state.
 void CancelWaitingTasks(StepRun& step_run);
 
+/// Releases the steps of an occurrence whose predecessors are all done.
+void ReleaseSteps(Fleet& fleet, Job& job, std::uint32_t occurrence);
+
+/// Releases the steps that have waited for this one only, all of whose tasks
+/// are done. Does nothing after the first call.
+void ReleaseSuccessors(Fleet& fleet, Job& job, std::size_t step_run_index);
+
 /// Schedules a timed job that was added: the occurrences that have begun and
 /// the next one. Releases the steps of any other job.
 void ScheduleOccurrences(Fleet& fleet, Job& job);
--- a/libraries/decisions/fleet/step_run.h
+++ b/libraries/decisions/fleet/step_run.h
@@ -14,8 +14,11 @@
   std::uint32_t m_placed = 0;  ///< In one of the states of IsPlaced().
   std::uint32_t m_waiting = 0;
   std::uint32_t m_first_waiting = 0;  ///< No task before this index waits.
-  bool m_is_released = false;         ///< All steps that it waits for are done.
-  TimePoint m_stalled_since{};        ///< 0: not known to be stalled.
+  /// Entries of StepPlan::m_after whose step is not done.
+  std::uint32_t m_unfinished_predecessors = 0;
+  bool m_is_released = false;   ///< All steps that it waits for are done.
+  bool m_is_done = false;       ///< Its successors know that it is done.
+  TimePoint m_stalled_since{};  ///< 0: not known to be stalled.
   /// In the fleet's waiting steps: its level there, and whether it is among
   /// those of inherited jobs.
   bool m_is_queued = false;
--- a/tests/decisions/fleet/occurrences_test.cc
+++ b/tests/decisions/fleet/occurrences_test.cc
@@ -1,6 +1,8 @@
 #include "decisions/fleet/occurrences.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <ctime>
 #include <set>
 
 #include "decisions/fleet/fleet_fixture.h"
@@ -194,6 +196,92 @@
   CHECK(StepRunAt(*FindJob(fixture.m_fleet, JobKey("job")), 3).m_is_released);
 }
 
+// Guards against a leader whose claim expires in one turn of its loop: each
+// waiting step walked over all steps and their predecessors.
+TEST_CASE("Jobs of many steps and occurrences keep each turn short") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 8, kCore * 4);
+  JobPlan plan = MakeTimedPlan("job", 400, -10000);
+  constexpr std::uint32_t kFirstSteps = 250;
+  constexpr std::uint32_t kLaterSteps = 200;
+  plan.m_steps.front().m_demand.m_processors = Millicores(10);
+  plan.m_steps.resize(kFirstSteps, plan.m_steps.front());
+  StepPlan later = plan.m_steps.front();
+  for (std::uint32_t step = 0; step < kFirstSteps; ++step) {
+    later.m_after.push_back(step);
+  }
+  plan.m_steps.resize(kFirstSteps + kLaterSteps, later);
+  std::clock_t longest = 0;
+  const auto measure = [&longest](const auto& turn) {
+    const std::clock_t before = std::clock();
+    turn();
+    longest = std::max(longest, std::clock() - before);
+  };
+  for (const char* key : {"job0", "job1"}) {
+    plan.m_key = JobKey(key);
+    measure([&] { AddJob(fixture.m_fleet, plan, {}, fixture.m_now); });
+  }
+  AddJob(fixture.m_fleet, MakePlan("plain", 1, kCore), {}, fixture.m_now);
+  std::map<std::string, std::uint64_t> ends;
+  bool has_plain_started = false;
+  for (int turn = 0; turn < 60; ++turn) {
+    measure([&] { Wait(fixture, std::chrono::milliseconds(300)); });
+    measure([&] { PlaceRuns(fixture.m_fleet, fixture.m_now); });
+    for (const StartOrder& start : TakeOrders<StartOrder>(fixture)) {
+      if (start.m_task.m_job == JobKey("plain")) has_plain_started = true;
+      ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                        fixture.m_now);
+      const std::string& worker = start.m_worker.value();
+      Wait(fixture, std::chrono::milliseconds(1));
+      measure([&] {
+        Report(fixture, worker, {},
+               {EndedRunOf(start, ++ends[worker], RunOutcome::kDone)});
+      });
+    }
+    ApplyStoredBatch(fixture.m_fleet, TakeChanges(fixture.m_fleet));
+    fixture.m_fleet.m_orders.clear();
+  }
+  CHECK(has_plain_started);
+  // Less than the claim has left when it is renewed.
+  CHECK(longest < CLOCKS_PER_SEC);
+}
+
+// Guards against a change of the configuration that takes the longer the more
+// steps the accepted jobs have.
+TEST_CASE("A change of queues looks at no step of a job that keeps its rank") {
+  FleetFixture fixture;
+  JobPlan plan = MakePlan("job", 1, kCore);
+  plan.m_steps.resize(1000, plan.m_steps.front());
+  AddJob(fixture.m_fleet, plan, {}, fixture.m_now);
+  Wait(fixture, std::chrono::milliseconds(300));
+  const std::uint64_t before = fixture.m_fleet.m_work.m_step_runs;
+  ApplyQueues(fixture.m_fleet, fixture.m_fleet.m_queues);
+  Wait(fixture, std::chrono::milliseconds(300));
+  CHECK(fixture.m_fleet.m_work.m_step_runs == before);
+}
+
+// Guards against steps that are released twice or never, however a plan names
+// its predecessors.
+TEST_CASE("A step is released once all steps that it names are done") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore * 10);
+  JobPlan plan = MakePlan("job", 2, kCore);
+  plan.m_steps.resize(4, plan.m_steps.front());
+  plan.m_steps[1].m_is_gang = true;
+  plan.m_steps[2].m_after = {0, 1, 1, 0};
+  plan.m_steps[3].m_after = {2};
+  AddJob(fixture.m_fleet, plan, {}, fixture.m_now);
+  const StepGraph graph = MakeStepGraph(plan);
+  CHECK(graph.m_remaining_paths ==
+        std::vector<Duration>{std::chrono::seconds(3), std::chrono::seconds(3),
+                              std::chrono::seconds(2),
+                              std::chrono::seconds(1)});
+  CHECK(CriticalPath(graph) == std::chrono::seconds(3));
+  const auto starts = RunToEnd(fixture);
+  CHECK(starts.size() == 8);
+  CHECK(fixture.m_fleet.m_jobs.empty());
+}
+
 TEST_CASE("A set of occurrences joins its ranges") {
   OccurrenceSet set;
   for (const std::uint32_t occurrence : {5U, 1U, 3U, 2U, 2U, 9U}) {
--- a/tests/platform/messages_test.cc
+++ b/tests/platform/messages_test.cc
@@ -45,7 +45,7 @@
   CHECK(steps[1].m_after == std::vector<std::uint32_t>{0});
   CHECK(steps[1].m_processor_use == fleet::ProcessorUse::kBestEffort);
   CHECK(steps[1].m_maximum_per_worker == 2);
-  CHECK(fleet::CriticalPath(plan.assume_value()) ==
+  CHECK(fleet::CriticalPath(fleet::MakeStepGraph(plan.assume_value())) ==
         std::chrono::milliseconds(7900));
 }
 
