fleet: Leave others their turn on a worker held for an isolated task

Cause: a hold looked at the capacity of the empty worker, began anew in the pass that ended it, and went on while its task settled.

Change: a worker is held only if the task fits beside lasting tasks, for 2.5 s at most before the task starts, and is then free for all for 2.5 s; a task that settles holds none.

--- a/libraries/decisions/fleet/crash_count.cc
+++ b/libraries/decisions/fleet/crash_count.cc
@@ -184,6 +184,11 @@
          worker.m_clock_read_at - task.m_started_at >= kProofTime;
 }
 
+bool IsActive(const Task& task) {
+  return task.m_state != RunState::kResending &&
+         task.m_state != RunState::kSettling;
+}
+
 std::vector<TaskReference> FindUnprovenRuns(Fleet& fleet,
                                             const Worker& worker) {
   std::vector<TaskReference> unproven;
@@ -191,9 +196,7 @@
     Job* job = nullptr;
     const Task* task = FindTask(fleet, reference, job);
     if (task == nullptr || IsProven(worker, *task)) continue;
-    const bool is_active = task->m_state != RunState::kResending &&
-                           task->m_state != RunState::kSettling;
-    if (!is_active) continue;
+    if (!IsActive(*task)) continue;
     unproven.push_back(reference);
   }
   return unproven;
--- a/libraries/decisions/fleet/crash_count.h
+++ b/libraries/decisions/fleet/crash_count.h
@@ -16,6 +16,10 @@
 /// does not crash it.
 bool IsProven(const Worker& worker, const Task& task);
 
+/// Returns whether the worker may run the task at present, as far as its
+/// incarnation and the orders in transit go.
+bool IsActive(const Task& task);
+
 /// Returns the worker's runs that are not proven.
 std::vector<TaskReference> FindUnprovenRuns(Fleet& fleet, const Worker& worker);
 
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -134,6 +134,8 @@
   /// The job whose isolated tasks alone may start on it; empty: any task. See
   /// isolation.h.
   JobKey m_isolated_for;
+  /// Until then no isolated task may hold it, so that others get their turn.
+  TimePoint m_not_held_until{};
 
   OutcomeNumber m_applied_end;  ///< The last ended run that was applied.
   OutcomeNumber m_stored_end;   ///< Ended runs up to here are stored.
--- a/libraries/decisions/fleet/isolation.cc
+++ b/libraries/decisions/fleet/isolation.cc
@@ -11,8 +11,11 @@
 
 namespace {
 
-// A task that cannot start on its worker for this long is given another.
-constexpr Duration kMaximumHold = std::chrono::seconds(8);
+// A task that cannot start on its worker for this long is given another, if
+// there is one. Meanwhile all others wait that need that worker.
+constexpr Duration kMaximumHold = std::chrono::milliseconds(2500);
+// How long a worker is free for all tasks between two holds.
+constexpr Duration kTurnOfOthers = std::chrono::milliseconds(2500);
 // Share of the workers that may be held at a time, but one at least.
 constexpr std::size_t kHeldWorkersDivisor = 8;
 
@@ -53,7 +56,7 @@
                  const Task& task, const TaskReference& reference,
                  const Isolation& isolation, TimePoint now) {
   if (task.m_worker == worker.m_listing.m_worker) {
-    return !IsProven(worker, task);
+    return IsActive(task) && !IsProven(worker, task);
   }
   return IsWaiting(job, task, reference) &&
          now - isolation.m_since < kMaximumHold &&
@@ -81,7 +84,7 @@
   }
 }
 
-void ReleaseWorkers(Fleet& fleet) {
+void ReleaseWorkers(Fleet& fleet, TimePoint now) {
   std::set<WorkerId> held;
   for (const auto& entry : fleet.m_isolations) {
     held.insert(entry.second.m_worker);
@@ -89,6 +92,7 @@
   for (auto& [id, worker] : fleet.m_workers) {
     if (worker.m_isolated_for == JobKey() || held.count(id) > 0) continue;
     worker.m_isolated_for = JobKey();
+    worker.m_not_held_until = now + kTurnOfOthers;
     fleet.m_needs_placement = true;
   }
 }
@@ -141,6 +145,19 @@
   return since;
 }
 
+// Returns whether the task fits beside the tasks that do not end by themselves.
+bool CanGetRoom(Fleet& fleet, const Worker& worker, const Resources& demand) {
+  Resources lasting;
+  for (const TaskReference& reference : worker.m_runs) {
+    Job* job = nullptr;
+    if (FindTask(fleet, reference, job) == nullptr) continue;
+    const StepPlan& step = StepOf(*job, reference);
+    if (step.m_kind != StepKind::kService) continue;
+    lasting = lasting + ReservedDemand(step);
+  }
+  return Fits(demand, worker.m_listing.m_capacity - lasting);
+}
+
 // Prefers a worker where the task can start at once, then one with room, and
 // among these the one with the fewest runs, which a crash would end.
 Worker* ChooseHeldWorker(Fleet& fleet, const Job& job,
@@ -150,9 +167,11 @@
   std::tuple<bool, bool, std::size_t> best_score;
   for (auto& [id, worker] : fleet.m_workers) {
     if (worker.m_isolated_for != JobKey()) continue;
+    if (now < worker.m_not_held_until) continue;
     if (!IsSuitable(fleet, worker, job, reference, now)) continue;
     const bool has_room =
         Fits(demand, worker.m_listing.m_capacity - worker.m_used);
+    if (!has_room && !CanGetRoom(fleet, worker, demand)) continue;
     const bool has_unproven = !FindUnprovenRuns(fleet, worker).empty();
     const auto score =
         std::make_tuple(!has_room, has_unproven, worker.m_runs.size());
@@ -229,7 +248,7 @@
   // Workers are held only for entries of the map.
   if (fleet.m_isolations.empty()) return;
   DropIsolations(fleet, now);
-  ReleaseWorkers(fleet);
+  ReleaseWorkers(fleet, now);
   HoldWorkers(fleet, now);
 }
 
