leader: Decode the progress of one job at a time when loading

What callers would see: no leader, while the rows of all accepted jobs, which take several times their bytes once decoded, exceed a node's memory. Cause: loading decoded all progress before it added the first job, 32 items a turn whatever their size. Evidence: the test "A leader decodes the progress of one job at a time" failed on: 67 MB at the peak for 6.3 MB of rows.

Change: the items of a stored job are decoded with the job and their bytes freed; a turn of the loop decodes 64 KB, but one job at least. Result: the test passes, 26 MB at the peak, of which the fake store's copies are the most.

--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -23,7 +23,9 @@
 constexpr Duration kLoadTimeout = std::chrono::seconds(3);
 // The gap between ticks is averaged over about this many.
 constexpr int kGapSamples = 4;
+// One turn of the loop decodes this much at most, but one job at least.
 constexpr std::size_t kLoadedItemsPerTurn = 32;
+constexpr std::size_t kLoadedBytesPerTurn = 64UL * 1024;
 const std::string kCancelSuffix = "/cancel";
 
 TimePoint Now(const Leader& leader) { return leader.m_runtime.m_clock.m_now(); }
@@ -237,8 +239,9 @@
   StoreListing m_progress_items;
   std::size_t m_next_progress_item = 0;
   std::size_t m_next_job = 0;
-  std::set<JobKey> m_job_keys;
-  std::map<JobKey, JobProgress> m_progress;
+  /// The progress items of each stored job, by index. They are decoded together
+  /// with the job, as the decoded rows take several times their memory.
+  std::map<JobKey, std::vector<std::size_t>> m_items_of_job;
 };
 
 // Returns the job and the part that the key of a progress item names.
@@ -250,12 +253,12 @@
           ProgressPart(std::strtoull(rest.c_str() + slash + 1, nullptr, 10))};
 }
 
-void DecodeProgressItem(Leader& leader, const StoredItem& item,
-                        LoadedState& loaded) {
+// Adds what the item holds to `whole`, and frees its value.
+void DecodeProgressItem(Leader& leader, StoredItem& item, JobProgress& whole) {
   const auto [key, part] = ProgressItemOf(item.m_key);
   leader.m_progress_revisions[item.m_key] = item.m_revision;
-  auto decoded =
-      DecodeCbor<JobProgress>(item.m_value, "read progress", item.m_key);
+  const std::string value = std::move(item.m_value);
+  auto decoded = DecodeCbor<JobProgress>(value, "read progress", item.m_key);
   if (!decoded) return LogError("progress_unreadable", decoded.assume_error());
   JobProgress& progress = decoded.assume_value();
   if (progress.m_ended_unix_ms > 0) {
@@ -264,12 +267,9 @@
       RestoreLateStartOfEndedJob(leader.m_fleet, task, key);
     }
   }
-  JobProgress& whole = loaded.m_progress[key];
   if (part == ProgressPart()) {
     whole.m_state = progress.m_state;
     whole.m_ended_unix_ms = progress.m_ended_unix_ms;
-  } else if (loaded.m_job_keys.count(key) == 0) {
-    leader.m_obsolete_parts.insert(item.m_key);
   }
   for (TaskProgress& task : progress.m_tasks) {
     task.m_stored_part = part;
@@ -277,17 +277,42 @@
   }
 }
 
-void AddLoadedJob(Leader& leader, const StoredItem& item,
-                  const LoadedState& loaded) {
-  if (IsCancelKey(item.m_key)) return;
+// Takes the next progress item, and decodes it unless its job is still stored.
+// Returns the bytes that were decoded.
+std::size_t AddLoadedProgress(Leader& leader, LoadedState& loaded) {
+  const std::size_t index = loaded.m_next_progress_item++;
+  StoredItem& item = loaded.m_progress_items.m_items[index];
+  const auto [key, part] = ProgressItemOf(item.m_key);
+  const auto job = loaded.m_items_of_job.find(key);
+  if (job != loaded.m_items_of_job.end()) {
+    job->second.push_back(index);
+    return 0;
+  }
+  if (part != ProgressPart()) leader.m_obsolete_parts.insert(item.m_key);
+  const std::size_t bytes = item.m_value.size();
+  JobProgress whole;
+  DecodeProgressItem(leader, item, whole);
+  return bytes;
+}
+
+// Returns the bytes that were decoded.
+std::size_t AddLoadedJob(Leader& leader, LoadedState& loaded) {
+  StoredItem& item = loaded.m_jobs.m_items[loaded.m_next_job++];
+  if (IsCancelKey(item.m_key)) return 0;
   const JobKey key = JobKeyOfItem(item.m_key);
-  if (leader.m_fleet.m_ended_jobs.count(key) > 0) return;
-  const auto progress = loaded.m_progress.find(key);
-  AddStoredJob(
-      leader, item.m_key, item.m_value,
-      progress == loaded.m_progress.end() ? JobProgress() : progress->second);
+  std::size_t bytes = item.m_value.size();
+  JobProgress progress;
+  for (const std::size_t index : loaded.m_items_of_job.at(key)) {
+    StoredItem& part = loaded.m_progress_items.m_items[index];
+    bytes += part.m_value.size();
+    DecodeProgressItem(leader, part, progress);
+  }
+  if (leader.m_fleet.m_ended_jobs.count(key) > 0) return bytes;
+  AddStoredJob(leader, item.m_key, item.m_value, progress);
+  item.m_value = {};
   Job* job = FindJob(leader.m_fleet, key);
   if (job != nullptr) MarkInherited(leader.m_fleet, *job);
+  return bytes;
 }
 
 // Adds the next part of the state; returns whether all of it is added.
@@ -295,12 +320,13 @@
   const auto& progress_items = loaded.m_progress_items.m_items;
   const auto& jobs = loaded.m_jobs.m_items;
   SetTime(leader.m_fleet, Now(leader), leader.m_runtime.m_clock.m_unix_ms());
-  for (std::size_t count = 0; count < kLoadedItemsPerTurn; ++count) {
+  std::size_t bytes = 0;
+  for (std::size_t count = 0;
+       count < kLoadedItemsPerTurn && bytes < kLoadedBytesPerTurn; ++count) {
     if (loaded.m_next_progress_item < progress_items.size()) {
-      DecodeProgressItem(leader, progress_items[loaded.m_next_progress_item++],
-                         loaded);
+      bytes += AddLoadedProgress(leader, loaded);
     } else if (loaded.m_next_job < jobs.size()) {
-      AddLoadedJob(leader, jobs[loaded.m_next_job++], loaded);
+      bytes += AddLoadedJob(leader, loaded);
     }
   }
   return loaded.m_next_progress_item == progress_items.size() &&
@@ -369,7 +395,7 @@
           if (IsCancelKey(item.m_key)) {
             self->m_cancelled_jobs.insert(JobKeyOfItem(item.m_key));
           } else {
-            loaded->m_job_keys.insert(JobKeyOfItem(item.m_key));
+            loaded->m_items_of_job[JobKeyOfItem(item.m_key)];
           }
         }
         AddLoadedState(self, loaded, std::move(on_loaded));
