fleet: Rank a limited number of jobs a pass

What callers would see: with many accepted jobs, or jobs of many steps, each change of the configuration and each time that many ranks change makes the leader's loop stand still. Cause: one call ranked all jobs whose rank had changed, and moved each waiting step of each.

Change: a call ranks 1,024 jobs at most, in turn; a job stands once in each group of waiting steps and holds its steps itself, so a new rank moves one entry; a new priority takes effect with the next rank.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -14,6 +14,8 @@
 // Each is more than one term can use.
 constexpr std::uint64_t kTokensPerTerm = 1ULL << 20;
 constexpr std::uint64_t kRunsPerTerm = 1ULL << 20;
+// Between calls the loop handles other events.
+constexpr std::size_t kRankedJobsPerCall = 1024;
 constexpr Duration kStopRepeatInterval = std::chrono::milliseconds(500);
 constexpr Duration kLeaseSlack = std::chrono::milliseconds(100);
 // The clocks of the platform's workers may run 2% slow.
@@ -120,7 +122,7 @@
   const auto stretched_path = std::chrono::duration_cast<Duration>(
       job.m_critical_path * settings.m_stretch);
   job.m_objective = stretched_path + settings.m_target;
-  job.m_rank.m_priority = settings.m_priority;
+  job.m_priority = settings.m_priority;
   job.m_maximum_attempts = settings.m_maximum_attempts;
 }
 
@@ -149,6 +151,7 @@
 TimedRank RankAt(const Job& job, TimePoint now) {
   TimedRank timed{job.m_rank};
   QueueRank& rank = timed.m_rank;
+  rank.m_priority = job.m_priority;
   const Duration path = job.m_queued_paths.empty()
                             ? Duration{}
                             : job.m_queued_paths.rbegin()->first;
@@ -284,29 +287,83 @@
   return job;
 }
 
-// Removes the step from the waiting steps, where it stands under this rank.
-bool Unqueue(Fleet& fleet, Job& job, std::size_t step_run_index,
-             const QueueRank& rank) {
+using JobQueue = std::pair<ProcessorUse, WaitingGroup>;
+
+JobQueue QueueOf(const Job& job, std::size_t step_run_index,
+                 bool is_inherited) {
+  const StepPlan& step = job.m_plan.m_steps[step_run_index % job.StepCount()];
+  return {step.m_processor_use,
+          {is_inherited, LevelOf(step.m_demand.m_processors)}};
+}
+
+WaitingSteps& WaitingStepsOf(Fleet& fleet, ProcessorUse use) {
+  return use == ProcessorUse::kBestEffort ? fleet.m_waiting_best_effort
+                                          : fleet.m_waiting_reserved;
+}
+
+void Enqueue(Fleet& fleet, Job& job, std::size_t step_run_index) {
+  StepRun& run = StepRunAt(job, step_run_index);
+  run.m_is_queued = true;
+  run.m_is_queued_as_inherited = job.m_is_inherited;
+  ++job.m_queued_steps;
+  ++job.m_queued_paths[RemainingPath(job, step_run_index)];
+  const JobQueue queue = QueueOf(job, step_run_index, job.m_is_inherited);
+  QueuedSteps& steps = job.m_queues[queue];
+  steps.insert(step_run_index);
+  if (steps.size() > 1) return;
+  Insert(WaitingStepsOf(fleet, queue.first), queue.second,
+         {job.m_rank, job.m_plan.m_key}, steps);
+}
+
+bool Unqueue(Fleet& fleet, Job& job, std::size_t step_run_index) {
   StepRun& run = StepRunAt(job, step_run_index);
   if (!run.m_is_queued) return false;
   run.m_is_queued = false;
   --job.m_queued_steps;
   const auto path = job.m_queued_paths.find(RemainingPath(job, step_run_index));
   if (--path->second == 0) job.m_queued_paths.erase(path);
-  Erase(WaitingStepsOf(fleet, job, step_run_index),
-        {run.m_is_queued_as_inherited, run.m_queue_level},
-        {rank, job.m_plan.m_key, step_run_index});
+  const JobQueue queue =
+      QueueOf(job, step_run_index, run.m_is_queued_as_inherited);
+  const auto found = job.m_queues.find(queue);
+  found->second.erase(step_run_index);
+  if (!found->second.empty()) return true;
+  Erase(WaitingStepsOf(fleet, queue.first), queue.second,
+        {job.m_rank, job.m_plan.m_key});
+  job.m_queues.erase(found);
   return true;
 }
 
-void Requeue(Fleet& fleet, Job& job, const QueueRank& before) {
-  if (job.m_queued_steps == 0) return;
-  VisitStepRuns(job, [&](std::size_t index, const StepRun&) {
-    ++fleet.m_work.m_step_runs;
-    if (Unqueue(fleet, job, index, before)) {
-      UpdateWaitingSteps(fleet, job, index);
+// Moves the job to its place under the new rank.
+void SetRank(Fleet& fleet, Job& job, const QueueRank& rank) {
+  if (job.m_rank == rank) return;
+  for (const auto& [queue, steps] : job.m_queues) {
+    WaitingSteps& waiting = WaitingStepsOf(fleet, queue.first);
+    Erase(waiting, queue.second, {job.m_rank, job.m_plan.m_key});
+    Insert(waiting, queue.second, {rank, job.m_plan.m_key}, steps);
+    fleet.m_needs_placement = true;
+  }
+  job.m_rank = rank;
+}
+
+// Moves all steps to the group that they belong to.
+void Regroup(Fleet& fleet, Job& job) {
+  const auto queues = job.m_queues;
+  for (const auto& entry : queues) {
+    for (const std::size_t step_run_index : entry.second) {
+      Unqueue(fleet, job, step_run_index);
+      UpdateWaitingSteps(fleet, job, step_run_index);
     }
-  });
+  }
+}
+
+void RefreshRank(Fleet& fleet, const JobKey& key, TimePoint now) {
+  ++fleet.m_work.m_jobs;
+  Job* job = FindJob(fleet, key);
+  if (job == nullptr) return;
+  const TimedRank timed = RankAt(*job, now);
+  SetRank(fleet, *job, timed.m_rank);
+  SetRankTimer(fleet, *job,
+               job->m_queued_steps > 0 ? timed.m_until : TimePoint::max());
 }
 
 void RemovePendingCount(Fleet& fleet, Job& job) {
@@ -389,35 +446,19 @@
        worker.m_poll_sent_at - worker.m_clock_read_at});
 }
 
-WaitingSteps& WaitingStepsOf(Fleet& fleet, const Job& job,
-                             std::size_t step_run_index) {
-  const StepPlan& step = job.m_plan.m_steps[step_run_index % job.StepCount()];
-  return step.m_processor_use == ProcessorUse::kBestEffort
-             ? fleet.m_waiting_best_effort
-             : fleet.m_waiting_reserved;
-}
-
 void UpdateWaitingSteps(Fleet& fleet, Job& job, std::size_t step_run_index) {
   StepRun& run = StepRunAt(job, step_run_index);
   fleet.m_unranked_jobs.insert(job.m_plan.m_key);
   const bool has_ended = job.m_is_cancelled || job.m_has_failed;
   if (!run.m_is_released || run.m_waiting == 0 || has_ended) {
-    if (Unqueue(fleet, job, step_run_index, job.m_rank)) {
+    if (Unqueue(fleet, job, step_run_index)) {
       ResumeOccurrences(fleet, job);
     }
     return;
   }
   fleet.m_needs_placement = true;
   if (run.m_is_queued) return;
-  const StepPlan& step = job.m_plan.m_steps[step_run_index % job.StepCount()];
-  run.m_is_queued = true;
-  ++job.m_queued_steps;
-  ++job.m_queued_paths[RemainingPath(job, step_run_index)];
-  run.m_is_queued_as_inherited = job.m_is_inherited;
-  run.m_queue_level = LevelOf(step.m_demand.m_processors);
-  Insert(WaitingStepsOf(fleet, job, step_run_index),
-         {run.m_is_queued_as_inherited, run.m_queue_level},
-         {job.m_rank, job.m_plan.m_key, step_run_index});
+  Enqueue(fleet, job, step_run_index);
 }
 
 namespace {
@@ -498,40 +539,38 @@
   fleet.m_queues = std::move(queues);
   for (auto& entry : fleet.m_jobs) {
     Job& job = *entry.second;
-    const QueueRank before = job.m_rank;
     UpdateObjective(fleet, job);
     fleet.m_unranked_jobs.insert(job.m_plan.m_key);
-    if (!(before == job.m_rank)) Requeue(fleet, job, before);
   }
   fleet.m_needs_placement = true;
 }
 
-void RefreshRanks(Fleet& fleet, TimePoint now) {
+bool RefreshRanks(Fleet& fleet, TimePoint now) {
   auto& timers = fleet.m_rank_timers;
-  for (auto next = timers.begin(); next != timers.end() && next->first < now;
-       ++next) {
-    fleet.m_unranked_jobs.insert(next->second);
+  std::size_t left = kRankedJobsPerCall;
+  for (; left > 0 && !timers.empty() && timers.begin()->first < now; --left) {
+    Job* job = FindJob(fleet, timers.begin()->second);
+    fleet.m_unranked_jobs.insert(timers.begin()->second);
+    SetRankTimer(fleet, *job, TimePoint::max());
   }
-  const std::set<JobKey> unranked = std::move(fleet.m_unranked_jobs);
-  for (const JobKey& key : unranked) {
-    ++fleet.m_work.m_jobs;
-    Job* job = FindJob(fleet, key);
-    if (job == nullptr) continue;
-    const QueueRank before = job->m_rank;
-    const TimedRank timed = RankAt(*job, now);
-    job->m_rank = timed.m_rank;
-    SetRankTimer(fleet, *job,
-                 job->m_queued_steps > 0 ? timed.m_until : TimePoint::max());
-    if (!(before == job->m_rank)) Requeue(fleet, *job, before);
+  // The order of the keys is no order of jobs, so each gets its turn.
+  auto next = fleet.m_unranked_jobs.upper_bound(fleet.m_last_ranked_job);
+  for (left = kRankedJobsPerCall; left > 0; --left) {
+    if (fleet.m_unranked_jobs.empty()) break;
+    if (next == fleet.m_unranked_jobs.end()) {
+      next = fleet.m_unranked_jobs.begin();
+    }
+    fleet.m_last_ranked_job = *next;
+    next = fleet.m_unranked_jobs.erase(next);
+    RefreshRank(fleet, fleet.m_last_ranked_job, now);
   }
-  // Requeueing changes no rank.
-  fleet.m_unranked_jobs.clear();
+  return fleet.m_unranked_jobs.empty();
 }
 
 void MarkInherited(Fleet& fleet, Job& job) {
   if (job.m_is_inherited) return;
   job.m_is_inherited = true;
-  Requeue(fleet, job, job.m_rank);
+  Regroup(fleet, job);
 }
 
 void CancelJob(Fleet& fleet, const JobKey& key, TimePoint now) {
@@ -548,7 +587,7 @@
   Job* job = FindJob(fleet, key);
   if (job == nullptr) return;
   VisitStepRuns(*job, [&](std::size_t index, const StepRun&) {
-    Unqueue(fleet, *job, index, job->m_rank);
+    Unqueue(fleet, *job, index);
   });
   ForgetOccurrences(fleet, *job);
   fleet.m_changed_jobs.erase(key);
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -252,8 +252,9 @@
   /// The starts that got no answer and may take effect at the next incarnation
   /// of each worker; see late_start.h.
   std::map<WorkerId, WorkerLateStarts> m_late_starts;
-  /// Jobs whose rank may have changed since RefreshRanks was last called.
+  /// Jobs whose rank may have changed.
   std::set<JobKey> m_unranked_jobs;
+  JobKey m_last_ranked_job;
   /// When the ranks of jobs with waiting tasks change by the passage of time.
   std::set<std::pair<TimePoint, JobKey>> m_rank_timers;
   /// See CountPending().
@@ -309,9 +310,9 @@
 /// known already.
 void AddJob(Fleet& fleet, JobPlan plan, const JobProgress& progress,
             TimePoint accepted_at);
-/// Updates the ranks that have changed with the time or with the jobs'
-/// remaining critical paths.
-void RefreshRanks(Fleet& fleet, TimePoint now);
+/// Updates ranks that have changed with the time or with the jobs' remaining
+/// critical paths, a limited number per call. Returns whether none is left.
+bool RefreshRanks(Fleet& fleet, TimePoint now);
 /// Replaces the queues and updates the jobs' objectives, priorities and
 /// maximum attempts.
 void ApplyQueues(Fleet& fleet, std::map<QueueId, Queue> queues);
@@ -385,9 +386,6 @@
 /// Marks the task as stopping and adds a stop order for its run.
 void SendStop(Fleet& fleet, Job& job, const TaskReference& reference,
               TimePoint now);
-/// Returns the steps that a step belongs to while it has waiting tasks.
-WaitingSteps& WaitingStepsOf(Fleet& fleet, const Job& job,
-                             std::size_t step_run_index);
 /// Inserts the step into its waiting steps if it has tasks to place; removes it
 /// otherwise.
 void UpdateWaitingSteps(Fleet& fleet, Job& job, std::size_t step_run_index);
--- a/libraries/decisions/fleet/fleet_job.h
+++ b/libraries/decisions/fleet/fleet_job.h
@@ -12,6 +12,7 @@
 #include "decisions/fleet/job_plan.h"
 #include "decisions/fleet/occurrence_set.h"
 #include "decisions/fleet/step_run.h"
+#include "decisions/fleet/waiting_group.h"
 
 namespace daisyarch::fleet {
 
@@ -71,9 +72,13 @@
   /// That one is due, but too many others have begun.
   bool m_is_held_back = false;
   std::size_t m_queued_steps = 0;  ///< Step runs with StepRun::m_is_queued.
-  /// How many of these have each remaining critical path.
+  /// These step runs, by what they use and their group in the fleet's waiting
+  /// steps.
+  std::map<std::pair<ProcessorUse, WaitingGroup>, QueuedSteps> m_queues;
+  /// How many of them have each remaining critical path.
   std::map<Duration, std::size_t> m_queued_paths;
   QueueRank m_rank;
+  std::int64_t m_priority = 0;  ///< Of its queue; its next rank has it.
   std::uint32_t m_maximum_attempts = 1;
   std::uint64_t m_placed = 0;      ///< Tasks that may be on a worker.
   std::uint64_t m_unfinished = 0;  ///< Tasks that are not done.
--- a/libraries/decisions/fleet/fleet_timers.cc
+++ b/libraries/decisions/fleet/fleet_timers.cc
@@ -134,8 +134,8 @@
   FreeDoneTasks(fleet, now);
   ReleaseDueOccurrences(fleet, unix_ms);
   if (now >= fleet.m_next_ranking_at) {
-    fleet.m_next_ranking_at = now + kRankingInterval;
-    RefreshRanks(fleet, now);
+    const bool is_ranked = RefreshRanks(fleet, now);
+    fleet.m_next_ranking_at = is_ranked ? now + kRankingInterval : now;
     ForgetLateStarts(fleet, now);
     // No event marks the end of some obstacles, such as a quarantine.
     if (HasSteps(fleet.m_waiting_reserved) || !fleet.m_resends.empty()) {
--- a/libraries/decisions/fleet/step_run.h
+++ b/libraries/decisions/fleet/step_run.h
@@ -19,11 +19,8 @@
   bool m_is_released = false;   ///< All steps that it waits for are done.
   bool m_is_done = false;       ///< Its successors know that it is done.
   TimePoint m_stalled_since{};  ///< 0: not known to be stalled.
-  /// In the fleet's waiting steps: its level there, and whether it is among
-  /// those of inherited jobs.
-  bool m_is_queued = false;
+  bool m_is_queued = false;     ///< In Job::m_queues.
   bool m_is_queued_as_inherited = false;
-  std::uint32_t m_queue_level = 0;
 };
 
 }  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/waiting_steps.cc
+++ b/libraries/decisions/fleet/waiting_steps.cc
@@ -30,29 +30,31 @@
   return Millicores(rest << doublings);
 }
 
-void Insert(WaitingSteps& steps, const WaitingGroup& group, WaitingStep step) {
-  steps.m_groups[group].insert(std::move(step));
+void Insert(WaitingSteps& steps, const WaitingGroup& group, WaitingJob job,
+            const QueuedSteps& queued) {
+  steps.m_groups[group].emplace(std::move(job), &queued);
 }
 
 bool HasSteps(const WaitingSteps& steps) { return !steps.m_groups.empty(); }
 
 void Erase(WaitingSteps& steps, const WaitingGroup& group,
-           const WaitingStep& step) {
+           const WaitingJob& job) {
   const auto found = steps.m_groups.find(group);
   if (found == steps.m_groups.end()) return;
-  found->second.erase(step);
+  found->second.erase(job);
   if (found->second.empty()) steps.m_groups.erase(found);
 }
 
 bool WaitingStepsWalk::IsLessUrgent::operator()(const Position& left,
                                                 const Position& right) const {
-  return *right.m_next < *left.m_next;
+  return std::tie(right.m_job->first, *right.m_step) <
+         std::tie(left.m_job->first, *left.m_step);
 }
 
-void WaitingStepsWalk::AddGroup(Millicores smallest,
-                                const std::set<WaitingStep>& steps) {
-  if (steps.empty()) return;
-  m_positions.push_back({smallest, steps.begin(), steps.end()});
+void WaitingStepsWalk::AddGroup(Millicores smallest, const WaitingJobs& jobs) {
+  if (jobs.empty()) return;
+  m_positions.push_back(
+      {smallest, jobs.begin(), jobs.end(), jobs.begin()->second->begin()});
   std::push_heap(m_positions.begin(), m_positions.end(), IsLessUrgent());
 }
 
@@ -64,8 +66,13 @@
       m_positions.pop_back();
       continue;
     }
-    WaitingStep step = *first.m_next++;
-    if (first.m_next == first.m_end) {
+    const auto& [rank, key] = first.m_job->first;
+    WaitingStep step{rank, key, *first.m_step};
+    const QueuedSteps& queued = *first.m_job->second;
+    if (++first.m_step == queued.end() && ++first.m_job != first.m_end) {
+      first.m_step = first.m_job->second->begin();
+    }
+    if (first.m_job == first.m_end) {
       m_positions.pop_back();
     } else {
       std::push_heap(m_positions.begin(), m_positions.end(), IsLessUrgent());
--- a/libraries/decisions/fleet/waiting_steps.h
+++ b/libraries/decisions/fleet/waiting_steps.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "base/resources.h"
@@ -13,22 +14,16 @@
 
 namespace daisyarch::fleet {
 
+/// A job with waiting steps, ordered by urgency.
+using WaitingJob = std::pair<QueueRank, JobKey>;
+
 /// A step with waiting tasks, ordered by urgency: the rank and the key of the
 /// job, and the index of the step run.
 using WaitingStep = std::tuple<QueueRank, JobKey, std::size_t>;
 
-/// Steps that need a similar number of processors, ordered by that number. A
-/// pass skips a whole group if no worker has room for its smallest member.
-struct WaitingGroup {
-  /// An earlier leader may run tasks of the steps' jobs.
-  bool m_is_inherited = false;
-  std::uint32_t m_level = 0;  ///< See LevelOf().
-
-  friend bool operator<(const WaitingGroup& left, const WaitingGroup& right) {
-    return std::tie(left.m_is_inherited, left.m_level) <
-           std::tie(right.m_is_inherited, right.m_level);
-  }
-};
+/// Jobs with steps of one group, and these steps, which the jobs hold. A new
+/// rank of a job then moves one entry and not each of its steps.
+using WaitingJobs = std::map<WaitingJob, const QueuedSteps*>;
 
 /// Returns the level of a demand. There are four levels between a number of
 /// processors and twice that number.
@@ -39,21 +34,24 @@
 
 /// The released steps with waiting tasks.
 struct WaitingSteps {
-  std::map<WaitingGroup, std::set<WaitingStep>> m_groups;
+  std::map<WaitingGroup, WaitingJobs> m_groups;
 };
 
-void Insert(WaitingSteps& steps, const WaitingGroup& group, WaitingStep step);
+/// Adds a job with steps of the group, which must stay at their address.
+void Insert(WaitingSteps& steps, const WaitingGroup& group, WaitingJob job,
+            const QueuedSteps& queued);
 /// Returns whether there is any.
 bool HasSteps(const WaitingSteps& steps);
 void Erase(WaitingSteps& steps, const WaitingGroup& group,
-           const WaitingStep& step);
+           const WaitingJob& job);
 
 /// Visits the steps of several groups, the most urgent first. The steps that
-/// were visited already may be erased meanwhile, and no others.
+/// were visited already may be erased meanwhile, and no others; a job is erased
+/// with the last of its steps.
 class WaitingStepsWalk {
  public:
   /// Adds the steps of a group, which must outlive the walk.
-  void AddGroup(Millicores smallest, const std::set<WaitingStep>& steps);
+  void AddGroup(Millicores smallest, const WaitingJobs& jobs);
 
   /// Returns the next step of the groups whose smallest demand is at most
   /// `largest_room`; none at the end. Later calls must not give more room.
@@ -62,8 +60,9 @@
  private:
   struct Position {
     Millicores m_smallest;
-    std::set<WaitingStep>::const_iterator m_next;
-    std::set<WaitingStep>::const_iterator m_end;
+    WaitingJobs::const_iterator m_job;
+    WaitingJobs::const_iterator m_end;
+    QueuedSteps::const_iterator m_step;
   };
   struct IsLessUrgent {
     bool operator()(const Position& left, const Position& right) const;
