soak: Give each node a link of its own to each worker

Cause: all nodes shared one link to each worker, so that one leader reaches it and another does not was never played with real processes, nor were relays. Change: the store's stand-in shows each node the addresses of its own links; a fault cuts some workers from one node, in half of the cases while the leader pauses; nodes have a tenth of a core, so that over 60 workers need relays; lasting jobs have up to 12 tasks. The leader logs runs that it adopts, starts of inherited tasks and workers that it has not heard when its wait ends, so that the hypotheses on the users' record can be told apart.

--- a/libraries/decisions/fleet/ended_runs.cc
+++ b/libraries/decisions/fleet/ended_runs.cc
@@ -220,6 +220,9 @@
   if (task.m_state != RunState::kWaiting || run < task.m_run) return false;
   if (run >= FirstRun(fleet.m_term)) return false;
   if (task.m_run < run) ForgetLateStart(task);
+  fleet.m_events.push_back({"run_adopted", reference.m_job,
+                            worker.m_listing.m_worker, run, Duration{},
+                            reference, std::nullopt, task.m_run});
   task.m_run = run;
   task.m_worker = worker.m_listing.m_worker;
   task.m_start_confirmation = StartConfirmation::kPending;
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -134,6 +134,8 @@
   Duration m_age{};
   std::optional<TaskReference> m_task;  ///< Of an event of one task.
   std::optional<SupersededEnd> m_end;   ///< Of such an end.
+  /// Of the start of a task: its run as the leader knew it; 0: none.
+  std::optional<RunNumber> m_known_run;
 };
 
 /// The worker that a task waits for or runs on in isolation.
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -42,6 +42,12 @@
                                      worker.m_listing.m_worker, run,
                                      pass.m_now - job.m_accepted_at});
   }
+  if (job.m_is_inherited) {
+    pass.m_fleet.m_events.push_back({"inherited_task_started", job.m_plan.m_key,
+                                     worker.m_listing.m_worker, run,
+                                     pass.m_now - job.m_accepted_at, reference,
+                                     std::nullopt, task.m_run});
+  }
   if (pass.m_starts_left > 0) --pass.m_starts_left;
   const StepPlan& step = job.m_plan.m_steps[reference.m_step];
   RecordTrial(pass, worker, step);
--- a/services/daisyarchd/fleet/leader_log.cc
+++ b/services/daisyarchd/fleet/leader_log.cc
@@ -22,6 +22,7 @@
 // so that they do not displace the others.
 bool IsRoutine(std::string_view name) {
   return name == "job_started" || name == "run_failed" ||
+         name == "run_adopted" || name == "inherited_task_started" ||
          name == "worker_ready" || name == "worker_listed";
 }
 
@@ -53,8 +54,21 @@
             {"term", leader.m_claim.m_term.value()}});
 }
 
+void LogKnownRun(const Leader& leader, const FleetEvent& event) {
+  LogEvent(LogLevel::kInfo, event.m_name,
+           {{"job", event.m_job.value()},
+            {"occurrence", std::uint64_t{event.m_task->m_occurrence}},
+            {"step", std::uint64_t{event.m_task->m_step}},
+            {"task", std::uint64_t{event.m_task->m_index}},
+            {"worker", event.m_worker.value()},
+            {"run", event.m_run.value()},
+            {"known_run", event.m_known_run->value()},
+            {"term", leader.m_claim.m_term.value()}});
+}
+
 void LogFleetEvent(const Leader& leader, const FleetEvent& event) {
   if (event.m_end) return LogSupersededEnd(leader, event, *event.m_end);
+  if (event.m_known_run) return LogKnownRun(leader, event);
   if (event.m_job == JobKey()) {
     return LogEvent(LogLevel::kInfo, event.m_name,
                     {{"worker", event.m_worker.value()},
@@ -173,8 +187,15 @@
   }
   leader.m_has_logged_wait_end = true;
   std::uint64_t unreported = 0;
-  for (const auto& entry : leader.m_fleet.m_workers) {
-    if (!entry.second.m_has_clock) ++unreported;
+  for (const auto& [id, worker] : leader.m_fleet.m_workers) {
+    if (worker.m_has_clock) continue;
+    ++unreported;
+    LogBudget& budget = leader.m_log_budget;
+    if (!ConsumeLogBudget(budget, now)) continue;
+    LogEvent(LogLevel::kWarning, "worker_unreported",
+             {{"worker", id.value()},
+              {"is_listed", std::int64_t{worker.m_is_listed}},
+              {"term", leader.m_claim.m_term.value()}});
   }
   LogEvent(LogLevel::kInfo, "inherited_runs_known",
            {{"term", leader.m_claim.m_term.value()},
--- a/standins/link_proxy/main.cc
+++ b/standins/link_proxy/main.cc
@@ -1,6 +1,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <absl/strings/match.h>
 
 #include <map>
 #include <sstream>
@@ -33,15 +34,21 @@
   }
 }
 
+// The name of a worker stands for the links of all nodes to it, NODE.WORKER.
+bool Names(const std::string& wanted, const std::string& link) {
+  return link == wanted || absl::EndsWith(link, "." + wanted);
+}
+
 Json ApplyFault(Links& links, const Json& order) {
-  const auto link = links.find(order.value("link", std::string()));
-  if (link == links.end()) return {{"error", "no such link"}};
   LinkFault fault;
   fault.m_mode = static_cast<LinkMode>(order.value("mode", 0));
   fault.m_until = StandinNow() + FromMilliseconds(order.value("for_ms", 0));
   fault.m_percent = order.value("percent", std::uint64_t{100});
   fault.m_longest_delay = FromMilliseconds(order.value("delay_ms", 0));
-  SetFault(*link->second, fault);
+  const std::string wanted = order.value("link", std::string());
+  for (const auto& [name, link] : links) {
+    if (Names(wanted, name)) SetFault(*link, fault);
+  }
   return Json::object();
 }
 
--- a/standins/models/site_node.cc
+++ b/standins/models/site_node.cc
@@ -11,7 +11,7 @@
   const std::pair<std::string, std::string> values[] = {
       {"node", node.m_name},
       {"zone", "zone-a"},
-      {"limits.cpu_share", "0.25"},
+      {"limits.cpu_share", node.m_processor_share},
       {"bounds.far_x", "1.5"},
       {"listen.front", address(node.m_caller_port)},
       {"listen.ready", address(node.m_ready_port)},
--- a/standins/models/site_node.h
+++ b/standins/models/site_node.h
@@ -13,6 +13,7 @@
   std::uint16_t m_metrics_port = 0;
   std::uint16_t m_relay_port = 0;
   std::uint16_t m_store_port = 0;
+  std::string m_processor_share = "0.25";  ///< Of a core.
 };
 
 /// Fills in the template of the settings file, as the platform does.
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -209,6 +209,34 @@
                        ChooseTime(random, 500, kLatestMs));
 }
 
+// One daemon does not reach some workers that the others do. Often it is the
+// leader, or leads next as the present one pauses.
+TimePoint PlanOneSidedCut(SoakSite& site, TimePoint at) {
+  constexpr std::uint64_t kOneIn = 4;
+  Random& random = site.m_plan.m_random;
+  const std::uint64_t daemon = DrawDaemon(site);
+  const auto mode = static_cast<LinkMode>(
+      NextBelow(random, 3) == 0 ? 4 : Choose(random, 1, 2));
+  const Duration lasts = ChooseTime(random, 2000, 14000);
+  std::vector<std::string> workers;
+  for (std::uint64_t number = 1; number <= site.m_plan.m_workers; ++number) {
+    if (NextBelow(random, kOneIn) > 0) continue;
+    workers.push_back("w" + std::to_string(number));
+  }
+  const TimePoint end =
+      Plan(site, at, lasts, [&site, daemon, mode, lasts, workers] {
+        const std::string name = DaemonOf(site, daemon).m_node.m_name;
+        for (const std::string& worker : workers) {
+          SetLink(site, name + "." + worker, mode, lasts);
+        }
+      });
+  if (NextBelow(random, 2) == 0) return end;
+  const Duration pause = ChooseTime(random, 2500, 9000);
+  return std::max(end,
+                  Plan(site, at + ChooseTime(random, 0, 2000), pause,
+                       [&site, pause] { FreezeDaemon(site, kLeader, pause); }));
+}
+
 }  // namespace
 
 TimePoint PlanFaults(SoakSite& site, SoakTraffic& traffic, TimePoint start) {
@@ -232,11 +260,12 @@
   std::uint64_t number = 0;
   for (at += ChooseTime(random, 1000, 4000); at < end;
        at += ChooseTime(random, 500, 4000)) {
-    const std::uint64_t kind = NextBelow(random, 3);
+    const std::uint64_t kind = NextBelow(random, 4);
     ++number;
     if (kind == 0) calm = std::max(calm, PlanDaemonFault(site, at));
     if (kind == 1) calm = std::max(calm, PlanStoreFault(site, at));
     if (kind == 2) calm = std::max(calm, PlanWorkerFault(site, at, number));
+    if (kind == 3) calm = std::max(calm, PlanOneSidedCut(site, at));
   }
   return calm;
 }
--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -56,16 +56,29 @@
   return "w" + std::to_string(number);
 }
 
-// One link from each daemon to the store, and one to each worker.
+std::string ViewName(std::uint64_t daemon) {
+  return "view" + std::to_string(daemon);
+}
+
+std::string LinkName(std::uint64_t daemon, std::uint64_t worker) {
+  return DaemonName(daemon) + "." + WorkerName(worker);
+}
+
+std::string LoopbackAddress(std::uint16_t port) {
+  return "127.0.0.1:" + std::to_string(port);
+}
+
+// A link from each daemon to the store, and one to each worker.
 std::string LinksOf(const SoakPlan& plan, const Ports& store_ports,
                     const Ports& worker_ports) {
   std::ostringstream links;
-  for (std::uint64_t number = 1; number <= plan.m_daemons; ++number) {
-    links << DaemonName(number) << "=" << store_ports.at("store") << ",";
-  }
-  for (std::uint64_t number = 1; number <= plan.m_workers; ++number) {
-    const std::string name = WorkerName(number);
-    links << name << "=" << worker_ports.at(name) << ",";
+  for (std::uint64_t daemon = 1; daemon <= plan.m_daemons; ++daemon) {
+    links << DaemonName(daemon) << "=" << store_ports.at(ViewName(daemon))
+          << ",";
+    for (std::uint64_t worker = 1; worker <= plan.m_workers; ++worker) {
+      links << LinkName(daemon, worker) << "="
+            << worker_ports.at(WorkerName(worker)) << ",";
+    }
   }
   std::string text = links.str();
   text.pop_back();
@@ -86,6 +99,8 @@
   daemon.m_node.m_metrics_port = ReservePort(site);
   daemon.m_node.m_relay_port = ReservePort(site);
   daemon.m_node.m_store_port = store_port;
+  // As on fsce-daisy. Above 60 workers, the leader needs relays.
+  daemon.m_node.m_processor_share = "0.1";
   const std::string base = site.m_plan.m_folder + "/" + daemon.m_node.m_name;
   daemon.m_settings = base + ".yaml";
   daemon.m_process.m_log = base + ".log";
@@ -98,7 +113,18 @@
   site.m_daemons.push_back(std::move(daemon));
 }
 
-void BeginWorkers(SoakSite& site, const Ports& links) {
+void AddViews(SoakSite& site, const Ports& workers, const Ports& links) {
+  for (std::uint64_t daemon = 1; daemon <= site.m_plan.m_daemons; ++daemon) {
+    for (std::uint64_t worker = 1; worker <= site.m_plan.m_workers; ++worker) {
+      Control(*site.m_store_control, "/link",
+              {{"view", ViewName(daemon)},
+               {"worker", LoopbackAddress(workers.at(WorkerName(worker)))},
+               {"link", LoopbackAddress(links.at(LinkName(daemon, worker)))}});
+    }
+  }
+}
+
+void BeginWorkers(SoakSite& site, const Ports& workers) {
   for (std::uint64_t number = 1; number <= site.m_plan.m_workers; ++number) {
     const std::string name = WorkerName(number);
     // A worker's clock may be 2% slow.
@@ -107,7 +133,7 @@
             {{"worker", name},
              {"id", name},
              {"clock_rate", rate},
-             {"address", "127.0.0.1:" + std::to_string(links.at(name))}});
+             {"address", LoopbackAddress(workers.at(name))}});
   }
 }
 
@@ -174,7 +200,9 @@
   std::filesystem::remove_all(plan.m_folder);
   std::filesystem::create_directories(plan.m_folder);
   Ports store;
-  if (!LaunchStandin(site, site.m_store, "site_store_standin", {}, 2, store)) {
+  if (!LaunchStandin(site, site.m_store, "site_store_standin",
+                     {"--views=" + std::to_string(plan.m_daemons)},
+                     plan.m_daemons + 2, store)) {
     return false;
   }
   Ports workers;
@@ -190,7 +218,7 @@
   if (!LaunchStandin(site, site.m_proxy, "link_proxy",
                      {"--links=" + LinksOf(plan, store, workers),
                       "--seed=" + std::to_string(plan.m_seed)},
-                     plan.m_daemons + plan.m_workers + 1, links)) {
+                     plan.m_daemons * (plan.m_workers + 1) + 1, links)) {
     return false;
   }
   site.m_store_control = ClientOf(site, store.at("control"));
@@ -199,7 +227,8 @@
   Control(
       *site.m_store_control, "/put",
       {{"key", kSiteConfigurationKey}, {"value", WriteSiteConfiguration()}});
-  BeginWorkers(site, links);
+  AddViews(site, workers, links);
+  BeginWorkers(site, workers);
   for (std::uint64_t number = 1; number <= plan.m_daemons; ++number) {
     AddDaemon(site, number, links.at(DaemonName(number)));
   }
--- a/tests/soak/soak_traffic.cc
+++ b/tests/soak/soak_traffic.cc
@@ -163,7 +163,7 @@
   job.m_is_lasting = true;
   SiteStep step;
   step.m_task_count =
-      static_cast<std::uint32_t>(Choose(site.m_plan.m_random, 1, 4));
+      static_cast<std::uint32_t>(Choose(site.m_plan.m_random, 1, 12));
   step.m_is_lasting = true;
   job.m_job.m_steps.push_back(step);
   Send(site, job);
