fleet: Ignore entries that name a worker's former incarnation

What callers would see: tasks run twice at once after a worker has started again with its clock set back, while the platform still lists the entry of its earlier life. Cause: the start times were compared, and an entry that was read after the last report counted as a restart. Evidence: the test "An outdated listing does not restart a worker that has reported", extended by a listing that is read later, failed before.

Change: the leader keeps the incarnations that a worker has had, and an entry that names one is outdated. That the users saw this is not shown: their record holds no line of a restart.

--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -150,6 +150,8 @@
   TimePoint m_unknown_end_since{};
   OutcomeNumber m_first_listed_end;  ///< In its last report; 0: none.
   std::size_t m_listed_ends = 0;     ///< In its last report.
+  /// Those before its present one, as far as this leader knows them.
+  std::set<Incarnation> m_former_incarnations;
   /// The latest answer to a poll came from this incarnation, and every order
   /// since then was answered.
   bool m_is_incarnation_confirmed = false;
--- a/libraries/decisions/fleet/listing.cc
+++ b/libraries/decisions/fleet/listing.cc
@@ -50,11 +50,13 @@
 
 // Returns whether the entry may be older than what the worker itself has
 // reported. Its incarnation may be newer than the entry's, also if its clock
-// was set back in between.
+// was set back in between. An entry stays in the platform's list until the
+// worker replaces it, so one that is read later is not newer.
 bool MayBeOutdated(const Worker& worker, const ListedWorker& entry,
                    TimePoint asked_at) {
   const Incarnation known = worker.m_listing.m_incarnation;
   return entry.m_incarnation < known ||
+         worker.m_former_incarnations.count(entry.m_incarnation) > 0 ||
          (entry.m_incarnation != known && asked_at < worker.m_clock_read_at);
 }
 
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -323,6 +323,10 @@
     return;
   }
   const bool was_known = worker.m_listing.m_incarnation != Incarnation();
+  if (was_known) {
+    worker.m_former_incarnations.insert(worker.m_listing.m_incarnation);
+  }
+  worker.m_former_incarnations.erase(incarnation);
   worker.m_listing.m_incarnation = incarnation;
   if (!was_known) return;
   // The new process may have another capacity and other labels.
--- a/tests/decisions/fleet/run_once_test.cc
+++ b/tests/decisions/fleet/run_once_test.cc
@@ -420,6 +420,15 @@
   Report(fixture, "w0", {ActiveRunOf(starts[0])}, {});
   List(fixture, listed, Incarnation(9), milliseconds(10));
   CHECK(TaskOf(fixture, starts[0].m_task).m_state == RunState::kRunning);
+  // The platform still lists that incarnation, as the worker can't replace its
+  // entry.
+  Wait(fixture, milliseconds(100));
+  List(fixture, listed, Incarnation(9));
+  CHECK(TaskOf(fixture, starts[0].m_task).m_state == RunState::kRunning);
+  // Another one is a restart that the worker has not reported yet.
+  Wait(fixture, milliseconds(100));
+  List(fixture, listed, Incarnation(10));
+  CHECK(TaskOf(fixture, starts[0].m_task).m_state == RunState::kWaiting);
 }
 
 }  // namespace daisyarch::fleet
