--- a/tests/fakes/heap_meter.cc
+++ b/tests/fakes/heap_meter.cc
@@ -6,19 +6,56 @@
 #include <cstdlib>
 #include <new>
 
+#ifdef __SANITIZE_ADDRESS__
+#include <sanitizer/allocator_interface.h>
+#endif
+
 namespace {
 
 // Some tests start threads.
-std::atomic<std::size_t> live_bytes{0};
 std::atomic<std::size_t> peak_bytes{0};
 
+void RaisePeak(std::size_t bytes) {
+  std::size_t peak = peak_bytes;
+  while (bytes > peak && !peak_bytes.compare_exchange_weak(peak, bytes)) {
+  }
+}
+
+}  // namespace
+
+#ifdef __SANITIZE_ADDRESS__
+
+// The sanitizer's own operators check that each memory is returned the way it
+// was taken.
+
+namespace daisyarch {
+
+std::size_t LiveHeapBytes() {
+  return __sanitizer_get_current_allocated_bytes();
+}
+
+void ResetHeapPeak() {
+  static const int installed = __sanitizer_install_malloc_and_free_hooks(
+      [](const volatile void*, std::size_t) { RaisePeak(LiveHeapBytes()); },
+      [](const volatile void*) {});
+  static_cast<void>(installed);
+  peak_bytes = LiveHeapBytes();
+}
+
+}  // namespace daisyarch
+
+#else
+
+namespace {
+
+std::atomic<std::size_t> live_bytes{0};
+
 }  // namespace
 
 void* operator new(std::size_t size) {
   void* memory = std::malloc(size);
   if (memory == nullptr) throw std::bad_alloc();
-  live_bytes += malloc_usable_size(memory);
-  if (live_bytes > peak_bytes) peak_bytes = live_bytes.load();
+  RaisePeak(live_bytes += malloc_usable_size(memory));
   return memory;
 }
 
@@ -36,8 +73,14 @@
 
 std::size_t LiveHeapBytes() { return live_bytes; }
 
-std::size_t PeakHeapBytes() { return peak_bytes; }
-
 void ResetHeapPeak() { peak_bytes = live_bytes.load(); }
 
 }  // namespace daisyarch
+
+#endif
+
+namespace daisyarch {
+
+std::size_t PeakHeapBytes() { return peak_bytes; }
+
+}  // namespace daisyarch
