--- a/tests/fakes/heap_meter.cc
+++ b/tests/fakes/heap_meter.cc
@@ -7,7 +7,13 @@
 #include <new>
 
 #ifdef __SANITIZE_ADDRESS__
-#include <sanitizer/allocator_interface.h>
+// Of the sanitizer's library, whose header is not installed with the compiler.
+extern "C" {
+std::size_t __sanitizer_get_current_allocated_bytes();
+int __sanitizer_install_malloc_and_free_hooks(
+    void (*malloc_hook)(const volatile void*, std::size_t),
+    void (*free_hook)(const volatile void*));
+}
 #endif
 
 namespace {
