fleet: Queue a new job under its priority before it is ranked

Callers of urgent queues waited while the service was full. Cause: since that commit a job got its priority with its first rank, up to 250 ms after its steps are queued, and stood before all others until then. Evidence: the test "A new job is placed by its priority before it is ranked" failed before. Change: the priority is set before the steps are queued.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -523,6 +523,8 @@
   job = MakeJob(fleet, std::move(plan), progress);
   job->m_accepted_at = accepted_at;
   UpdateObjective(fleet, *job);
+  // Its steps are queued before it is first ranked.
+  job->m_rank.m_priority = job->m_priority;
   // The parts of a job are stored one by one, so the failure of a task may be
   // stored without that of its job.
   job->m_has_failed = job->m_has_failed || HasExhaustedTask(*job);
--- a/tests/decisions/fleet/ranking_test.cc
+++ b/tests/decisions/fleet/ranking_test.cc
@@ -55,6 +55,25 @@
   }
 }
 
+// Guards against new jobs of little priority that take the room of urgent ones
+// until they are ranked.
+TEST_CASE("A new job is placed by its priority before it is ranked") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  Queue later = fixture.m_fleet.m_queues.begin()->second;
+  later.m_id = QueueId("later");
+  later.m_priority = 1;
+  fixture.m_fleet.m_queues.emplace(later.m_id, later);
+  AddJob(fixture.m_fleet, MakePlan("urgent", 1, kCore), {}, fixture.m_now);
+  Wait(fixture, std::chrono::milliseconds(300));
+  JobPlan plan = MakePlan("late", 1, kCore);
+  plan.m_queue.m_id = later.m_id;
+  Submit(fixture, plan);
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].m_task.m_job == JobKey("urgent"));
+}
+
 // Guards against jobs that keep their rank while others change all the time.
 TEST_CASE("Jobs that change often leave the others their turn in the ranking") {
   FleetFixture fixture;
