fleet: Split ranking and the workers' listing off, and name the run time model

Change: rank.cc and leader_workers.cc take what they decide, unchanged; run_times.h is the interface that rank, admission and placement will ask, and answers with the declared estimates so far.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -6,6 +6,7 @@
 #include "decisions/fleet/isolation.h"
 #include "decisions/fleet/late_start.h"
 #include "decisions/fleet/occurrences.h"
+#include "decisions/fleet/rank.h"
 
 namespace daisyarch::fleet {
 
@@ -14,8 +15,6 @@
 // Each is more than one term can use.
 constexpr std::uint64_t kTokensPerTerm = 1ULL << 20;
 constexpr std::uint64_t kRunsPerTerm = 1ULL << 20;
-// Between calls the loop handles other events.
-constexpr std::size_t kRankedJobsPerCall = 1024;
 constexpr Duration kStopRepeatInterval = std::chrono::milliseconds(500);
 constexpr Duration kLeaseSlack = std::chrono::milliseconds(100);
 // The clocks of the platform's workers may run 2% slow.
@@ -104,9 +103,6 @@
   MarkTaskChanged(fleet, job, reference);
 }
 
-// A job that ends later than this multiple of its objective has no value.
-constexpr int kObjectivesUntilExpiry = 3;
-
 Duration RemainingPath(const Job& job, std::size_t step_run_index) {
   return job.m_graph.m_remaining_paths[step_run_index % job.StepCount()];
 }
@@ -117,15 +113,6 @@
       [](const StepPlan& step) { return step.m_kind == StepKind::kService; });
 }
 
-void UpdateObjective(const Fleet& fleet, Job& job) {
-  const Queue& settings = QueueSettingsOf(fleet, job);
-  const auto stretched_path = std::chrono::duration_cast<Duration>(
-      job.m_critical_path * settings.m_stretch);
-  job.m_objective = stretched_path + settings.m_target;
-  job.m_priority = settings.m_priority;
-  job.m_maximum_attempts = settings.m_maximum_attempts;
-}
-
 // Returns whether a task that is not done has failed as often as allowed.
 bool HasExhaustedTask(const Job& job) {
   bool has_exhausted_task = false;
@@ -142,52 +129,6 @@
   return has_exhausted_task;
 }
 
-// A job's rank, and when it changes unless the job does.
-struct TimedRank {
-  QueueRank m_rank;
-  TimePoint m_until = TimePoint::max();
-};
-
-TimedRank RankAt(const Job& job, TimePoint now) {
-  TimedRank timed{job.m_rank};
-  QueueRank& rank = timed.m_rank;
-  rank.m_priority = job.m_priority;
-  const Duration path = job.m_queued_paths.empty()
-                            ? Duration{}
-                            : job.m_queued_paths.rbegin()->first;
-  const TimePoint due = job.m_accepted_at + job.m_objective;
-  const TimePoint last =
-      job.m_accepted_at + job.m_objective * kObjectivesUntilExpiry;
-  rank.m_due = due;
-  const bool is_expired = now + path > last;
-  // A service has no deadline, and is unavailable until it runs.
-  if (job.m_is_service) {
-    rank.m_tier = QueueTier::kPlaced;
-  } else if (is_expired) {
-    rank.m_tier = QueueTier::kExpired;
-  } else if (job.m_was_placed) {
-    rank.m_tier = QueueTier::kPlaced;
-    timed.m_until = last - path;
-  } else if (now + path <= due) {
-    rank.m_tier = QueueTier::kOnTime;
-    timed.m_until = due - path;
-  } else {
-    rank.m_tier = QueueTier::kLate;
-    timed.m_until = last - path;
-  }
-  return timed;
-}
-
-void SetRankTimer(Fleet& fleet, Job& job, TimePoint at) {
-  if (job.m_rank_timer_at == at) return;
-  const JobKey& key = job.m_plan.m_key;
-  if (job.m_rank_timer_at != TimePoint::max()) {
-    fleet.m_rank_timers.erase({job.m_rank_timer_at, key});
-  }
-  if (at != TimePoint::max()) fleet.m_rank_timers.emplace(at, key);
-  job.m_rank_timer_at = at;
-}
-
 void RestoreTask(Fleet& fleet, Job& job, const TaskProgress& stored) {
   const TaskReference reference =
       ReferenceOf(job, stored.m_step_run, stored.m_index);
@@ -296,11 +237,6 @@
           {is_inherited, LevelOf(step.m_demand.m_processors)}};
 }
 
-WaitingSteps& WaitingStepsOf(Fleet& fleet, ProcessorUse use) {
-  return use == ProcessorUse::kBestEffort ? fleet.m_waiting_best_effort
-                                          : fleet.m_waiting_reserved;
-}
-
 void Enqueue(Fleet& fleet, Job& job, std::size_t step_run_index) {
   StepRun& run = StepRunAt(job, step_run_index);
   run.m_is_queued = true;
@@ -333,18 +269,6 @@
   return true;
 }
 
-// Moves the job to its place under the new rank.
-void SetRank(Fleet& fleet, Job& job, const QueueRank& rank) {
-  if (job.m_rank == rank) return;
-  for (const auto& [queue, steps] : job.m_queues) {
-    WaitingSteps& waiting = WaitingStepsOf(fleet, queue.first);
-    Erase(waiting, queue.second, {job.m_rank, job.m_plan.m_key});
-    Insert(waiting, queue.second, {rank, job.m_plan.m_key}, steps);
-    fleet.m_needs_placement = true;
-  }
-  job.m_rank = rank;
-}
-
 // Moves all steps to the group that they belong to.
 void Regroup(Fleet& fleet, Job& job) {
   const auto queues = job.m_queues;
@@ -356,16 +280,6 @@
   }
 }
 
-void RefreshRank(Fleet& fleet, const JobKey& key, TimePoint now) {
-  ++fleet.m_work.m_jobs;
-  Job* job = FindJob(fleet, key);
-  if (job == nullptr) return;
-  const TimedRank timed = RankAt(*job, now);
-  SetRank(fleet, *job, timed.m_rank);
-  SetRankTimer(fleet, *job,
-               job->m_queued_steps > 0 ? timed.m_until : TimePoint::max());
-}
-
 void RemovePendingCount(Fleet& fleet, Job& job) {
   if (!job.m_is_counted_pending) return;
   job.m_is_counted_pending = false;
@@ -547,28 +461,6 @@
   fleet.m_needs_placement = true;
 }
 
-bool RefreshRanks(Fleet& fleet, TimePoint now) {
-  auto& timers = fleet.m_rank_timers;
-  std::size_t left = kRankedJobsPerCall;
-  for (; left > 0 && !timers.empty() && timers.begin()->first < now; --left) {
-    Job* job = FindJob(fleet, timers.begin()->second);
-    fleet.m_unranked_jobs.insert(timers.begin()->second);
-    SetRankTimer(fleet, *job, TimePoint::max());
-  }
-  // The order of the keys is no order of jobs, so each gets its turn.
-  auto next = fleet.m_unranked_jobs.upper_bound(fleet.m_last_ranked_job);
-  for (left = kRankedJobsPerCall; left > 0; --left) {
-    if (fleet.m_unranked_jobs.empty()) break;
-    if (next == fleet.m_unranked_jobs.end()) {
-      next = fleet.m_unranked_jobs.begin();
-    }
-    fleet.m_last_ranked_job = *next;
-    next = fleet.m_unranked_jobs.erase(next);
-    RefreshRank(fleet, fleet.m_last_ranked_job, now);
-  }
-  return fleet.m_unranked_jobs.empty();
-}
-
 void MarkInherited(Fleet& fleet, Job& job) {
   if (job.m_is_inherited) return;
   job.m_is_inherited = true;
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -16,6 +16,7 @@
 #include "decisions/fleet/fleet_worker.h"
 #include "decisions/fleet/job_progress.h"
 #include "decisions/fleet/relay_link.h"
+#include "decisions/fleet/run_times.h"
 #include "decisions/fleet/waiting_steps.h"
 #include "decisions/fleet/worker_late_starts.h"
 
@@ -224,6 +225,7 @@
   std::multimap<TimePoint, TaskReference> m_stop_repeats;
   std::set<TaskReference> m_resends;  ///< The tasks in RunState::kResending.
   Interference m_interference;
+  RunTimeModel m_run_times;
   /// The unfinished tasks that need isolation.
   std::map<TaskReference, Isolation> m_isolations;
   /// The latest crashes of workers, the oldest first.
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -153,6 +153,9 @@
 void LoadLeader(const LeaderPointer& leader, const JobRoutes& routes,
                 std::function<void()> on_loaded);
 
+/// Follows the platform's listing of workers.
+void StartWorkersWatch(const LeaderPointer& leader);
+
 /// Runs the time-dependent work of a loaded leader: the watch on jobs, the
 /// worker listing, the periodic writes and a scheduling pass.
 void TickLeader(const LeaderPointer& leader);
