fleet: Start nothing in failure domains that the operator evacuates

The leader now follows the operator's keys by a watch of its own. Evacuated domains are state beside "worker is leaving": IsInService() is false, so that placement, gangs, isolation and starts that are sent again leave their workers out, and ample capacity counts neither their room nor what they run. What runs there runs on. A leader starts nothing before its first listing of evacuations, nor once its knowledge is older than the platform's bound less what a start may take on its way and at a relay (3.7 s of 5 s). Followed only where the settings state the bound (evacuation_ms); it costs about one read a second then.

--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -12,6 +12,7 @@
 
 #include "base/result.h"
 #include "chart/state_machine.h"
+#include "decisions/fleet/evacuation.h"
 #include "decisions/fleet/fleet_job.h"
 #include "decisions/fleet/fleet_worker.h"
 #include "decisions/fleet/job_progress.h"
@@ -205,6 +206,7 @@
   /// reported, and are not applied yet.
   std::map<WorkerId, ListedWorker> m_unsettled_entries;
   TimePoint m_listed_at{};      ///< When the latest listing was requested.
+  Evacuations m_evacuations;
   std::set<WorkerId> m_roster;  ///< Workers in the stored roster.
   /// Those of them that are not in m_workers.
   std::set<WorkerId> m_unknown_in_roster;
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -107,6 +107,7 @@
   /// In the platform's latest listing, whatever its incarnation.
   bool m_has_entry = false;
   bool m_is_in_roster = false;  ///< Stored, so that a later leader polls it.
+  bool m_is_evacuated = false;  ///< Its failure domain is; see evacuation.h.
   WorkerState m_state = WorkerState::kUnverified;
   FencingToken m_token;  ///< Carried by every new order.
   /// Reserved by the runs; the processors of best-effort tasks do not count.
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -272,6 +272,7 @@
   // m_needs_placement stays set, so every tick retries until a listing arrives.
   const Duration listing_age = now - fleet.m_listed_at;
   if (listing_age > fleet.m_limits.m_maximum_listing_age) return false;
+  if (!AreEvacuationsKnown(fleet.m_evacuations, now)) return false;
   PlacementPass pass{fleet, now, MayHaveInheritedRuns(fleet, now),
                      HasAmpleCapacity(fleet)};
   const std::size_t starts = fleet.m_limits.m_starts_per_pass;
--- a/libraries/decisions/fleet/stalled_steps.cc
+++ b/libraries/decisions/fleet/stalled_steps.cc
@@ -74,6 +74,9 @@
   if (listing_age > fleet.m_limits.m_maximum_listing_age) {
     return StallCause::kListingTooOld;
   }
+  if (!AreEvacuationsKnown(fleet.m_evacuations, pass.m_now)) {
+    return StallCause::kEvacuationsTooOld;
+  }
   if (pass.m_may_have_inherited_runs && job.m_is_inherited) {
     return StallCause::kEarlierLeader;
   }
@@ -102,6 +105,8 @@
   switch (cause) {
     case StallCause::kListingTooOld:
       return "listing_too_old";
+    case StallCause::kEvacuationsTooOld:
+      return "evacuations_too_old";
     case StallCause::kEarlierLeader:
       return "earlier_leader";
     case StallCause::kNoWorker:
--- a/libraries/decisions/fleet/stalled_steps.h
+++ b/libraries/decisions/fleet/stalled_steps.h
@@ -12,6 +12,8 @@
 enum class StallCause : std::uint8_t {
   /// The latest worker listing is too old to place tasks.
   kListingTooOld,
+  /// The leader does not know which failure domains are evacuated.
+  kEvacuationsTooOld,
   /// A run of an earlier leader may still be active.
   kEarlierLeader,
   /// No worker can take the next task.
--- a/libraries/decisions/fleet/worker_index.cc
+++ b/libraries/decisions/fleet/worker_index.cc
@@ -127,7 +127,8 @@
          worker.m_is_in_roster && worker.m_has_clock &&
          // Its report has room for the end of one more run.
          worker.m_listed_ends + worker.m_runs.size() < kMaximumListedEnds &&
-         worker.m_unknown_runs == 0 && !worker.m_listing.m_is_leaving;
+         worker.m_unknown_runs == 0 && !worker.m_listing.m_is_leaving &&
+         !worker.m_is_evacuated;
 }
 
 bool IsClosedToBestEffort(const Worker& worker) {
@@ -168,6 +169,8 @@
 
 void UpdateWorkerIndex(Fleet& fleet, Worker& worker) {
   WorkerIndex& index = fleet.m_worker_index;
+  worker.m_is_evacuated =
+      IsEvacuated(fleet.m_evacuations, worker.m_listing.m_failure_domain);
   SetTimer(index, worker,
            std::min({NextPollAt(worker), LeaseCheckAt(worker),
                      StartCheckAt(fleet, worker)}));
@@ -184,7 +187,7 @@
   SetMember(index.m_mixed, worker, indexed.m_is_mixed,
             !worker.m_serving.empty() && !worker.m_best_effort_images.empty());
   SetPool(index, worker);
-  if (worker.m_is_listed) {
+  if (worker.m_is_listed && !worker.m_is_evacuated) {
     SetListed(index, worker, worker.m_listing.m_capacity.m_processors,
               worker.m_used.m_processors);
   } else {
--- a/libraries/decisions/fleet/worker_index.h
+++ b/libraries/decisions/fleet/worker_index.h
@@ -92,7 +92,7 @@
   WorkerSet m_without_entry;
   /// Workers that run both serving and best-effort tasks.
   WorkerSet m_mixed;
-  Millicores m_listed_capacity;  ///< Sum over the listed workers.
+  Millicores m_listed_capacity;  ///< Sum over the listed, less the evacuated.
   Millicores m_listed_reserved;
   std::map<PoolId, IndexedPool> m_pools;
 };
--- a/libraries/settings/site_settings.cc
+++ b/libraries/settings/site_settings.cc
@@ -119,7 +119,8 @@
     TRY_ASSIGN(const YAML::Node timing,
                ReadSection(root, "timing",
                            {"worker_lease_maximum_ms", "stop_grace_s",
-                            "state_retention_s", "harm_ms", "leaving_ms"}));
+                            "state_retention_s", "harm_ms", "leaving_ms",
+                            "evacuation_ms"}));
     TRY_ASSIGN(settings.m_worker_lease_maximum,
                ReadMilliseconds(timing, "worker_lease_maximum_ms"));
     TRY_ASSIGN(settings.m_maximum_target_overrun,
@@ -130,6 +131,12 @@
                ReadSeconds(timing, "stop_grace_s"));
     TRY_ASSIGN(settings.m_state_retention,
                ReadSeconds(timing, "state_retention_s"));
+    const YAML::Node evacuation = timing["evacuation_ms"];
+    if (!evacuation || (evacuation.IsScalar() && evacuation.Scalar().empty())) {
+      return Success();
+    }
+    TRY_ASSIGN(settings.m_evacuation_period,
+               ReadMilliseconds(timing, "evacuation_ms"));
     return Success();
   }
 
--- a/libraries/settings/site_settings.h
+++ b/libraries/settings/site_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <optional>
 #include <string>
 
 #include "base/ids.h"
@@ -32,6 +33,9 @@
   Duration m_maximum_target_overrun{};
   /// How long a worker that announced that it is leaving may get new tasks.
   Duration m_leaving_grace_period{};
+  /// How long after its request an evacuation of a failure domain binds every
+  /// start. Empty: the platform states no bound, and there are no evacuations.
+  std::optional<Duration> m_evacuation_period;
   double m_remote_slowdown = 1.0;  ///< Slowdown of a task outside its rack.
 };
 
--- a/services/daisyarchd/fleet/fleet_runtime.h
+++ b/services/daisyarchd/fleet/fleet_runtime.h
@@ -51,13 +51,17 @@
     std::function<void(Result<std::string>)> on_answer)>;
 
 /// Keys and decoders of the entries that the platform itself writes to its
-/// store: the operators' configuration and the registered workers.
+/// store: the operators' configuration and evacuations, and the registered
+/// workers.
 struct SiteCodec {
   std::string m_configuration_key;
   std::function<Result<JobRoutes>(const std::string&)> m_read_configuration;
   std::string m_worker_prefix;
   std::function<std::vector<ListedWorker>(const std::vector<StoredItem>&)>
       m_read_workers;
+  /// A key for each failure domain that the operator evacuates: this prefix and
+  /// the domain.
+  std::string m_evacuation_prefix;
 };
 
 /// Dependencies that the parts of one node share.
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -232,11 +232,13 @@
         self->m_is_loaded = true;
         self->m_loaded_at = Now(*self);
         StartWorkersWatch(self);
+        StartEvacuationsWatch(self);
         StartRelays(self);
         LoadEffects(self);
         on_loaded();
         TickWatch(self->m_workers_watch, self->m_runtime.m_store,
                   self->m_runtime.m_clock.m_now);
+        TickEvacuationsWatch(self);
       });
 }
 
@@ -363,6 +365,7 @@
   leader->m_fleet.m_jobs_known_at = leader->m_jobs_watch->m_known_at;
   TickWatch(leader->m_workers_watch, leader->m_runtime.m_store,
             leader->m_runtime.m_clock.m_now);
+  TickEvacuationsWatch(leader);
   TickRelays(leader);
   WritePendingCounts(leader);
   WriteDrainedTerm(leader);
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -108,6 +108,8 @@
   BatchWriter m_writer;
   TimePoint m_next_write_at{};
   PrefixWatchPointer m_workers_watch;
+  PrefixWatchPointer m_evacuations_watch;  ///< Null: there are no evacuations.
+  bool m_last_evacuations_succeeded = true;
   /// Changes of the listing from the answer that is being handled.
   std::vector<ListedChange> m_worker_changes;
   bool m_has_worker_listing = false;
@@ -156,6 +158,12 @@
 /// Follows the platform's listing of workers.
 void StartWorkersWatch(const LeaderPointer& leader);
 
+/// Follows the evacuations of failure domains, unless the platform states no
+/// bound for them.
+void StartEvacuationsWatch(const LeaderPointer& leader);
+/// Sends its next call to the store, if one is due.
+void TickEvacuationsWatch(const LeaderPointer& leader);
+
 /// Runs the time-dependent work of a loaded leader: the watch on jobs, the
 /// worker listing, the periodic writes and a scheduling pass.
 void TickLeader(const LeaderPointer& leader);
--- a/services/daisyarchd/fleet/leader_orders.cc
+++ b/services/daisyarchd/fleet/leader_orders.cc
@@ -133,6 +133,7 @@
 bool MayStartsLeave(const Leader& leader) {
   const Duration listing_age = Now(leader) - leader.m_fleet.m_listed_at;
   return leader.m_may_start_runs() &&
+         AreEvacuationsKnown(leader.m_fleet.m_evacuations, Now(leader)) &&
          listing_age <= leader.m_fleet.m_limits.m_maximum_listing_age;
 }
 
--- a/standins/models/site_node.cc
+++ b/standins/models/site_node.cc
@@ -24,7 +24,8 @@
       {"bounds.grace_s", "6"},
       {"bounds.status_s", "120"},
       {"bounds.harm_ms", "4000"},
-      {"bounds.drain_ms", "2000"}};
+      {"bounds.drain_ms", "2000"},
+      {"bounds.evacuate_ms", "5000"}};
   for (const auto& [name, value] : values) {
     const std::string mark = "{{" + name + "}}";
     for (auto at = text.find(mark); at != std::string::npos;
--- a/tests/fakes/fake_site.cc
+++ b/tests/fakes/fake_site.cc
@@ -17,6 +17,7 @@
 
 const std::string kConfigurationKey = "test/configuration";
 const std::string kWorkerPrefix = "test/workers/";
+const std::string kEvacuationPrefix = "test/evacuations/";
 constexpr Duration kTickInterval = std::chrono::milliseconds(40);
 constexpr Duration kLeaseCheckInterval = std::chrono::milliseconds(50);
 constexpr Duration kMaximumStartAfterCancel = std::chrono::seconds(4);
@@ -51,6 +52,7 @@
     return Result<JobRoutes>(site.m_routes);
   };
   codec.m_worker_prefix = kWorkerPrefix;
+  codec.m_evacuation_prefix = kEvacuationPrefix;
   codec.m_read_workers = [&site](const std::vector<StoredItem>& items) {
     std::vector<ListedWorker> workers;
     for (const StoredItem& item : items) {
@@ -393,6 +395,18 @@
   Apply(site.m_store, transaction);
 }
 
+void SetEvacuated(FakeSite& site, const std::string& domain,
+                  bool is_evacuated) {
+  StoreTransaction transaction;
+  const std::string key = kEvacuationPrefix + domain;
+  if (is_evacuated) {
+    transaction.m_puts.push_back({key, "{}", StoreLeaseId()});
+  } else {
+    transaction.m_removals.push_back(key);
+  }
+  Apply(site.m_store, transaction);
+}
+
 FakeSiteNode& AddSiteNode(FakeSite& site, const std::string& name) {
   if (site.m_nodes.empty()) {
     Configure(site, site.m_routes);
@@ -408,6 +422,7 @@
   settings.m_state_retention = std::chrono::seconds(600);
   settings.m_maximum_target_overrun = std::chrono::seconds(4);
   settings.m_leaving_grace_period = std::chrono::seconds(2);
+  settings.m_evacuation_period = site.m_evacuation_period;
   if (site.m_has_relays) settings.m_relay_address = Address{name, 1};
   auto machines = LoadFleetStateMachines(DAISYARCH_CHARTS);
   auto leadership = LeadershipStateMachine::Load(DAISYARCH_CHARTS, "leadership",
--- a/tests/fakes/fake_site.h
+++ b/tests/fakes/fake_site.h
@@ -81,6 +81,8 @@
   bool m_has_relays = false;
   RelayLimits m_relay_limits{0, 3, Millicores(100)};
   std::uint64_t m_relayed_orders = 0;  ///< That have arrived at a relay.
+  /// See SiteSettings, of the nodes that are added from now on.
+  std::optional<Duration> m_evacuation_period;
   FleetStoreModel m_store;
   SiteFaults m_faults;
   std::map<WorkerId, std::unique_ptr<FleetWorkerModel>> m_workers;
@@ -148,6 +150,8 @@
 void DisturbRelay(FakeSite& site);
 /// Stores another configuration, as an operator does.
 void Configure(FakeSite& site, const JobRoutes& routes);
+/// Evacuates a failure domain or takes that back, as an operator does.
+void SetEvacuated(FakeSite& site, const std::string& domain, bool is_evacuated);
 /// Returns the node that is the leader, or nullptr.
 FakeSiteNode* FindLeader(FakeSite& site);
 
--- a/tests/settings/site_settings_test.cc
+++ b/tests/settings/site_settings_test.cc
@@ -38,6 +38,13 @@
   CHECK(settings.assume_value().m_stop_grace_period == std::chrono::seconds(6));
   CHECK(settings.assume_value().m_store_lease_minimum ==
         std::chrono::seconds(1));
+  CHECK_FALSE(settings.assume_value().m_evacuation_period);
+  std::string text = kValidSettings;
+  text.replace(text.rfind('}'), 1, ", evacuation_ms: 5000}");
+  const auto evacuating = ParseSiteSettings(text, "site.yaml");
+  REQUIRE(evacuating);
+  CHECK(evacuating.assume_value().m_evacuation_period ==
+        std::chrono::seconds(5));
 }
 
 TEST_CASE("An error in site settings names the line and the key") {
