fleet: Ask a step's disruption budget before each move

MayDisrupt() allows a stop while fewer other tasks of the step are away than may be. A move that the budget forbids is withheld (`move_withheld`), and the task is throttled or paused where it is.

--- a/libraries/decisions/fleet/throttle_best_effort.cc
+++ b/libraries/decisions/fleet/throttle_best_effort.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "decisions/fleet/disruption_budget.h"
 #include "decisions/fleet/fleet.h"
 
 namespace daisyarch::fleet {
@@ -146,12 +147,46 @@
   return static_cast<std::uint8_t>(next);
 }
 
+void SetLimit(Fleet& fleet, const Worker& worker,
+              const TaskReference& reference, Task& task, std::uint8_t limit,
+              TimePoint now) {
+  task.m_processor_limit_percent = limit;
+  task.m_is_limit_confirmed = false;
+  task.m_limit_changed_at = now;
+  fleet.m_orders.push_back(
+      ThrottleOrder{worker.m_listing.m_worker, worker.m_listing.m_incarnation,
+                    reference, task.m_run, worker.m_token, limit});
+}
+
+/// A task that is to move, and its limit if it has to stay.
+struct Move {
+  const FoundRun* m_run = nullptr;
+  std::uint8_t m_limit = 0;
+};
+
+// Each stop counts against those after it. A task that has to stay is throttled
+// like any other, and asked about again with the next change of its limit.
+void MoveTasks(Fleet& fleet, const Worker& worker,
+               const std::vector<Move>& moves, TimePoint now) {
+  for (const auto& [run, limit] : moves) {
+    const TaskReference& reference = *run->m_reference;
+    if (MayDisrupt(fleet, *run->m_job, reference)) {
+      SendStop(fleet, *run->m_job, reference, now);
+      continue;
+    }
+    fleet.m_events.push_back({"move_withheld", reference.m_job,
+                              worker.m_listing.m_worker, run->m_task->m_run,
+                              now - run->m_task->m_started_at, reference});
+    SetLimit(fleet, worker, reference, *run->m_task, limit, now);
+  }
+}
+
 }  // namespace
 
 void ThrottleBestEffort(Fleet& fleet, Worker& worker,
                         const std::vector<FoundRun>& runs, TimePoint now) {
   if (worker.m_best_effort_images.empty()) return;
-  std::vector<TaskReference> moving;
+  std::vector<Move> moves;
   auto decisions = DecideThrottles(fleet, worker, runs, now);
   for (const FoundRun& run : runs) {
     if (run.m_task == nullptr) continue;
@@ -170,19 +205,12 @@
     if (is_applied) continue;
     if (limit < kMoveBelowLimitPercent && step.m_saves_progress &&
         !step.m_is_gang && !CouldRunAlone(fleet, worker, step)) {
-      moving.push_back(reference);
+      moves.push_back({&run, limit});
       continue;
     }
-    task.m_processor_limit_percent = limit;
-    task.m_is_limit_confirmed = false;
-    task.m_limit_changed_at = now;
-    fleet.m_orders.push_back(
-        ThrottleOrder{worker.m_listing.m_worker, worker.m_listing.m_incarnation,
-                      reference, task.m_run, worker.m_token, limit});
-  }
-  for (const TaskReference& reference : moving) {
-    SendStop(fleet, *FindJob(fleet, reference.m_job), reference, now);
+    SetLimit(fleet, worker, reference, task, limit, now);
   }
+  MoveTasks(fleet, worker, moves, now);
 }
 
 namespace {
