fleet: Ask again for a withheld move, and count the connection of a start

Cause, found by the review of the merge: a move that the budget withheld was never asked for again once its limit was confirmed, so a paused task stayed paused; the age of the evacuations left out the 0.5 s that a relayed start may take to connect; starts that waited for a first answer waited a tick more. Change: the question comes before the check of the limit for steps with a budget; kMaximumDispatchTime replaces the relay's part of it (3.2 s of 5 s); a pass is requested once the evacuations are known. Result (aarch64): the longer test of the budget fails without the change (0 stops instead of 1) and passes with it.

--- a/libraries/decisions/fleet/evacuation.cc
+++ b/libraries/decisions/fleet/evacuation.cc
@@ -4,13 +4,13 @@
 #include <iterator>
 
 #include "decisions/fleet/fleet.h"
-#include "decisions/fleet/relay.h"
+#include "decisions/fleet/late_start.h"
 
 namespace daisyarch::fleet {
 
 namespace {
 
-// Time from a start's departure to its effect at the worker.
+// Time from a start's dispatch to its effect at the worker.
 constexpr Duration kStartSlack = std::chrono::milliseconds(300);
 // Under a short bound, starts still leave in this part of it.
 constexpr int kMinimumAgeDivisor = 4;
@@ -32,7 +32,7 @@
 
 Duration MaximumEvacuationsAge(Duration bound) {
   return std::max(bound / kMinimumAgeDivisor,
-                  bound - kStartSlack - kMaximumRelayedOrderAge);
+                  bound - kStartSlack - kMaximumDispatchTime);
 }
 
 bool AreEvacuationsKnown(const Evacuations& evacuations, TimePoint now) {
--- a/libraries/decisions/fleet/throttle_best_effort.cc
+++ b/libraries/decisions/fleet/throttle_best_effort.cc
@@ -162,18 +162,20 @@
 struct Move {
   const FoundRun* m_run = nullptr;
   std::uint8_t m_limit = 0;
+  bool m_is_applied = false;  ///< The worker applies this limit.
 };
 
 // Each stop counts against those after it. A task that has to stay is throttled
-// like any other, and asked about again with the next change of its limit.
+// like any other.
 void MoveTasks(Fleet& fleet, const Worker& worker,
                const std::vector<Move>& moves, TimePoint now) {
-  for (const auto& [run, limit] : moves) {
+  for (const auto& [run, limit, is_applied] : moves) {
     const TaskReference& reference = *run->m_reference;
     if (MayDisrupt(fleet, *run->m_job, reference)) {
       SendStop(fleet, *run->m_job, reference, now);
       continue;
     }
+    if (is_applied && step.m_missable_tasks == 0) continue;
     fleet.m_events.push_back({"move_withheld", reference.m_job,
                               worker.m_listing.m_worker, run->m_task->m_run,
                               now - run->m_task->m_started_at, reference});
@@ -202,13 +204,15 @@
                                                decisions[step.m_image]);
     const bool is_applied =
         limit == task.m_processor_limit_percent && task.m_is_limit_confirmed;
-    if (is_applied) continue;
+    // A move that the step's budget has withheld is asked for again, as others
+    // of the step may be back at work.
+    if (is_applied && step.m_missable_tasks == 0) continue;
     if (limit < kMoveBelowLimitPercent && step.m_saves_progress &&
         !step.m_is_gang && !CouldRunAlone(fleet, worker, step)) {
-      moves.push_back({&run, limit});
+      moves.push_back({&run, limit, is_applied});
       continue;
     }
-    SetLimit(fleet, worker, reference, task, limit, now);
+    if (!is_applied) SetLimit(fleet, worker, reference, task, limit, now);
   }
   MoveTasks(fleet, worker, moves, now);
 }
--- a/services/daisyarchd/fleet/leader_evacuations.cc
+++ b/services/daisyarchd/fleet/leader_evacuations.cc
@@ -75,15 +75,16 @@
   ApplyDomains(leader, domains);
 }
 
-// An answer without changes shows that there were none. Starts that waited for
-// it are placed at the next tick.
-void FinishCall(Leader& leader) {
-  Evacuations& evacuations = leader.m_fleet.m_evacuations;
-  evacuations.m_known_at = leader.m_evacuations_watch->m_known_at;
-  if (std::exchange(leader.m_last_evacuations_succeeded, true)) return;
+// An answer without changes shows that there were none.
+void FinishCall(const LeaderPointer& leader) {
+  Evacuations& evacuations = leader->m_fleet.m_evacuations;
+  const bool was_known = AreEvacuationsKnown(evacuations, Now(*leader));
+  evacuations.m_known_at = leader->m_evacuations_watch->m_known_at;
+  if (!was_known) RequestSchedulingPass(leader);
+  if (std::exchange(leader->m_last_evacuations_succeeded, true)) return;
   LogEvent(LogLevel::kInfo, "evacuations_regained",
            {{"domains", std::uint64_t{evacuations.m_domains.size()}},
-            {"store_revision", leader.m_evacuations_watch->m_as_of.value()}});
+            {"store_revision", leader->m_evacuations_watch->m_as_of.value()}});
 }
 
 // Logs one line when calls start to fail.
@@ -116,7 +117,7 @@
   };
   watch->m_on_answer = [weak] {
     const LeaderPointer self = weak.lock();
-    if (self) FinishCall(*self);
+    if (self) FinishCall(self);
   };
   watch->m_on_failure = [weak](const Error& error) {
     const LeaderPointer self = weak.lock();
--- a/tests/decisions/fleet/disruption_budget_test.cc
+++ b/tests/decisions/fleet/disruption_budget_test.cc
@@ -1,6 +1,8 @@
 #include "decisions/fleet/disruption_budget.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <iterator>
 
 #include "decisions/fleet/fleet_fixture.h"
 
@@ -37,7 +39,63 @@
     }
     Report(fixture, worker, running, {});
   }
-  return TakeOrders<StopOrder>(fixture).size();
+  std::size_t stops = 0;
+  for (const Order& order : fixture.m_fleet.m_orders) {
+    if (std::holds_alternative<StopOrder>(order)) ++stops;
+    const auto* limit = std::get_if<ThrottleOrder>(&order);
+    if (limit != nullptr) ConfirmLimit(fixture.m_fleet, *limit);
+  }
+  fixture.m_fleet.m_orders.clear();
+  return stops;
+}
+
+// Adds a worker "w2" that runs nothing.
+void AddThirdWorker(FleetFixture& fixture) {
+  Fleet& fleet = fixture.m_fleet;
+  ListedWorker third = fleet.m_workers.at(WorkerId("w0")).m_listing;
+  third.m_worker = WorkerId("w2");
+  third.m_address = third.m_worker.value();
+  ApplyListingChanges(fleet, {{third.m_worker, third}}, fixture.m_now,
+                      fixture.m_now);
+  ApplyRosterStored(fleet, MissingFromRoster(fleet));
+  TickFleet(fleet, fixture.m_now, 0);
+  Report(fixture, "w2", {}, {});
+  fleet.m_orders.clear();
+}
+
+// Lets the task of `filling` that is stopping end, start on another worker, and
+// report there with `percent`. Returns how many tasks are told to stop then.
+std::size_t StopsAfterMove(FleetFixture& fixture,
+                           const std::vector<StartOrder>& starts,
+                           std::uint8_t percent) {
+  const auto moving =
+      std::find_if(starts.begin(), starts.end(), [&](const StartOrder& start) {
+        return TaskOf(fixture, start.m_task).m_state == RunState::kStopping;
+      });
+  if (moving != starts.end()) {
+    StepTask(fixture.m_fleet, *FindJob(fixture.m_fleet, moving->m_task.m_job),
+             moving->m_task, RunEvent::kInterrupted);
+    PlaceRuns(fixture.m_fleet, fixture.m_now);
+    const auto again = TakeOrders<StartOrder>(fixture);
+    REQUIRE(again.size() == 1);
+    ApplyStartOutcome(fixture.m_fleet, again.front(), StartOutcome::kStarted,
+                      fixture.m_now);
+    Report(fixture, again.front().m_worker.value(),
+           {ActiveRunOf(again.front())}, {});
+  }
+  for (const StartOrder& start : starts) {
+    Task& task = TaskOf(fixture, start.m_task);
+    if (start.m_task.m_job != JobKey("filling")) continue;
+    if (task.m_worker == start.m_worker) continue;
+    task.m_progress_percent = percent;
+  }
+  std::vector<StartOrder> staying;
+  std::copy_if(starts.begin(), starts.end(), std::back_inserter(staying),
+               [&](const StartOrder& start) {
+                 return TaskOf(fixture, start.m_task).m_worker ==
+                        start.m_worker;
+               });
+  return StopsAfterReports(fixture, staying);
 }
 
 }  // namespace
@@ -81,6 +139,11 @@
     if (task.m_state != RunState::kRunning) continue;
     CHECK(task.m_processor_limit_percent == 0);
   }
+  if (missable != 1) return;
+  AddThirdWorker(fixture);
+  // The other task moves once the first is back at work, and not before.
+  CHECK(StopsAfterMove(fixture, starts, 0) == 0);
+  CHECK(StopsAfterMove(fixture, starts, kAtWork) == 1);
 }
 
 }  // namespace daisyarch::fleet
