fleet: Let a step wait for places near its data while that pays

Placement put a task on any worker with room as soon as the rack of its data was full, although the task takes m_remote_slowdown times as long there and near workers may come free sooner than that costs.

near_place.h decides once for each step run: all its waiting tasks wait until a stated moment, or all start elsewhere at once. It weighs the gain (expected run time and slowdown) against the probability that enough of the runs on the rack end in time for the step and for all tasks that wait for the rack already. A wait is no longer than its gain, than a second, and than the job can afford to meet its objective elsewhere. Workers are indexed by label for it. Steps without a data rack, and all steps where the slowdown is 1, are placed as before.

The comparison with the plain placement, which knows no waits, now sets the slowdown to 1; the slowdown took no part in the choice of workers that it checks.

--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -15,6 +15,7 @@
 #include "decisions/fleet/fleet_job.h"
 #include "decisions/fleet/fleet_worker.h"
 #include "decisions/fleet/job_progress.h"
+#include "decisions/fleet/near_waits.h"
 #include "decisions/fleet/relay_link.h"
 #include "decisions/fleet/run_times.h"
 #include "decisions/fleet/waiting_steps.h"
@@ -137,6 +138,7 @@
   std::optional<SupersededEnd> m_end;   ///< Of such an end.
   /// Of the start of a task: its run as the leader knew it; 0: none.
   std::optional<RunNumber> m_known_run;
+  std::optional<NearWaitEvent> m_near_wait;
 };
 
 /// The worker that a task waits for or runs on in isolation.
@@ -226,6 +228,7 @@
   std::set<TaskReference> m_resends;  ///< The tasks in RunState::kResending.
   Interference m_interference;
   RunTimeModel m_run_times;
+  NearWaits m_near_waits;
   /// The unfinished tasks that need isolation.
   std::map<TaskReference, Isolation> m_isolations;
   /// The latest crashes of workers, the oldest first.
--- a/libraries/decisions/fleet/fleet_timers.cc
+++ b/libraries/decisions/fleet/fleet_timers.cc
@@ -2,6 +2,7 @@
 
 #include "decisions/fleet/fleet.h"
 #include "decisions/fleet/late_start.h"
+#include "decisions/fleet/near_place.h"
 #include "decisions/fleet/occurrences.h"
 
 namespace daisyarch::fleet {
@@ -144,6 +145,7 @@
   }
   TickWorkers(fleet, now);
   RepeatStops(fleet, now);
+  if (EndNearWaits(fleet, now)) fleet.m_needs_placement = true;
   if (now >= fleet.m_next_best_effort_pass_at &&
       HasSteps(fleet.m_waiting_best_effort)) {
     fleet.m_needs_placement = true;
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -4,6 +4,7 @@
 #include "decisions/fleet/choose_worker.h"
 #include "decisions/fleet/crash_count.h"
 #include "decisions/fleet/isolation.h"
+#include "decisions/fleet/near_place.h"
 #include "decisions/fleet/occurrences.h"
 #include "decisions/fleet/roster.h"
 #include "decisions/fleet/share_worker.h"
@@ -112,6 +113,11 @@
                PoolInPass& pool) {
   StepRun& step_run = StepRunAt(job, step_run_index);
   const StepPlan& step = job.m_plan.m_steps[step_run_index % job.StepCount()];
+  if (pool.m_index != nullptr &&
+      AllWaitForNearPlace(pass.m_fleet, job, step_run_index, *pool.m_index,
+                          pass.m_now)) {
+    return;
+  }
   StepChoice choice = BeginStepChoice(pass, pool, step);
   // Reading a task must not allocate it.
   const TaskTable& tasks = step_run.m_tasks;
@@ -133,8 +139,13 @@
       if (is_plain) RecordUnplaceable(pool, step);
       break;
     }
+    if (WaitsForNearPlace(pass.m_fleet, job, step_run_index, task,
+                          *pool.m_index, *worker, pass.m_now)) {
+      break;
+    }
     Start(pass, job, reference, *worker, NextRun(pass.m_fleet, task),
           std::string(task.m_checkpoint));
+    RecordNearStart(pass.m_fleet, job, step_run_index, *worker, pass.m_now);
   }
 }
 
--- a/libraries/decisions/fleet/step_run.h
+++ b/libraries/decisions/fleet/step_run.h
@@ -19,7 +19,8 @@
   bool m_is_released = false;   ///< All steps that it waits for are done.
   bool m_is_done = false;       ///< Its successors know that it is done.
   TimePoint m_stalled_since{};  ///< 0: not known to be stalled.
-  bool m_is_queued = false;     ///< In Job::m_queues.
+  bool m_has_decided_near_waits = false;  ///< See WaitsForNearPlace().
+  bool m_is_queued = false;               ///< In Job::m_queues.
   bool m_is_queued_as_inherited = false;
 };
 
--- a/libraries/decisions/fleet/worker_index.cc
+++ b/libraries/decisions/fleet/worker_index.cc
@@ -72,6 +72,24 @@
   pool.m_by_fit.erase({room.m_fit, &worker});
 }
 
+void SetLabels(Worker& worker, IndexedPool* pool) {
+  IndexedWorker& indexed = worker.m_indexed;
+  static const std::vector<std::string> none;
+  const auto& labels = pool == nullptr ? none : worker.m_listing.m_labels;
+  if (pool == indexed.m_pool && labels == indexed.m_labels) return;
+  for (const std::string& label : indexed.m_labels) {
+    auto& by_label = indexed.m_pool->m_by_label;
+    const auto workers = by_label.find(label);
+    if (workers == by_label.end()) continue;
+    workers->second.erase(&worker);
+    if (workers->second.empty()) by_label.erase(workers);
+  }
+  for (const std::string& label : labels) {
+    pool->m_by_label[label].insert(&worker);
+  }
+  indexed.m_labels = labels;
+}
+
 void SetPool(WorkerIndex& index, Worker& worker) {
   IndexedWorker& indexed = worker.m_indexed;
   IndexedPool* pool = nullptr;
@@ -84,6 +102,7 @@
             IsClosedToBestEffort(worker)};
     pool->m_largest = std::max(pool->m_largest, capacity.value());
   }
+  SetLabels(worker, pool);
   if (pool == indexed.m_pool && room == indexed.m_room) return;
   if (indexed.m_pool != nullptr) RemoveRoom(*indexed.m_pool, worker);
   if (pool != nullptr) SetRoom(*pool, worker, room);
@@ -198,6 +217,7 @@
   SetListed(index, worker, Millicores(), Millicores());
   if (worker.m_indexed.m_pool != nullptr) {
     RemoveRoom(*worker.m_indexed.m_pool, worker);
+    SetLabels(worker, nullptr);
     worker.m_indexed.m_pool = nullptr;
   }
   for (WorkerSet* set :
--- a/libraries/decisions/fleet/worker_index.h
+++ b/libraries/decisions/fleet/worker_index.h
@@ -3,7 +3,9 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <string>
 #include <utility>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/resources.h"
@@ -58,6 +60,7 @@
   /// Without those that are closed to best-effort tasks.
   WorkersByFigure m_by_idle;
   WorkersByFigure m_by_fit;
+  std::map<std::string, WorkerSet> m_by_label;
   /// The most processors that a worker of the pool has had.
   std::int64_t m_largest = 1;
 };
@@ -75,6 +78,8 @@
   bool m_is_mixed = false;
   IndexedPool* m_pool = nullptr;  ///< Null: it may get no tasks.
   RoomFigures m_room;             ///< In that pool.
+  /// In IndexedPool::m_by_label of that pool.
+  std::vector<std::string> m_labels;
 };
 
 /// The workers that periodic work concerns, so that a tick or a report costs
--- a/libraries/metrics/metrics.cc
+++ b/libraries/metrics/metrics.cc
@@ -35,7 +35,12 @@
 
 void Metrics::IncrementCounter(const std::string& name,
                                const std::string& labels) {
-  ++m_counters[name][labels];
+  AddToCounter(name, labels, 1);
+}
+
+void Metrics::AddToCounter(const std::string& name, const std::string& labels,
+                           std::uint64_t amount) {
+  m_counters[name][labels] += amount;
 }
 
 void Metrics::SetGauge(const std::string& name, double value) {
--- a/libraries/metrics/metrics.h
+++ b/libraries/metrics/metrics.h
@@ -21,6 +21,9 @@
   /// `outcome="failed"`, or empty.
   void IncrementCounter(const std::string& name, const std::string& labels);
 
+  void AddToCounter(const std::string& name, const std::string& labels,
+                    std::uint64_t amount);
+
   void SetGauge(const std::string& name, double value);
 
   /// Adds a latency to the histogram of a class.
--- a/services/daisyarchd/fleet/leader_log.cc
+++ b/services/daisyarchd/fleet/leader_log.cc
@@ -17,13 +17,15 @@
 // Above the usual delay of a start, below the time at which callers notice.
 constexpr Duration kStallThreshold = std::chrono::seconds(3);
 constexpr std::size_t kMaximumStalledSteps = 4;
+constexpr std::string_view kNearWaitPrefix = "near_wait_";
 
 // Events that are frequent on a healthy site. They have a budget of their own,
 // so that they do not displace the others.
 bool IsRoutine(std::string_view name) {
   return name == "job_started" || name == "run_failed" ||
          name == "run_adopted" || name == "inherited_task_started" ||
-         name == "worker_ready" || name == "worker_listed";
+         name == "worker_ready" || name == "worker_listed" ||
+         name.substr(0, kNearWaitPrefix.size()) == kNearWaitPrefix;
 }
 
 // Counts one line against the budget; false if the line has to be dropped.
@@ -66,7 +68,32 @@
             {"term", leader.m_claim.m_term.value()}});
 }
 
+void LogNearWait(const Leader& leader, const FleetEvent& event,
+                 const NearWaitEvent& wait) {
+  LogEvent(LogLevel::kInfo, event.m_name,
+           {{"job", event.m_job.value()},
+            {"occurrence", std::uint64_t{event.m_task->m_occurrence}},
+            {"step", std::uint64_t{event.m_task->m_step}},
+            {"rack", wait.m_rack},
+            {"worker", event.m_worker.value()},
+            {"tasks", std::uint64_t{wait.m_tasks}},
+            {"ahead", std::uint64_t{wait.m_ahead}},
+            {"expected_gain_ms", ToMilliseconds(wait.m_expected_gain)},
+            {"wait_ms", ToMilliseconds(wait.m_wait)},
+            {"term", leader.m_claim.m_term.value()}});
+}
+
+void CountNearWait(Metrics& metrics, const FleetEvent& event,
+                   const NearWaitEvent& wait) {
+  const std::string labels = std::string("event=\"") + event.m_name + "\"";
+  metrics.AddToCounter("daisyarch_near_wait_tasks_total", labels, wait.m_tasks);
+  metrics.AddToCounter(
+      "daisyarch_near_wait_ms_total", labels,
+      static_cast<std::uint64_t>(ToMilliseconds(wait.m_wait)) * wait.m_tasks);
+}
+
 void LogFleetEvent(const Leader& leader, const FleetEvent& event) {
+  if (event.m_near_wait) return LogNearWait(leader, event, *event.m_near_wait);
   if (event.m_end) return LogSupersededEnd(leader, event, *event.m_end);
   if (event.m_known_run) return LogKnownRun(leader, event);
   if (event.m_job == JobKey()) {
@@ -210,6 +237,9 @@
     leader.m_runtime.m_metrics->IncrementCounter(
         "daisyarch_fleet_events_total",
         std::string("event=\"") + event.m_name + "\"");
+    if (event.m_near_wait) {
+      CountNearWait(*leader.m_runtime.m_metrics, event, *event.m_near_wait);
+    }
     if (std::string_view(event.m_name) == "job_started") {
       leader.m_runtime.m_metrics->RecordLatency("start", event.m_age);
     }
--- a/tests/decisions/fleet/plain_placement_test.cc
+++ b/tests/decisions/fleet/plain_placement_test.cc
@@ -29,6 +29,8 @@
 
 void AddWorkers(FleetFixture& fixture, Random& random) {
   fixture.m_fleet.m_limits.m_starts_per_pass = IsOneOf(random, 4) ? 20 : 1000;
+  // The plain placement knows no waits for a place near the data.
+  fixture.m_fleet.m_limits.m_remote_slowdown = 1.0;
   Queue spare;
   spare.m_id = QueueId("spare");
   spare.m_pool = PoolId("spare");
