--- a/benchmarks/main.cc
+++ b/benchmarks/main.cc
@@ -6,6 +6,7 @@
 #include "flood_bench.h"
 #include "log/log.h"
 #include "membership_bench.h"
+#include "near_place_bench.h"
 #include "placement_bench.h"
 #include "routing_bench.h"
 
@@ -22,6 +23,7 @@
   daisyarch::BenchHeartbeats(table);
   daisyarch::BenchPlacement(table);
   daisyarch::BenchFleet(table);
+  daisyarch::BenchNearPlaces(table);
   daisyarch::BenchStoreCalls(table);
   daisyarch::BenchMessages(table);
   daisyarch::BenchChart(table);
