--- a/libraries/decisions/fleet/throttle_best_effort.cc
+++ b/libraries/decisions/fleet/throttle_best_effort.cc
@@ -175,7 +175,7 @@
       SendStop(fleet, *run->m_job, reference, now);
       continue;
     }
-    if (is_applied && step.m_missable_tasks == 0) continue;
+    if (is_applied) continue;
     fleet.m_events.push_back({"move_withheld", reference.m_job,
                               worker.m_listing.m_worker, run->m_task->m_run,
                               now - run->m_task->m_started_at, reference});
