fleet: Report the number of evacuated domains from each first listing

A node that had led during an evacuation and leads again after it would have kept its old value of daisyarch_leader_evacuated_domains, as the gauge was set only with a change. evacuation_test: 40 assertions passed (aarch64).

--- a/services/daisyarchd/fleet/leader_evacuations.cc
+++ b/services/daisyarchd/fleet/leader_evacuations.cc
@@ -46,10 +46,10 @@
   const auto changes =
       ApplyEvacuations(fleet, domains, leader->m_evacuations_watch->m_sent_at);
   for (const EvacuationChange& change : changes) LogChange(*leader, change);
-  if (changes.empty()) return;
+  // Also without changes: this node may have led before.
   leader->m_runtime.m_metrics->SetGauge("daisyarch_leader_evacuated_domains",
                                         static_cast<double>(domains.size()));
-  RequestSchedulingPass(leader);
+  if (!changes.empty()) RequestSchedulingPass(leader);
 }
 
 void ApplyEvacuationListing(const LeaderPointer& leader,
