--- a/libraries/decisions/fleet/near_place.cc
+++ b/libraries/decisions/fleet/near_place.cc
@@ -25,6 +25,8 @@
 constexpr int kStragglerDeviations = 2;
 // Half the width of an even distribution, in its deviations.
 constexpr double kHalfWidth = 1.7320508;
+// Places for tasks that need nothing of a resource.
+constexpr double kUnlimitedPlaces = 1000;
 // Points in time at which a wait may end.
 constexpr std::size_t kPoints = 16;
 using Curve = std::array<double, kPoints + 1>;
@@ -95,8 +97,7 @@
 // Returns for how many tasks a resource has room once a run has ended; a
 // fraction if further runs have to end before one task has room.
 double PlacesOf(std::int64_t needed, std::int64_t free, std::int64_t freed) {
-  constexpr double kUnlimited = 1000;
-  if (needed <= 0) return kUnlimited;
+  if (needed <= 0) return kUnlimitedPlaces;
   const auto gained = static_cast<double>(freed);
   if (free >= needed) {
     return (static_cast<double>(free) + gained) / static_cast<double>(needed);
