fleet: Learn run times and the speeds of workers

Ranks, objectives and lateness followed declared estimates, which are off by up to 0.9 of themselves, with tails of several times the mean.

A model learns run times by queue and image as a line over the declared estimate, robust to tails, from done runs and from runs that go on for longer than expected, and how slow each worker is. It is bounded, has no clock, and is kept for the next leader in one bounded value of the store, written every 10 s at most and only if it changed enough. Nothing decides by it yet.

--- a/libraries/decisions/fleet/crash_count.cc
+++ b/libraries/decisions/fleet/crash_count.cc
@@ -231,6 +231,7 @@
       worker.m_unanswered_polls <= kMaximumUnansweredPolls;
   if (is_uncounted_crash) RecordCrash(fleet, worker, now);
   Forget(worker);
+  ForgetSlowness(fleet.m_run_times, worker.m_listing.m_worker);
 }
 
 }  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/ended_runs.cc
+++ b/libraries/decisions/fleet/ended_runs.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "decisions/fleet/late_start.h"
+#include "decisions/fleet/learn_run_times.h"
 #include "decisions/fleet/occurrences.h"
 
 namespace daisyarch::fleet {
@@ -135,6 +136,7 @@
   UpdateQuarantine(fleet, worker, ended.m_outcome, now);
   switch (ended.m_outcome) {
     case RunOutcome::kDone:
+      LearnFromEnd(fleet, worker, job, task, ended.m_task, now);
       StepTask(fleet, job, ended.m_task, RunEvent::kCompleted);
       break;
     case RunOutcome::kFailed:
@@ -236,6 +238,7 @@
 // An ended run stays ended, whatever token the poll carried.
 bool ApplyEndedRuns(Fleet& fleet, Worker& worker, const WorkerReport& report,
                     const std::vector<FoundRun>& active_runs, TimePoint now) {
+  LearnFromActiveRuns(fleet, worker, report, active_runs, now);
   worker.m_awaits_jobs = std::any_of(
       active_runs.begin(), active_runs.end(), [&fleet](const FoundRun& active) {
         return MayBecomeKnown(fleet, active.m_job, active.m_reference->m_job);
--- a/libraries/wire/fleet_fields.h
+++ b/libraries/wire/fleet_fields.h
@@ -2,6 +2,7 @@
 
 #include "decisions/fleet/job_progress.h"
 #include "decisions/fleet/learned_effects.h"
+#include "decisions/fleet/learned_run_times.h"
 #include "decisions/fleet/roster.h"
 #include "wire/placement_fields.h"
 
@@ -118,6 +119,38 @@
   visit("baselines", learned.m_baselines);
 }
 
+template <typename Visitor>
+void VisitFields(Visitor& visit, StoredRunTime& stored) {
+  visit("queue", stored.m_key.m_queue);
+  visit("image", stored.m_key.m_image);
+  visit("has_estimate", stored.m_key.m_has_estimate);
+  LearnedRunTime& learned = stored.m_learned;
+  visit("weight", learned.m_weight);
+  visit("origin", learned.m_origin);
+  visit("level", learned.m_level);
+  visit("slope", learned.m_slope);
+  visit("level_variance", learned.m_level_variance);
+  visit("slope_variance", learned.m_slope_variance);
+  visit("covariance", learned.m_covariance);
+  visit("run_variance", learned.m_run_variance);
+  visit("mean_ratio", learned.m_mean_ratio);
+  visit("mean_square", learned.m_mean_square);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, StoredSlowness& stored) {
+  visit("worker", stored.m_worker);
+  visit("incarnation", stored.m_slowness.m_incarnation);
+  visit("mean", stored.m_slowness.m_mean);
+  visit("variance", stored.m_slowness.m_variance);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, LearnedRunTimes& learned) {
+  visit("run_times", learned.m_run_times);
+  visit("workers", learned.m_workers);
+}
+
 template <typename Visitor>
 void VisitFields(Visitor& visit, JobProgress& progress) {
   visit("state", progress.m_state);
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -9,6 +9,7 @@
 
 #include "decisions/fleet/change_batch.h"
 #include "decisions/fleet/job_routes.h"
+#include "decisions/fleet/learned_run_times.h"
 #include "decisions/fleet/roster.h"
 #include "fleet/fleet_runtime.h"
 #include "fleet/prefix_watch.h"
@@ -46,6 +47,13 @@
   bool m_is_failing = false;  ///< The last call got no answer or an error.
 };
 
+/// Writes what the leader has learned of run times.
+struct RunTimesWriter {
+  bool m_is_writing = false;
+  TimePoint m_next_at{};
+  LearnedRunTimes m_stored;  ///< As last read or written.
+};
+
 /// Counts the log lines of one kind since the start of its period.
 struct LogBudget {
   TimePoint m_started_at{};
@@ -125,6 +133,7 @@
   TimePoint m_next_effects_at{};
   /// Interference::m_sample_count at the last write of the effects.
   std::uint64_t m_stored_sample_count = 0;
+  RunTimesWriter m_run_times_writer;
   /// The drained term is stored, or its write is in flight.
   bool m_has_sent_drained_term = false;
   /// Revisions of the workers' items in the stored roster.
@@ -204,10 +213,15 @@
 void WriteRoster(const LeaderPointer& leader);
 /// Stores the number of jobs per queue that have not started, if it changed.
 void WritePendingCounts(const LeaderPointer& leader);
-/// Reads the effects that earlier leaders have learned.
+/// Reads the effects and run times that earlier leaders have learned.
 void LoadEffects(const LeaderPointer& leader);
-/// Stores the learned effects at a fixed interval, if there are new samples.
+/// Stores the learned effects and run times, each at a fixed interval if there
+/// is news.
 void WriteEffects(const LeaderPointer& leader);
+void LoadRunTimes(const LeaderPointer& leader);
+void WriteRunTimes(const LeaderPointer& leader);
+/// Logs what is known of run times, with the status line.
+void LogRunTimes(const Leader& leader);
 /// Stores, once per term, that the term is drained; see kDrainedTermKey.
 void WriteDrainedTerm(const LeaderPointer& leader);
 
--- a/services/daisyarchd/fleet/leader_effects.cc
+++ b/services/daisyarchd/fleet/leader_effects.cc
@@ -24,6 +24,7 @@
 }  // namespace
 
 void LoadEffects(const LeaderPointer& leader) {
+  LoadRunTimes(leader);
   const std::weak_ptr<Leader> weak = leader;
   // A value that is some seconds old serves as well, and is cheaper.
   leader->m_runtime.m_store.m_read(
@@ -41,6 +42,7 @@
 }
 
 void WriteEffects(const LeaderPointer& leader) {
+  WriteRunTimes(leader);
   const TimePoint now = leader->m_runtime.m_clock.m_now();
   if (leader->m_is_writing_effects || now < leader->m_next_effects_at) return;
   leader->m_next_effects_at = now + kEffectsInterval;
--- a/services/daisyarchd/fleet/leader_log.cc
+++ b/services/daisyarchd/fleet/leader_log.cc
@@ -165,6 +165,7 @@
   leader.m_next_status_at = now + kStatusInterval;
   const FleetSummary summary = Summarize(leader.m_fleet);
   LogStatusLine(leader, summary, now);
+  LogRunTimes(leader);
   for (const StalledStep& step : FindStalledSteps(
            leader.m_fleet, kStallThreshold, kMaximumStalledSteps, now)) {
     LogStalledStep(leader, step);
--- a/services/daisyarchd/fleet/store_keys.h
+++ b/services/daisyarchd/fleet/store_keys.h
@@ -29,6 +29,8 @@
 inline const std::string kPendingKey = "daisyarch/pending";
 /// What the leaders have learned of the effects of images on each other.
 inline const std::string kEffectsKey = "daisyarch/effects";
+/// What the leaders have learned of run times and of the workers' speeds.
+inline const std::string kRunTimesKey = "daisyarch/run_times";
 /// The roster: the address of each worker that may run tasks.
 inline const std::string kRosterPrefix = "daisyarch/workers/";
 
