--- a/libraries/decisions/fleet/choose_worker.cc
+++ b/libraries/decisions/fleet/choose_worker.cc
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include "decisions/fleet/share_worker.h"
+#include "decisions/fleet/slow_worker.h"
 
 namespace daisyarch::fleet {
 
@@ -235,6 +236,7 @@
     return nullptr;
   }
   Worker* remote = nullptr;
+  Worker* slow = nullptr;
   const std::int64_t lowest_fit = needed * kFitScale / pool.m_largest;
   for (auto next = pool.m_by_fit.lower_bound({lowest_fit, nullptr});
        next != pool.m_by_fit.end(); ++next) {
@@ -244,12 +246,16 @@
     if (!Covers(RoomOf(worker), choice.m_need)) continue;
     choice.m_has_room = true;
     if (!MeetsConstraints(worker, step, task)) continue;
+    if (IsKnownSlow(pass.m_fleet, worker)) {
+      if (slow == nullptr) slow = &worker;
+      continue;
+    }
     if (step.m_data_rack.empty() || HasLabel(worker, step.m_data_rack)) {
       return &worker;
     }
     if (remote == nullptr) remote = &worker;
   }
-  return remote;
+  return remote != nullptr ? remote : slow;
 }
 
 }  // namespace
--- a/libraries/decisions/fleet/learned_run_times.cc
+++ b/libraries/decisions/fleet/learned_run_times.cc
@@ -94,13 +94,12 @@
     learned.m_workers.push_back({worker, row.m_entry});
   }
   auto& workers = learned.m_workers;
-  const std::size_t kept = std::min(workers.size(), kMostStoredWorkers);
-  std::partial_sort(
-      workers.begin(), workers.begin() + kept, workers.end(),
-      [](const StoredSlowness& left, const StoredSlowness& right) {
-        return SureSlowness(left.m_slowness) > SureSlowness(right.m_slowness);
-      });
-  workers.resize(kept);
+  std::sort(workers.begin(), workers.end(),
+            [](const StoredSlowness& left, const StoredSlowness& right) {
+              return SureSlowness(left.m_slowness) >
+                     SureSlowness(right.m_slowness);
+            });
+  workers.resize(std::min(workers.size(), kMostStoredWorkers));
   return learned;
 }
 
--- a/libraries/decisions/fleet/run_times.cc
+++ b/libraries/decisions/fleet/run_times.cc
@@ -30,6 +30,9 @@
 constexpr double kKnownLine = 4;
 constexpr double kLeastSeconds = 0.001;
 constexpr double kMostSeconds = 1e6;
+// Standard deviations beyond which the rest of a run is taken as exponential.
+constexpr double kFarOut = 5;
+constexpr double kRootOfTwoPi = 2.5066282746310002;
 // A worker's speed may change while it runs.
 constexpr double kSlownessDrift = 0.002;
 
@@ -146,7 +149,6 @@
   const double beyond = std::erfc(standardized / std::sqrt(2.0)) / 2;
   // Far out, the excess over the distance itself is small.
   if (beyond < 1e-9) return distance;
-  constexpr double kRootOfTwoPi = 2.5066282746310002;
   const double density =
       std::exp(-standardized * standardized / 2) / kRootOfTwoPi;
   return deviation * density / beyond;
@@ -173,8 +175,6 @@
   const double variance = std::log1p(relative * relative);
   const double spread = std::sqrt(variance);
   const double at = (std::log(elapsed / mean) + variance / 2) / spread;
-  constexpr double kFarOut = 5;
-  // There the rest is nearly exponential.
   if (at > kFarOut) {
     const Duration rest = DurationOf(elapsed * spread / at);
     return {rest, rest};
--- a/tests/decisions/fleet/learn_run_times_test.cc
+++ b/tests/decisions/fleet/learn_run_times_test.cc
@@ -75,6 +75,27 @@
   CHECK(SlownessOf(model, WorkerId("w0")) == 1.0);
 }
 
+TEST_CASE("A worker that is known to be slow gets what fits on no other") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 2, kCore);
+  const JobPlan plan = MakePlan("job", 1, kCore);
+  const WorkerId slow("w0");
+  const WorkerId usual("w1");
+  for (int run = 0; run < 100; ++run) {
+    RunTimeModel& model = fixture.m_fleet.m_run_times;
+    RecordEndedRun(model, {QueueId("batch"), plan.m_steps[0], usual,
+                           Incarnation(1), std::chrono::seconds(1)});
+    RecordEndedRun(model, {QueueId("batch"), plan.m_steps[0], slow,
+                           Incarnation(1), std::chrono::seconds(4)});
+  }
+  Submit(fixture, plan);
+  Submit(fixture, MakePlan("next", 1, kCore));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 2);
+  CHECK(starts[0].m_worker == usual);
+  CHECK(starts[1].m_worker == slow);
+}
+
 TEST_CASE("A new leader takes over what was learned, and no odd figures") {
   RunTimeModel model;
   const StepPlan step = MakePlan("job", 4, kCore).m_steps[0];
