fleet: Forget each direction of the line, and keep errors from workers

Cause: where all steps of a key have one estimate or none, the slope's variance stays at the prior, so the common factor was 1 and nothing was ever forgotten. Errors of an estimate that all workers share were taken up as their slowness, and moved the line no further.

Change: level and slope are forgotten by a factor each, the covariance by their roots. The model keeps the usual slowness, and a worker's counts against it; workers are left alone until the line is known.

--- a/libraries/decisions/fleet/learned_run_times.cc
+++ b/libraries/decisions/fleet/learned_run_times.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "decisions/fleet/run_times.h"
+
 namespace daisyarch::fleet {
 
 namespace {
@@ -90,8 +92,10 @@
         {next->second, *Find(model.m_run_times, next->second)});
   }
   for (const auto& [worker, row] : model.m_workers.m_rows) {
-    if (SureSlowness(row.m_entry) < kLeastStoredSlowness) continue;
-    learned.m_workers.push_back({worker, row.m_entry});
+    WorkerSlowness stored = row.m_entry;
+    stored.m_mean = RelativeSlowness(model, row.m_entry);
+    if (SureSlowness(stored) < kLeastStoredSlowness) continue;
+    learned.m_workers.push_back({worker, stored});
   }
   auto& workers = learned.m_workers;
   const std::size_t kept = std::min(workers.size(), kMostStoredWorkers);
@@ -129,7 +133,9 @@
   for (const StoredSlowness& stored : learned.m_workers) {
     if (!IsInRange(stored.m_slowness)) continue;
     if (Find(model.m_workers, stored.m_worker) != nullptr) continue;
-    Touch(model.m_workers, stored.m_worker) = stored.m_slowness;
+    WorkerSlowness& worker = Touch(model.m_workers, stored.m_worker);
+    worker = stored.m_slowness;
+    worker.m_mean += model.m_usual_slowness;
   }
 }
 
--- a/libraries/decisions/fleet/run_time_model.h
+++ b/libraries/decisions/fleet/run_time_model.h
@@ -39,7 +39,8 @@
   double m_mean_square = 1.85;
 };
 
-/// How many times as long runs take on a worker, as a logarithm.
+/// How many times as long runs take on a worker, as a logarithm; with the usual
+/// slowness, unless stored.
 struct WorkerSlowness {
   Incarnation m_incarnation;
   double m_mean = 0;
@@ -50,6 +51,7 @@
 struct RunTimeModel {
   RecentTable<RunTimeKey, LearnedRunTime> m_run_times{256};
   RecentTable<WorkerId, WorkerSlowness> m_workers{16384};
+  double m_usual_slowness = 0;      ///< Of the workers sampled lately.
   std::uint64_t m_ended_runs = 0;   ///< That were learned from.
   std::uint64_t m_active_runs = 0;  ///< Times that a long run still was.
 };
--- a/libraries/decisions/fleet/run_times.cc
+++ b/libraries/decisions/fleet/run_times.cc
@@ -32,6 +32,8 @@
 constexpr double kMostSeconds = 1e6;
 // A worker's speed may change while it runs.
 constexpr double kSlownessDrift = 0.002;
+// Of one sample in the usual slowness.
+constexpr double kUsualShare = 0.02;
 
 struct Prediction {
   double m_distance = 0;  ///< Of the estimate from the line's origin.
@@ -72,6 +74,21 @@
           std::max(variance, 0.0)};
 }
 
+// Beyond the prior nothing is left to forget. Where all estimates are alike,
+// the slope is never learned, so each direction has a factor of its own; scaled
+// by their roots, the covariance stays possible.
+void Forget(LearnedRunTime& learned, double weight) {
+  const LearnedRunTime prior;
+  const double growth = 1 / (1 - kForgottenShare * weight);
+  const double level = std::max(
+      1.0, std::min(growth, prior.m_level_variance / learned.m_level_variance));
+  const double slope = std::max(
+      1.0, std::min(growth, prior.m_slope_variance / learned.m_slope_variance));
+  learned.m_level_variance *= level;
+  learned.m_slope_variance *= slope;
+  learned.m_covariance *= std::sqrt(level * slope);
+}
+
 // One step of recursive least squares with forgetting.
 void UpdateLine(LearnedRunTime& learned, const Prediction& prediction,
                 double innovation, double weight) {
@@ -86,23 +103,18 @@
   learned.m_level_variance -= level_share * level_share / total;
   learned.m_slope_variance -= slope_share * slope_share / total;
   learned.m_covariance -= level_share * slope_share / total;
-  const LearnedRunTime prior;
-  const double growth = 1 / (1 - kForgottenShare * weight);
-  // Beyond the prior nothing is left to forget. Both grow by one factor, so
-  // that the covariance stays possible.
-  const double factor = std::max(
-      1.0, std::min({growth, prior.m_level_variance / learned.m_level_variance,
-                     prior.m_slope_variance / learned.m_slope_variance}));
-  learned.m_level_variance *= factor;
-  learned.m_slope_variance *= factor;
-  learned.m_covariance *= factor;
+  Forget(learned, weight);
+}
+
+bool IsKnown(const LearnedRunTime& learned, const Prediction& prediction) {
+  return prediction.m_variance * kKnownLine <= learned.m_run_variance;
 }
 
 void UpdateSpread(LearnedRunTime& learned, const Prediction& prediction,
                   double innovation, double log_ratio, double weight) {
   learned.m_weight = std::min(learned.m_weight + weight, kMostWeight);
   // Around a line that is not known yet, the spread would be that of the error.
-  if (prediction.m_variance * kKnownLine > learned.m_run_variance) return;
+  if (!IsKnown(learned, prediction)) return;
   const double share = weight / (learned.m_weight + kPriorWeight);
   const double square =
       std::max(innovation * innovation - prediction.m_variance, 0.0);
@@ -122,20 +134,23 @@
 WorkerSlowness& TouchWorker(RunTimeModel& model, const RunSample& sample) {
   WorkerSlowness& worker = Touch(model.m_workers, sample.m_worker);
   if (worker.m_incarnation != sample.m_incarnation) {
-    worker = WorkerSlowness{sample.m_incarnation};
+    worker = WorkerSlowness{sample.m_incarnation, model.m_usual_slowness};
   }
   return worker;
 }
 
-// `variance` is that of the innovation without the worker's own.
-void UpdateWorker(WorkerSlowness& worker, double innovation, double variance,
-                  double weight) {
+// `variance` is that of the innovation without the worker's own. What all
+// workers share is no worker's slowness, but an error of the line.
+void UpdateWorker(RunTimeModel& model, WorkerSlowness& worker,
+                  double innovation, double variance, double weight) {
   const double cut = Cut(innovation, worker.m_variance + variance);
   const double gain =
       worker.m_variance / (worker.m_variance + variance / weight);
   worker.m_mean += gain * cut;
   worker.m_variance = std::min(worker.m_variance * (1 - gain) + kSlownessDrift,
                                WorkerSlowness().m_variance);
+  model.m_usual_slowness +=
+      kUsualShare * (worker.m_mean - model.m_usual_slowness);
 }
 
 // Expected excess of a normally distributed figure over its mean, given that it
@@ -218,12 +233,18 @@
                 SecondsOf(elapsed));
 }
 
+double RelativeSlowness(const RunTimeModel& model,
+                        const WorkerSlowness& slowness) {
+  return slowness.m_mean - model.m_usual_slowness;
+}
+
 double SlownessOf(const RunTimeModel& model, const WorkerId& worker) {
   const WorkerSlowness* known = Find(model.m_workers, worker);
   if (known == nullptr) return 1.0;
   const double deviation = std::sqrt(known->m_variance);
-  const double sure = std::max(std::abs(known->m_mean) - deviation, 0.0);
-  return std::exp(std::copysign(sure, known->m_mean));
+  const double mean = RelativeSlowness(model, *known);
+  const double sure = std::max(std::abs(mean) - deviation, 0.0);
+  return std::exp(std::copysign(sure, mean));
 }
 
 std::vector<Duration> ExpectedRunTimes(const RunTimeModel& model,
@@ -246,11 +267,11 @@
       LogOf(SecondsOf(sample.m_length) / sample.m_known_slowdown);
   const double variance = prediction.m_variance + learned.m_run_variance;
   double surplus = log_time - prediction.m_log;
-  if (sample.m_shows_slowness) {
+  if (sample.m_shows_slowness && IsKnown(learned, prediction)) {
     WorkerSlowness& worker = TouchWorker(model, sample);
-    UpdateWorker(worker, surplus - worker.m_mean, variance,
-                 WeightOf(sample, kMostTasksSharingSlowness));
-    surplus -= worker.m_mean;
+    UpdateWorker(model, worker, surplus - RelativeSlowness(model, worker),
+                 variance, WeightOf(sample, kMostTasksSharingSlowness));
+    surplus -= RelativeSlowness(model, worker);
   }
   const double weight = WeightOf(sample, kMostTasksSharingWeight);
   const double innovation = Cut(surplus, variance);
@@ -270,18 +291,21 @@
   const double log_time =
       LogOf(SecondsOf(sample.m_length) / sample.m_known_slowdown);
   const double slowness =
-      known_worker == nullptr ? 0 : std::max(known_worker->m_mean, 0.0);
+      known_worker == nullptr
+          ? 0
+          : std::max(RelativeSlowness(model, *known_worker), 0.0);
   // Nothing is learned from runs that are not longer than expected, so most
   // calls end here.
   if (log_time <= prediction.m_log + slowness) return;
   ++model.m_active_runs;
   LearnedRunTime& learned = TouchRunTime(model, sample);
   const double variance = prediction.m_variance + learned.m_run_variance;
-  if (sample.m_shows_slowness) {
+  if (sample.m_shows_slowness && IsKnown(learned, prediction)) {
     WorkerSlowness& worker = TouchWorker(model, sample);
-    const double distance = log_time - prediction.m_log - worker.m_mean;
+    const double distance =
+        log_time - prediction.m_log - RelativeSlowness(model, worker);
     const double excess = ExcessBeyond(distance, variance + worker.m_variance);
-    UpdateWorker(worker, excess, variance,
+    UpdateWorker(model, worker, excess, variance,
                  kActiveWeight * WeightOf(sample, kMostTasksSharingSlowness));
   }
   const double distance = log_time - prediction.m_log - slowness;
--- a/libraries/decisions/fleet/run_times.h
+++ b/libraries/decisions/fleet/run_times.h
@@ -29,6 +29,11 @@
 /// one standard deviation towards 1.0; 1.0 if nothing is known of it.
 double SlownessOf(const RunTimeModel& model, const WorkerId& worker);
 
+/// Returns the logarithm of how many times as long runs take on such a worker
+/// as on a usual one.
+double RelativeSlowness(const RunTimeModel& model,
+                        const WorkerSlowness& slowness);
+
 /// Returns the mean that is expected for each step of the job, in their order.
 std::vector<Duration> ExpectedRunTimes(const RunTimeModel& model,
                                        const JobPlan& plan);
--- a/tests/decisions/fleet/run_times_test.cc
+++ b/tests/decisions/fleet/run_times_test.cc
@@ -1,9 +1,11 @@
 #include "decisions/fleet/run_times.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cmath>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace daisyarch::fleet {
 
@@ -64,6 +66,34 @@
   }
 }
 
+// Of the lognormal lengths with a median of 1 and a spread of 0.3.
+const double kUsualMean = std::exp(0.3 * 0.3 / 2);
+constexpr int kUsualWorkers = 20;
+
+// Ends `count` steps on workers of usual speed whose runs take `length`.
+void EndUsualSteps(RunTimeModel& model, std::mt19937_64& random,
+                   std::uint32_t tasks, int count, double length,
+                   double estimate = 1) {
+  std::lognormal_distribution<double> spread(0, 0.3);
+  std::uniform_int_distribution<int> worker(0, kUsualWorkers - 1);
+  const StepPlan step = StepOf(estimate, tasks);
+  for (int number = 0; number < count; ++number) {
+    for (std::uint32_t task = 0; task < tasks; ++task) {
+      EndRun(model, "w" + std::to_string(worker(random)), step,
+             length * spread(random));
+    }
+  }
+}
+
+double MedianSlowness(const RunTimeModel& model) {
+  std::vector<double> all;
+  for (int number = 0; number < kUsualWorkers; ++number) {
+    all.push_back(SlownessOf(model, WorkerId("w" + std::to_string(number))));
+  }
+  std::sort(all.begin(), all.end());
+  return all[all.size() / 2];
+}
+
 }  // namespace
 
 TEST_CASE("A step that nothing is known of takes its declared estimate") {
@@ -88,6 +118,35 @@
   }
 }
 
+TEST_CASE("Workers take over no error of the estimate that all of them share") {
+  for (const double factor : {10.0, 0.1}) {
+    for (const std::uint32_t tasks : {1U, 4U, 16U}) {
+      CAPTURE(factor, tasks);
+      RunTimeModel model;
+      std::mt19937_64 random(11);
+      EndUsualSteps(model, random, tasks, 300, factor);
+      CHECK(Expected(model, 1) == Approx(factor * kUsualMean).epsilon(0.15));
+      CHECK(MedianSlowness(model) == Approx(1).epsilon(0.05));
+    }
+  }
+}
+
+TEST_CASE(
+    "A change of the true run time is followed at one estimate, or none") {
+  for (const double estimate : {1.0, 0.0}) {
+    for (const std::uint32_t tasks : {1U, 4U, 16U}) {
+      CAPTURE(estimate, tasks);
+      RunTimeModel model;
+      std::mt19937_64 random(13);
+      EndUsualSteps(model, random, tasks, 1000, 1, estimate);
+      CHECK(Expected(model, estimate) == Approx(kUsualMean).epsilon(0.15));
+      EndUsualSteps(model, random, tasks, 300, 3, estimate);
+      CHECK(Expected(model, estimate) == Approx(3 * kUsualMean).epsilon(0.15));
+      CHECK(MedianSlowness(model) == Approx(1).epsilon(0.05));
+    }
+  }
+}
+
 TEST_CASE("Estimates that say nothing give way to the usual run time") {
   RunTimeModel model;
   std::mt19937_64 random(3);
