fleet: Learn no end whose start or end is known late

Cause: an end that arrives late (silent worker, late loop, held-back ends) counted as a long run, and a late confirmation of the start made the run too short.

Change: an end is learned from only if a poll was waiting for it and was answered in time, and no earlier ends were held back; else the time until the report before is a bound. A start confirmed later than a fifth of the run's length leaves the run out.

--- a/libraries/decisions/fleet/learn_run_times.cc
+++ b/libraries/decisions/fleet/learn_run_times.cc
@@ -10,6 +10,10 @@
 namespace {
 
 constexpr std::uint8_t kUnlimitedPercent = 100;
+// Of the length, for what is not known of its start or its end.
+constexpr double kMostUnknownShare = 0.2;
+// A prompt loop and worker may take that long.
+constexpr Duration kPrompt = std::chrono::milliseconds(100);
 
 bool IsOutsideDataRack(const Worker& worker, const StepPlan& step) {
   const auto& labels = worker.m_listing.m_labels;
@@ -51,6 +55,27 @@
          task.m_unconfirmed_until == TimePoint();
 }
 
+// A start that was confirmed late may have taken effect long before.
+bool IsStartExact(const Task& task, Duration length) {
+  return task.m_started_at - task.m_start_sent_at <= length * kMostUnknownShare;
+}
+
+// A worker answers a poll as soon as a run ends, and holds it no longer than
+// the limit. So an end is late if no poll was waiting for it, if the answer
+// came later than that, or if the worker's ends were held back before.
+bool IsEndExact(const Fleet& fleet, const Worker& worker, const Task& task,
+                TimePoint now) {
+  if (worker.m_has_unapplied_ends) return false;
+  const TimePoint start = StartOf(task);
+  const auto share =
+      std::chrono::duration_cast<Duration>((now - start) * kMostUnknownShare);
+  const Duration most =
+      std::max({kPrompt, PollSpacing(fleet, worker) * 2, share});
+  const TimePoint seen = std::max(worker.m_clock_read_at, start);
+  return worker.m_poll_sent_at - seen <= most &&
+         now - worker.m_poll_sent_at <= fleet.m_limits.m_poll_wait + most;
+}
+
 RunSample SampleOf(const Fleet& fleet, const Worker& worker, const Job& job,
                    const StepPlan& step, Duration length) {
   RunSample sample{job.m_plan.m_queue.m_id, step, worker.m_listing.m_worker,
@@ -80,8 +105,16 @@
   const StepPlan& step = job.m_plan.m_steps[reference.m_step];
   if (!IsLearnable(step, task) || !IsStartKnown(task)) return;
   if (MayHaveResumed(fleet, job, step, task)) return;
-  RecordEndedRun(fleet.m_run_times,
-                 SampleOf(fleet, worker, job, step, now - StartOf(task)));
+  const Duration length = now - StartOf(task);
+  if (!IsStartExact(task, length)) return;
+  if (IsEndExact(fleet, worker, task, now)) {
+    RecordEndedRun(fleet.m_run_times,
+                   SampleOf(fleet, worker, job, step, length));
+    return;
+  }
+  // It was active at the last report, which is a bound.
+  const Duration least = worker.m_clock_read_at - StartOf(task);
+  RecordActiveRun(fleet.m_run_times, SampleOf(fleet, worker, job, step, least));
 }
 
 // The time since an inherited or resumed run was first seen is still a bound,
