settings: Read the memory and the descriptors of a node

The platform says how much memory and how many descriptors a process has; the settings did not. Optional section `limits` with `memory_mb` (48 at least) and `descriptors` (320 at least), checked with file, line and key. Nothing depends on them yet.

--- a/libraries/settings/site_settings.cc
+++ b/libraries/settings/site_settings.cc
@@ -2,6 +2,7 @@
 
 #include <yaml-cpp/yaml.h>
 
+#include <cmath>
 #include <fstream>
 #include <set>
 #include <sstream>
@@ -10,13 +11,19 @@
 
 namespace {
 
+constexpr std::size_t kBytesPerMegabyte = 1024UL * 1024;
+// A node needs this much before it holds anything for its peers.
+constexpr std::size_t kMinimumMemoryMb = 48;
+constexpr std::size_t kMinimumDescriptors = 320;
+constexpr double kMaximumCount = 1e9;
+
 class SiteSettingsReader {
  public:
   explicit SiteSettingsReader(std::string file) : m_file(std::move(file)) {}
 
   Result<SiteSettings> Run(const YAML::Node& root) {
     TRY(CheckKeys(root, {"node", "failure_domain", "listen", "store", "charts",
-                         "processor_share", "timing", "far_factor"}));
+                         "processor_share", "timing", "far_factor", "limits"}));
     SiteSettings settings;
     TRY_ASSIGN(const std::string node, ReadText(root, "node"));
     settings.m_node = NodeId(node);
@@ -28,6 +35,7 @@
     TRY(ReadListen(root, settings));
     TRY(ReadStore(root, settings));
     TRY(ReadTiming(root, settings));
+    TRY(ReadLimits(root, settings));
     return settings;
   }
 
@@ -133,6 +141,35 @@
     return Success();
   }
 
+  // Without the section, or one of its keys, the defaults hold.
+  Result<void> ReadLimits(const YAML::Node& root,
+                          SiteSettings& settings) const {
+    if (!root["limits"]) return Success();
+    TRY_ASSIGN(const YAML::Node limits,
+               ReadSection(root, "limits", {"memory_mb", "descriptors"}));
+    if (limits["memory_mb"]) {
+      TRY_ASSIGN(const std::size_t megabytes,
+                 ReadCount(limits, "memory_mb", kMinimumMemoryMb));
+      settings.m_memory_bytes = megabytes * kBytesPerMegabyte;
+    }
+    if (limits["descriptors"]) {
+      TRY_ASSIGN(settings.m_maximum_descriptors,
+                 ReadCount(limits, "descriptors", kMinimumDescriptors));
+    }
+    return Success();
+  }
+
+  Result<std::size_t> ReadCount(const YAML::Node& node, const std::string& key,
+                                std::size_t minimum) const {
+    TRY_ASSIGN(const double number, ReadNumber(node, key));
+    if (number < static_cast<double>(minimum) || number > kMaximumCount ||
+        number != std::floor(number)) {
+      return Fail(node[key], key,
+                  "expected a whole number from " + std::to_string(minimum));
+    }
+    return static_cast<std::size_t>(number);
+  }
+
   Result<Duration> ReadMilliseconds(const YAML::Node& node,
                                     const std::string& key) const {
     TRY_ASSIGN(const double number, ReadNumber(node, key));
--- a/libraries/settings/site_settings.h
+++ b/libraries/settings/site_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include "base/ids.h"
@@ -33,6 +34,9 @@
   /// How long a worker that announced that it is leaving may get new tasks.
   Duration m_leaving_grace_period{};
   double m_remote_slowdown = 1.0;  ///< Slowdown of a task outside its rack.
+  /// Of the process. What its peers may make it hold follows from these.
+  std::size_t m_memory_bytes = 256UL * 1024 * 1024;
+  std::size_t m_maximum_descriptors = 4096;
 };
 
 /// Parses settings from YAML text. Fails with kInvalidArgument, file, line, key
--- a/standins/models/site_node.cc
+++ b/standins/models/site_node.cc
@@ -12,6 +12,8 @@
       {"node", node.m_name},
       {"zone", "zone-a"},
       {"limits.cpu_share", node.m_processor_share},
+      {"limits.memory_mb", node.m_memory_mb},
+      {"limits.max_fds", node.m_maximum_descriptors},
       {"bounds.far_x", "1.5"},
       {"listen.front", address(node.m_caller_port)},
       {"listen.ready", address(node.m_ready_port)},
--- a/standins/models/site_node.h
+++ b/standins/models/site_node.h
@@ -14,6 +14,8 @@
   std::uint16_t m_relay_port = 0;
   std::uint16_t m_store_port = 0;
   std::string m_processor_share = "0.25";  ///< Of a core.
+  std::string m_memory_mb = "260";
+  std::string m_maximum_descriptors = "4100";
 };
 
 /// Fills in the template of the settings file, as the platform does.
--- a/tests/settings/site_settings_test.cc
+++ b/tests/settings/site_settings_test.cc
@@ -15,6 +15,7 @@
 store: {address: "10.0.0.9:8169", lease_minimum_ms: 1000}
 timing: {worker_lease_maximum_ms: 10000, stop_grace_s: 6,
   state_retention_s: 120, harm_ms: 4000, leaving_ms: 2000}
+limits: {memory_mb: 260, descriptors: 4100}
 )";
 
 // Returns the error's peer (file and line) and detail after `from` is replaced
@@ -38,6 +39,17 @@
   CHECK(settings.assume_value().m_stop_grace_period == std::chrono::seconds(6));
   CHECK(settings.assume_value().m_store_lease_minimum ==
         std::chrono::seconds(1));
+  CHECK(settings.assume_value().m_memory_bytes == 260UL * 1024 * 1024);
+  CHECK(settings.assume_value().m_maximum_descriptors == 4100);
+}
+
+TEST_CASE("Without limits, site settings have defaults for them") {
+  std::string text = kValidSettings;
+  text.erase(text.find("limits:"));
+  const auto settings = ParseSiteSettings(text, "site.yaml");
+  REQUIRE(settings);
+  CHECK(settings.assume_value().m_memory_bytes == 256UL * 1024 * 1024);
+  CHECK(settings.assume_value().m_maximum_descriptors == 4096);
 }
 
 TEST_CASE("An error in site settings names the line and the key") {
@@ -51,6 +63,12 @@
         "site.yaml:8 stop_grace_s: expected a number above 0");
   CHECK(ErrorAfterReplacing("store:", "node:") ==
         "site.yaml:7 node: duplicate key");
+  CHECK(ErrorAfterReplacing("memory_mb: 260", "memory_mb: 20") ==
+        "site.yaml:10 memory_mb: expected a whole number from 48");
+  CHECK(ErrorAfterReplacing("descriptors: 4100", "descriptors: 400.5") ==
+        "site.yaml:10 descriptors: expected a whole number from 320");
+  CHECK(ErrorAfterReplacing("memory_mb", "memory") ==
+        "site.yaml:10 memory: unknown key");
 }
 
 }  // namespace daisyarch
