wire: Bound the memory of JSON documents and reply to any bytes

A POST whose spec holds the byte 0xE1 ended the process: the reason of the refusal quotes the request, and the writer throws at bytes that are no UTF-8. A few bytes of JSON took up to 50 times as much memory as values; the check that goes before bounds that to 32 MB as well as the depth.

--- a/libraries/wire/json.cc
+++ b/libraries/wire/json.cc
@@ -6,23 +6,39 @@
 
 namespace {
 
-// Checks the nesting depth only. The library's CBOR reader recurses, so deeply
-// nested input from an attacker has to be rejected before a document is built.
-struct DepthCheck {
+// A list that grows has room for up to twice its values.
+constexpr std::size_t kValueBytes = 2 * sizeof(Json);
+// Of the entry of a map, beside the value, and of an empty map or list.
+constexpr std::size_t kMemberBytes = 96;
+constexpr std::size_t kContainerBytes = 48;
+
+// Checks the nesting depth and the size. The library's CBOR reader recurses, so
+// deeply nested input from an attacker has to be rejected before a document is
+// built.
+struct DocumentCheck {
   std::size_t m_depth = 0;
+  std::size_t m_bytes = 0;
   std::string m_error;
 
-  bool null() { return true; }
-  bool boolean(bool /*value*/) { return true; }
-  bool number_integer(Json::number_integer_t /*value*/) { return true; }
-  bool number_unsigned(Json::number_unsigned_t /*value*/) { return true; }
+  bool null() { return Add(kValueBytes); }
+  bool boolean(bool /*value*/) { return Add(kValueBytes); }
+  bool number_integer(Json::number_integer_t /*value*/) {
+    return Add(kValueBytes);
+  }
+  bool number_unsigned(Json::number_unsigned_t /*value*/) {
+    return Add(kValueBytes);
+  }
   bool number_float(Json::number_float_t /*value*/,
                     const Json::string_t& /*text*/) {
-    return true;
+    return Add(kValueBytes);
+  }
+  bool string(Json::string_t& /*value*/) {
+    return Add(kValueBytes + sizeof(std::string));
   }
-  bool string(Json::string_t& /*value*/) { return true; }
-  bool binary(Json::binary_t& /*value*/) { return true; }
-  bool key(Json::string_t& /*value*/) { return true; }
+  bool binary(Json::binary_t& /*value*/) {
+    return Add(kValueBytes + sizeof(Json::binary_t));
+  }
+  bool key(Json::string_t& /*value*/) { return Add(kMemberBytes); }
   bool start_object(std::size_t /*size*/) { return Enter(); }
   bool end_object() { return Leave(); }
   bool start_array(std::size_t /*size*/) { return Enter(); }
@@ -33,7 +49,14 @@
     return false;
   }
 
+  bool Add(std::size_t bytes) {
+    m_bytes += bytes;
+    if (m_bytes <= kMaximumJsonBytes) return true;
+    m_error = "too many values";
+    return false;
+  }
   bool Enter() {
+    if (!Add(kValueBytes + kContainerBytes)) return false;
     if (++m_depth <= kMaximumJsonDepth) return true;
     m_error = "nested deeper than " + std::to_string(kMaximumJsonDepth);
     return false;
@@ -46,7 +69,7 @@
 
 Result<Json> Parse(const std::string& input, const std::string& step,
                    const std::string& peer, Json::input_format_t format) {
-  DepthCheck check;
+  DocumentCheck check;
   if (!Json::sax_parse(input, &check, format)) {
     return Error{ErrorCode::kInvalidArgument, step, peer, check.m_error};
   }
--- a/libraries/wire/json.h
+++ b/libraries/wire/json.h
@@ -12,6 +12,10 @@
 /// Input nested deeper than this is rejected.
 constexpr std::size_t kMaximumJsonDepth = 32;
 
+/// Memory that the values of a document may take, without their texts. A few
+/// bytes of input can take 50 times as much.
+constexpr std::size_t kMaximumJsonBytes = 32UL * 1024 * 1024;
+
 /// Parses JSON text; kInvalidArgument with the position of a syntax error.
 Result<Json> ParseJson(const std::string& text, const std::string& step,
                        const std::string& peer);
--- a/tests/platform/ingress_test.cc
+++ b/tests/platform/ingress_test.cc
@@ -131,6 +131,20 @@
 
 // The line of a request that was under way while the configuration changed gave
 // the new version, so a log could not tell which version had decided.
+TEST_CASE("A job whose text is no UTF-8 is refused with 400") {
+  fleet::FakeSite site(1);
+  site.m_routes = fleet::MakeTestRoutes();
+  fleet::AddSiteNode(site, "n0");
+  RunFor(site.m_loop, std::chrono::seconds(2));
+  HttpRequest request = MakeSubmission();
+  request.m_body.replace(request.m_body.find('x'), 1, "\xe1");
+  unsigned status = 0;
+  HandleJobRequest(
+      *site.m_nodes.front()->m_node, request,
+      [&status](const HttpResponse& answer) { status = answer.m_status; });
+  CHECK(status == 400);
+}
+
 TEST_CASE("A request's log line states the configuration that routed it") {
   fleet::FakeSite site(1);
   site.m_routes = fleet::MakeTestRoutes();
