http: Bound what peers may make a process hold

Cause: a session read into a buffer without a maximum, and the parser looks there for the end of a trailer or of a chunk's extension; bodies had a bound a connection, but their sum had none, and neither had connections and peers' messages. Ruled out by the trial: headers (the parser's limit held).

Change: libraries/http/memory_budget counts bytes and connections of the process by kind, with reserves for the store, workers and peers, and names who gives way. The server reads in pieces into a bounded buffer and charges them as they arrive; a request that has begun must make progress. The client and the mesh server are bounded by the same budget. A failed accept() pauses instead of repeating itself at once.

--- a/libraries/http/http_client.cc
+++ b/libraries/http/http_client.cc
@@ -1,5 +1,6 @@
 #include "http/http_client.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
@@ -43,16 +44,22 @@
          code == beast::http::error::partial_message;
 }
 
+// Of a response: its header, or a trailer or a chunk's extensions.
+constexpr std::size_t kMaximumHeaderBytes = 32UL * 1024;
+
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   explicit Connection(std::shared_ptr<HttpClient::State> state)
       : m_stream(state->m_loop),
         m_state(std::move(state)),
+        m_buffer(kMaximumHeaderBytes + m_state->m_limits.m_read_bytes),
         m_idle_timer(m_state->m_loop) {
     // Without a reserve, a response is read in parts of 512 bytes.
     m_buffer.reserve(m_state->m_limits.m_read_bytes);
   }
 
+  ~Connection() { Uncount(); }
+
   void Run(HttpRequest request, Duration timeout,
            HttpResponseCallback on_answer) {
     m_is_idle = false;
@@ -70,10 +77,28 @@
     m_idle_timer.cancel();
     beast::error_code code;
     m_stream.socket().close(code);
+    Uncount();
   }
 
  private:
+  void Count() {
+    if (!m_state->m_limits.m_budget || m_holding) return;
+    m_holding = OpenHolding(*m_state->m_limits.m_budget,
+                            m_state->m_limits.m_peer_kind, [] {});
+  }
+
+  void Uncount() {
+    if (m_holding) CloseHolding(*m_state->m_limits.m_budget, *m_holding);
+    m_holding.reset();
+  }
+
+  bool Charge(std::size_t bytes) {
+    return !m_holding ||
+           ChargeHolding(*m_state->m_limits.m_budget, *m_holding, bytes);
+  }
+
   void Connect() {
+    Count();
     beast::error_code code;
     const auto host = asio::ip::make_address(m_state->m_address.m_host, code);
     if (code) return Fail(ErrorCode::kUnavailable, "connect", code);
@@ -126,16 +151,43 @@
   void OnWritten(beast::error_code code) {
     if (code) return Fail(ErrorCode::kOutcomeUnknown, "send request", code);
     m_parser.emplace();
+    m_parser->eager(true);
     m_parser->body_limit(m_state->m_limits.m_maximum_response_bytes);
-    beast::http::async_read(
-        m_stream, m_buffer, *m_parser,
-        [self = shared_from_this()](beast::error_code read_code, std::size_t) {
-          self->OnRead(read_code);
+    ReadPiece();
+  }
+
+  void ReadPiece() {
+    const std::size_t space = m_buffer.max_size() - m_buffer.size();
+    m_stream.async_read_some(
+        m_buffer.prepare(std::min(space, m_state->m_limits.m_read_bytes)),
+        [self = shared_from_this()](beast::error_code code, std::size_t bytes) {
+          self->OnPiece(code, bytes);
         });
   }
 
+  void OnPiece(beast::error_code code, std::size_t bytes) {
+    m_buffer.commit(bytes);
+    if (code == asio::error::eof) {
+      if (!m_parser->got_some()) return OnRead(code);
+      code = {};
+      m_parser->put_eof(code);
+      return OnRead(code);
+    }
+    while (!code && m_buffer.size() > 0 && !m_parser->is_done()) {
+      m_buffer.consume(m_parser->put(m_buffer.data(), code));
+    }
+    if (code == beast::http::error::need_more) code = {};
+    if (code || m_parser->is_done()) return OnRead(code);
+    if (m_buffer.size() == m_buffer.max_size() ||
+        !Charge(m_buffer.capacity() + m_parser->get().body().size())) {
+      return OnRead(beast::http::error::buffer_overflow);
+    }
+    ReadPiece();
+  }
+
   void OnRead(beast::error_code code) {
     if (code) return Fail(ErrorCode::kOutcomeUnknown, "read answer", code);
+    Charge(0);
     auto message = m_parser->release();
     HttpResponse response;
     response.m_status = message.result_int();
@@ -225,6 +277,7 @@
   bool m_is_connected = false;
   std::uint64_t m_use_count = 0;
   beast::flat_buffer m_buffer;
+  std::optional<HoldingId> m_holding;
   beast::http::request<beast::http::string_body> m_message;
   std::optional<beast::http::response_parser<beast::http::string_body>>
       m_parser;
--- a/libraries/http/http_client.h
+++ b/libraries/http/http_client.h
@@ -8,6 +8,7 @@
 #include "base/time.h"
 #include "http/address.h"
 #include "http/http_message.h"
+#include "http/memory_budget.h"
 
 namespace daisyarch {
 
@@ -26,6 +27,9 @@
   /// the loop.
   std::size_t m_read_bytes = 4096;
   std::size_t m_maximum_response_bytes = 64UL * 1024 * 1024;
+  /// Null: what the connections hold is not counted.
+  std::shared_ptr<MemoryBudget> m_budget;
+  PeerKind m_peer_kind = PeerKind::kWorker;
 };
 
 /// Sends requests to one address. Each request in flight has a connection of
--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -1,8 +1,11 @@
 #include "http/http_server.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -13,9 +16,11 @@
 using asio::ip::tcp;
 
 struct HttpServer::State {
-  explicit State(asio::io_context& loop) : m_acceptor(loop) {}
+  explicit State(asio::io_context& loop)
+      : m_acceptor(loop), m_accept_timer(loop) {}
 
   tcp::acceptor m_acceptor;
+  asio::steady_timer m_accept_timer;
   HttpServerLimits m_limits;
   HttpHandler m_handler;
   std::size_t m_open_requests = 0;
@@ -24,10 +29,23 @@
 
 namespace {
 
+// Bytes that are read at a time: of a header, and of a body.
+constexpr std::size_t kHeaderPiece = 2048;
+constexpr std::size_t kBodyPiece = 16UL * 1024;
+// What a connection holds while it waits for a request.
+constexpr std::size_t kIdleBytes = 4096;
+// Pause after an error of accept(), such as no free descriptor, that would only
+// repeat itself at once.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
+
 class Session : public std::enable_shared_from_this<Session> {
  public:
   Session(tcp::socket socket, std::shared_ptr<HttpServer::State> state)
-      : m_stream(std::move(socket)), m_state(std::move(state)) {
+      : m_stream(std::move(socket)),
+        m_state(std::move(state)),
+        m_holding(OpenHolding(budget(), kind(), [this] { m_stream.close(); })),
+        m_is_counted(m_holding != budget().m_holdings.end()),
+        m_buffer(m_state->m_limits.m_maximum_header_bytes + kBodyPiece) {
     beast::error_code code;
     const auto remote = m_stream.socket().remote_endpoint(code);
     if (!code) {
@@ -37,36 +55,131 @@
     m_stream.socket().set_option(tcp::no_delay(true), code);
   }
 
+  ~Session() {
+    if (m_is_counted) CloseHolding(budget(), m_holding);
+  }
+
+  // Without room for one more connection, closes it.
+  void Start() {
+    if (m_is_counted) Read();
+  }
+
+ private:
+  const HttpServerLimits& limits() const { return m_state->m_limits; }
+  MemoryBudget& budget() const { return *m_state->m_limits.m_budget; }
+  PeerKind kind() const { return m_state->m_limits.m_peer_kind; }
+
   void Read() {
+    if (!ChargeHolding(budget(), m_holding, kIdleBytes)) return;
     m_parser.emplace();
-    m_parser->body_limit(m_state->m_limits.m_maximum_body_bytes);
-    m_stream.expires_after(m_state->m_limits.m_receive_timeout);
-    beast::http::async_read(
-        m_stream, m_buffer, *m_parser,
-        [self = shared_from_this()](beast::error_code code, std::size_t) {
-          self->OnRead(code);
+    m_parser->eager(true);
+    m_parser->header_limit(
+        static_cast<std::uint32_t>(limits().m_maximum_header_bytes));
+    m_parser->body_limit(limits().m_maximum_body_bytes);
+    m_received_bytes = 0;
+    m_header_bytes = 0;
+    m_stream.expires_after(limits().m_receive_timeout);
+    if (m_buffer.size() > 0) return Parse();
+    if (m_buffer.capacity() > kHeaderPiece) m_buffer.shrink_to_fit();
+    ReadPiece();
+  }
+
+  void ReadPiece() {
+    const std::size_t piece =
+        m_parser->is_header_done() ? kBodyPiece : kHeaderPiece;
+    const std::size_t space = m_buffer.max_size() - m_buffer.size();
+    m_stream.async_read_some(
+        m_buffer.prepare(std::min(piece, space)),
+        [self = shared_from_this()](beast::error_code code, std::size_t bytes) {
+          self->OnPiece(code, bytes);
         });
   }
 
- private:
-  void OnRead(beast::error_code code) {
-    if (code == beast::http::error::end_of_stream) return Close();
+  void OnPiece(beast::error_code code, std::size_t bytes) {
+    if (code == beast::error::timeout) {
+      return NoteRefusal(budget(), kind(), RefusalCause::kTooSlow);
+    }
+    if (code == asio::error::eof) return OnEnd();
+    if (code) return;
+    m_buffer.commit(bytes);
+    Parse();
+  }
+
+  void OnEnd() {
+    if (!m_parser->got_some()) return Close();
+    Reject(400, RefusalCause::kMalformed, "the request is not complete");
+  }
+
+  void Parse() {
+    const std::size_t before = m_buffer.size();
+    beast::error_code code;
+    while (!code && m_buffer.size() > 0 && !m_parser->is_done()) {
+      m_buffer.consume(m_parser->put(m_buffer.data(), code));
+    }
+    const bool needs_more = code == beast::http::error::need_more || !code;
+    if (!needs_more) return RejectMalformed(code);
+    if (m_parser->is_done()) return Dispatch(m_parser->release());
+    if (m_buffer.size() == m_buffer.max_size()) {
+      return Reject(431, RefusalCause::kHeaderTooLarge,
+                    "the trailer or a chunk's extension is too large");
+    }
+    Continue(before);
+  }
+
+  // Waits for more of a request that has begun.
+  void Continue(std::size_t bytes) {
+    const bool has_just_begun = m_received_bytes == 0;
+    m_received_bytes += bytes;
+    if (!m_parser->is_header_done()) m_header_bytes = m_received_bytes;
+    if (CountFields() > limits().m_maximum_fields) {
+      return Reject(431, RefusalCause::kHeaderTooLarge, "too many fields");
+    }
+    if (has_just_begun) {
+      SetHoldingState(budget(), m_holding, HoldingState::kUnfinished);
+    }
+    // The header is in the buffer and in the message.
+    const std::size_t held = kIdleBytes + m_buffer.capacity() +
+                             2 * m_header_bytes + m_parser->get().body().size();
+    if (!ChargeHolding(budget(), m_holding, held)) return RejectForMemory();
+    if (has_just_begun || m_received_bytes >= m_next_progress) {
+      m_next_progress = m_received_bytes + limits().m_least_progress_bytes;
+      m_stream.expires_after(limits().m_progress_period);
+    }
+    ReadPiece();
+  }
+
+  // Fields of a few bytes take many times as much memory.
+  std::size_t CountFields() const {
+    if (m_parser->is_header_done()) return 0;
+    const auto& fields = m_parser->get();
+    return static_cast<std::size_t>(
+        std::distance(fields.begin(), fields.end()));
+  }
+
+  void RejectForMemory() {
+    Reject(503, RefusalCause::kMemory, "not run: out of memory for requests");
+  }
+
+  void RejectMalformed(beast::error_code code) {
     if (code == beast::http::error::body_limit) {
-      return Reject(413, "the body is too large");
+      return Reject(413, RefusalCause::kBodyTooLarge, "the body is too large");
     }
-    if (code == beast::error::timeout) return Reject(408, "request timed out");
-    if (code.category() ==
-        beast::http::make_error_code(beast::http::error::bad_method)
-            .category()) {
-      return Reject(400, code.message());
+    if (code == beast::http::error::header_limit) {
+      return Reject(431, RefusalCause::kHeaderTooLarge,
+                    "the header is too large");
     }
-    if (code) return;
-    m_stream.expires_never();
-    Dispatch(m_parser->release());
+    Reject(400, RefusalCause::kMalformed, code.message());
   }
 
   void Dispatch(beast::http::request<beast::http::string_body> message) {
+    m_stream.expires_never();
     m_keep_alive = message.keep_alive();
+    SetHoldingState(budget(), m_holding, HoldingState::kFinished);
+    if (!ChargeHolding(budget(), m_holding,
+                       kIdleBytes + m_buffer.capacity() + m_header_bytes +
+                           message.body().size())) {
+      return RejectForMemory();
+    }
     HttpRequest request;
     request.m_method = std::string(message.method_string());
     request.m_target = std::string(message.target());
@@ -74,6 +187,9 @@
       request.m_headers.emplace_back(std::string(field.name_string()),
                                      std::string(field.value()));
     }
+    if (request.m_headers.size() > limits().m_maximum_fields) {
+      return Reject(431, RefusalCause::kHeaderTooLarge, "too many fields");
+    }
     request.m_body = std::move(message.body());
     request.m_peer = m_peer;
     ++m_state->m_open_requests;
@@ -83,13 +199,15 @@
                        });
   }
 
-  // If the stream has timed out, Beast has already closed it, and the response
-  // does not reach the client.
-  void Reject(unsigned status, const std::string& detail) {
+  // What was sent has not reached the handler, so it has not run.
+  void Reject(unsigned status, RefusalCause cause, const std::string& detail) {
+    NoteRefusal(budget(), kind(), cause);
+    m_parser.reset();
     m_keep_alive = false;
     HttpResponse response;
     response.m_status = status;
     response.m_headers.emplace_back("Content-Type", "application/json");
+    if (status == 503) response.m_headers.emplace_back("Retry-After", "1");
     response.m_body =
         "{\"code\":\"invalid_argument\",\"step\":\"read request\","
         "\"peer\":\"" +
@@ -98,6 +216,7 @@
   }
 
   void SendResponse(HttpResponse response, bool was_counted) {
+    SetHoldingState(budget(), m_holding, HoldingState::kAnswering);
     m_message = {};
     m_message.version(11);
     m_message.result(response.m_status);
@@ -120,6 +239,7 @@
   void OnWritten(beast::error_code code) {
     if (code) return;
     if (!m_message.keep_alive()) return Close();
+    SetHoldingState(budget(), m_holding, HoldingState::kIdle);
     Read();
   }
 
@@ -130,20 +250,33 @@
 
   beast::tcp_stream m_stream;
   std::shared_ptr<HttpServer::State> m_state;
+  HoldingId m_holding;
+  bool m_is_counted;
   std::string m_peer;
   beast::flat_buffer m_buffer;
   std::optional<beast::http::request_parser<beast::http::string_body>> m_parser;
   beast::http::response<beast::http::string_body> m_message;
   bool m_keep_alive = true;
+  std::size_t m_received_bytes = 0;  ///< Of the present request.
+  std::size_t m_header_bytes = 0;
+  std::size_t m_next_progress = 0;  ///< Expected within the period.
 };
 
+void Accept(const std::shared_ptr<HttpServer::State>& state);
+
+void AcceptLater(const std::shared_ptr<HttpServer::State>& state) {
+  state->m_accept_timer.expires_after(kAcceptPause);
+  state->m_accept_timer.async_wait([state](beast::error_code code) {
+    if (!code && state->m_acceptor.is_open()) Accept(state);
+  });
+}
+
 void Accept(const std::shared_ptr<HttpServer::State>& state) {
   state->m_acceptor.async_accept(
       [state](beast::error_code code, tcp::socket socket) {
         if (!state->m_acceptor.is_open()) return;
-        if (!code) {
-          std::make_shared<Session>(std::move(socket), state)->Read();
-        }
+        if (code) return AcceptLater(state);
+        std::make_shared<Session>(std::move(socket), state)->Start();
         Accept(state);
       });
 }
@@ -165,6 +298,9 @@
     const HttpServerLimits& limits, HttpHandler handler) {
   auto state = std::make_shared<State>(loop);
   state->m_limits = limits;
+  if (!state->m_limits.m_budget) {
+    state->m_limits.m_budget = std::make_shared<MemoryBudget>();
+  }
   state->m_handler = std::move(handler);
   beast::error_code code;
   const auto host = asio::ip::make_address(address.m_host, code);
@@ -189,6 +325,7 @@
   m_state->m_is_draining = true;
   beast::error_code code;
   m_state->m_acceptor.close(code);
+  m_state->m_accept_timer.cancel();
 }
 
 std::size_t HttpServer::open_requests() const {
--- a/libraries/http/http_server.h
+++ b/libraries/http/http_server.h
@@ -8,15 +8,27 @@
 #include "base/time.h"
 #include "http/address.h"
 #include "http/http_message.h"
+#include "http/memory_budget.h"
 
 namespace daisyarch {
 
 /// Limits on each request, including the wait for it, and on its response. A
-/// connection that exceeds one is closed.
+/// connection that exceeds one is closed, after a response if it can be sent.
 struct HttpServerLimits {
   std::size_t m_maximum_body_bytes = 64UL * 1024 * 1024;
+  /// Of the request line and all fields; a trailer or a chunk's extensions may
+  /// be as long.
+  std::size_t m_maximum_header_bytes = 32UL * 1024;
+  std::size_t m_maximum_fields = 256;  ///< Those of the trailer included.
   Duration m_receive_timeout = std::chrono::seconds(15);
   Duration m_send_timeout = std::chrono::seconds(30);
+  /// A request that has begun brings this many bytes in each of these periods,
+  /// or its end.
+  std::size_t m_least_progress_bytes = 4096;
+  Duration m_progress_period = std::chrono::seconds(10);
+  /// Null: what the connections hold is counted, but not limited.
+  std::shared_ptr<MemoryBudget> m_budget;
+  PeerKind m_peer_kind = PeerKind::kClient;
 };
 
 /// An HTTP/1.1 server on the event loop. Pipelined requests of a connection are
--- a/libraries/mesh/mesh_server.cc
+++ b/libraries/mesh/mesh_server.cc
@@ -1,5 +1,6 @@
 #include "mesh/mesh_server.h"
 
+#include <map>
 #include <set>
 #include <utility>
 #include <websocketpp/config/asio_no_tls.hpp>
@@ -17,11 +18,46 @@
   WebSocketServer m_server;
   MeshHandler m_handler;
   std::set<Connection, std::owner_less<Connection>> m_connections;
+  std::shared_ptr<MemoryBudget> m_budget;
+  std::map<Connection, HoldingId, std::owner_less<Connection>> m_holdings;
   bool m_is_stopped = false;
 };
 
 namespace {
 
+void CloseSocket(MeshServer::State& state, const Connection& connection) {
+  websocketpp::lib::error_code code;
+  const auto session = state.m_server.get_con_from_hdl(connection, code);
+  boost::system::error_code close_code;
+  if (!code) session->get_raw_socket().close(close_code);
+}
+
+// Without room for one more connection, closes it.
+void Count(MeshServer::State& state, const Connection& connection) {
+  if (!state.m_budget) return;
+  const HoldingId holding =
+      OpenHolding(*state.m_budget, PeerKind::kPeer,
+                  [&state, connection] { CloseSocket(state, connection); });
+  if (holding == state.m_budget->m_holdings.end()) {
+    return CloseSocket(state, connection);
+  }
+  state.m_holdings.emplace(connection, holding);
+}
+
+void Uncount(MeshServer::State& state, const Connection& connection) {
+  const auto holding = state.m_holdings.find(connection);
+  if (holding == state.m_holdings.end()) return;
+  CloseHolding(*state.m_budget, holding->second);
+  state.m_holdings.erase(holding);
+}
+
+// A peer that calls gives way later than one that never has.
+void NoteCall(MeshServer::State& state, const Connection& connection) {
+  const auto holding = state.m_holdings.find(connection);
+  if (holding == state.m_holdings.end()) return;
+  SetHoldingState(*state.m_budget, holding->second, HoldingState::kFinished);
+}
+
 void Answer(const std::shared_ptr<MeshServer::State>& state,
             const Connection& connection, std::uint64_t number,
             const Result<Json>& result) {
@@ -34,8 +70,15 @@
     envelope.m_detail = ToString(result.assume_error());
   }
   websocketpp::lib::error_code code;
-  state->m_server.send(connection, WriteCbor(Encode(envelope)),
-                       websocketpp::frame::opcode::binary, code);
+  const auto session = state->m_server.get_con_from_hdl(connection, code);
+  if (code) return;
+  const std::string payload = WriteCbor(Encode(envelope));
+  // A peer that doesn't read makes its answers wait here.
+  if (session->get_buffered_amount() + payload.size() >
+      kMaximumMeshMessageBytes) {
+    return CloseSocket(*state, connection);
+  }
+  session->send(payload, websocketpp::frame::opcode::binary);
 }
 
 std::string PeerAddress(const std::shared_ptr<MeshServer::State>& state,
@@ -58,6 +101,7 @@
                           "malformed message", code);
     return;
   }
+  NoteCall(*state, connection);
   const MeshEnvelope& call = envelope.assume_value();
   const std::uint64_t number = call.m_number;
   state->m_handler(call.m_method, call.m_body, peer,
@@ -75,29 +119,40 @@
 MeshServer::~MeshServer() { Stop(); }
 
 Result<std::unique_ptr<MeshServer>> MeshServer::Create(
-    boost::asio::io_context& loop, const Address& address,
-    MeshHandler handler) {
+    boost::asio::io_context& loop, const Address& address, MeshHandler handler,
+    const MeshServerLimits& limits) {
   auto state = std::make_shared<State>();
   state->m_handler = std::move(handler);
+  state->m_budget = limits.m_budget;
   WebSocketServer& server = state->m_server;
   server.clear_access_channels(websocketpp::log::alevel::all);
   server.clear_error_channels(websocketpp::log::elevel::all);
   websocketpp::lib::error_code code;
   server.init_asio(&loop, code);
-  server.set_tcp_post_init_handler([&server](const Connection& connection) {
+  // The server owns these handlers, so they hold it by weak reference only.
+  const std::weak_ptr<State> weak = state;
+  server.set_tcp_post_init_handler([weak](const Connection& connection) {
+    const auto self = weak.lock();
+    if (!self) return;
     websocketpp::lib::error_code error;
-    const auto session = server.get_con_from_hdl(connection, error);
-    if (!error) SendWithoutDelay(session->get_raw_socket());
+    const auto session = self->m_server.get_con_from_hdl(connection, error);
+    if (error) return;
+    SendWithoutDelay(session->get_raw_socket());
+    Count(*self, connection);
   });
   server.set_reuse_addr(true);
-  server.set_max_message_size(kMaximumMeshMessageBytes);
-  // The server owns these handlers, so they hold it by weak reference only.
-  const std::weak_ptr<State> weak = state;
+  server.set_max_message_size(limits.m_maximum_message_bytes);
+  server.set_fail_handler([weak](const Connection& connection) {
+    if (const auto self = weak.lock()) Uncount(*self, connection);
+  });
   server.set_open_handler([weak](const Connection& connection) {
     if (const auto self = weak.lock()) self->m_connections.insert(connection);
   });
   server.set_close_handler([weak](const Connection& connection) {
-    if (const auto self = weak.lock()) self->m_connections.erase(connection);
+    const auto self = weak.lock();
+    if (!self) return;
+    self->m_connections.erase(connection);
+    Uncount(*self, connection);
   });
   server.set_message_handler(
       [weak](const Connection& connection,
@@ -122,6 +177,10 @@
 void MeshServer::Stop() {
   if (m_state->m_is_stopped) return;
   m_state->m_is_stopped = true;
+  for (const auto& entry : m_state->m_holdings) {
+    CloseHolding(*m_state->m_budget, entry.second);
+  }
+  m_state->m_holdings.clear();
   websocketpp::lib::error_code code;
   m_state->m_server.stop_listening(code);
   for (const Connection& connection : m_state->m_connections) {
--- a/libraries/mesh/mesh_server.h
+++ b/libraries/mesh/mesh_server.h
@@ -7,6 +7,7 @@
 
 #include "base/result.h"
 #include "http/address.h"
+#include "http/memory_budget.h"
 #include "wire/json.h"
 
 namespace daisyarch {
@@ -22,13 +23,19 @@
     std::function<void(const std::string& method, const Json& body,
                        const std::string& peer, MeshResponder respond)>;
 
+struct MeshServerLimits {
+  std::size_t m_maximum_message_bytes = kMaximumMeshMessageBytes;
+  /// Limits the connections; null: they are not limited.
+  std::shared_ptr<MemoryBudget> m_budget;
+};
+
 /// Serves calls from other nodes, as CBOR messages over WebSocket.
 class MeshServer {
  public:
   /// kUnavailable when the address cannot be bound.
   static Result<std::unique_ptr<MeshServer>> Create(
       boost::asio::io_context& loop, const Address& address,
-      MeshHandler handler);
+      MeshHandler handler, const MeshServerLimits& limits = {});
 
   ~MeshServer();
   MeshServer(const MeshServer&) = delete;
