--- a/libraries/http/http_client.cc
+++ b/libraries/http/http_client.cc
@@ -53,10 +53,7 @@
       : m_stream(state->m_loop),
         m_state(std::move(state)),
         m_buffer(kMaximumHeaderBytes + m_state->m_limits.m_read_bytes),
-        m_idle_timer(m_state->m_loop) {
-    // Without a reserve, a response is read in parts of 512 bytes.
-    m_buffer.reserve(m_state->m_limits.m_read_bytes);
-  }
+        m_idle_timer(m_state->m_loop) {}
 
   ~Connection() { Uncount(); }
 
