--- a/tests/http/memory_budget_test.cc
+++ b/tests/http/memory_budget_test.cc
@@ -81,24 +81,24 @@
 }
 
 TEST_CASE("The client that waits longest gives way to a new connection") {
-  Trial trial(64, 400);
+  Trial trial(64, 1000);
   const HoldingId first = trial.Open(PeerKind::kClient);
   const HoldingId second = trial.Open(PeerKind::kClient);
   SetHoldingState(trial.m_budget, first, HoldingState::kIdle);
-  for (int number = 0; number < 49; ++number) trial.Open(PeerKind::kClient);
+  for (int number = 0; number < 199; ++number) trial.Open(PeerKind::kClient);
   CHECK(trial.m_given_way == 1);
   CHECK(second->m_is_leaving);
-  CHECK(trial.m_budget.m_connections[0] == 50);
+  CHECK(trial.m_budget.m_connections[0] == 200);
 }
 
 TEST_CASE(
     "A client that doesn't read its answer gives way before one in work") {
-  Trial trial(64, 400);
+  Trial trial(64, 1000);
   const HoldingId working =
       trial.OpenWith(PeerKind::kClient, HoldingState::kFinished, 0);
   const HoldingId reading =
       trial.OpenWith(PeerKind::kClient, HoldingState::kAnswering, 0);
-  for (int number = 0; number < 48; ++number) {
+  for (int number = 0; number < 198; ++number) {
     trial.OpenWith(PeerKind::kClient, HoldingState::kFinished, 0);
   }
   trial.Open(PeerKind::kClient);
@@ -107,12 +107,12 @@
 }
 
 TEST_CASE("A connection without room for it is refused and counted") {
-  Trial trial(64, 400);
+  Trial trial(64, 1000);
   int refusals = 0;
   trial.m_budget.m_on_refusal = [&refusals](PeerKind, RefusalCause cause) {
     if (cause == RefusalCause::kConnections) ++refusals;
   };
-  for (int number = 0; number < 50; ++number) {
+  for (int number = 0; number < 200; ++number) {
     trial.OpenWith(PeerKind::kClient, HoldingState::kFinished, 0);
   }
   CHECK(trial.Open(PeerKind::kClient) == trial.m_budget.m_holdings.end());
