http: Feed the server trailers, extensions and cut requests by seed

200 seeds instead of 60, with trailers, chunk extensions and requests cut at a random byte. Over loopback sockets as before; virtual streams would need a session that is a template of its stream.

--- a/tests/http/malformed_requests_test.cc
+++ b/tests/http/malformed_requests_test.cc
@@ -33,6 +33,10 @@
                               "zz\r\nhello\r\n",
                               "ffffffffffffffff\r\n",
                               "0\r\n\r\n",
+                              "0\r\n",
+                              "X-Trailer: a\r\n",
+                              "5;a=b\r\nhello\r\n",
+                              "5;a=",
                               "\r\r\n\n",
                               "hello"};
 
@@ -47,6 +51,7 @@
         static_cast<char>(NextBelow(random, 256));
   }
   if (NextBelow(random, 8) == 0) request.append(20000, 'x');
+  if (NextBelow(random, 8) == 0) request.resize(NextBelow(random, 64));
   return request;
 }
 
@@ -102,7 +107,7 @@
 // Guards against a request that ends the process, or keeps it from others.
 TEST_CASE("A server goes on serving beside malformed requests") {
   EchoServer server;
-  for (std::uint64_t seed = 1; seed <= 60; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     Random random{seed};
     const std::string odd = OddRequest(random);
     INFO("seed " << seed << ": " << odd.substr(0, 300));
