--- a/libraries/settings/site_settings.h
+++ b/libraries/settings/site_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -37,6 +38,9 @@
   /// start. Empty: the platform states no bound, and there are no evacuations.
   std::optional<Duration> m_evacuation_period;
   double m_remote_slowdown = 1.0;  ///< Slowdown of a task outside its rack.
+  /// Of the process. What its peers may make it hold follows from these.
+  std::size_t m_memory_bytes = 256UL * 1024 * 1024;
+  std::size_t m_maximum_descriptors = 4096;
 };
 
 /// Parses settings from YAML text. Fails with kInvalidArgument, file, line, key
