fleet: Take no stored run time that could freeze or overflow

Cause: the review: a stored variance of 0 is never forgotten, and a slope of 50 gives no finite run time. Change: narrower ranges for what is read from the store, and no run time for what is not finite.

--- a/libraries/decisions/fleet/learned_run_times.cc
+++ b/libraries/decisions/fleet/learned_run_times.cc
@@ -17,8 +17,10 @@
 constexpr double kSmallChange = 0.15;
 constexpr double kSmallSlownessChange = 0.4;
 // Far beyond any logarithm of seconds or of a ratio.
-constexpr double kMaximumLog = 50;
+constexpr double kMaximumLog = 15;
+constexpr double kMaximumSlope = 3;
 constexpr double kMaximumRatio = 100;
+constexpr double kLeastVariance = 1e-6;
 
 bool IsIn(double value, double least, double most) {
   return std::isfinite(value) && value >= least && value <= most;
@@ -30,18 +32,18 @@
   return IsIn(learned.m_weight, 0, kMaximumRatio) &&
          IsIn(learned.m_origin, -kMaximumLog, kMaximumLog) &&
          IsIn(learned.m_level, -kMaximumLog, kMaximumLog) &&
-         IsIn(learned.m_slope, -kMaximumLog, kMaximumLog) &&
-         IsIn(learned.m_level_variance, 0, kMaximumLog) &&
-         IsIn(learned.m_slope_variance, 0, kMaximumLog) &&
+         IsIn(learned.m_slope, -kMaximumSlope, kMaximumSlope) &&
+         IsIn(learned.m_level_variance, kLeastVariance, kMaximumLog) &&
+         IsIn(learned.m_slope_variance, kLeastVariance, kMaximumLog) &&
          IsIn(learned.m_covariance, -bound, bound) &&
-         IsIn(learned.m_run_variance, 1e-6, kMaximumLog) &&
+         IsIn(learned.m_run_variance, kLeastVariance, kMaximumLog) &&
          IsIn(learned.m_mean_ratio, 1e-3, kMaximumRatio) &&
          IsIn(learned.m_mean_square, 0, kMaximumRatio);
 }
 
 bool IsInRange(const WorkerSlowness& slowness) {
-  return IsIn(slowness.m_mean, -kMaximumLog, kMaximumLog) &&
-         IsIn(slowness.m_variance, 1e-6, kMaximumLog);
+  return IsIn(slowness.m_mean, -kMaximumSlope, kMaximumSlope) &&
+         IsIn(slowness.m_variance, kLeastVariance, kMaximumLog);
 }
 
 double SureSlowness(const WorkerSlowness& slowness) {
--- a/libraries/decisions/fleet/run_times.cc
+++ b/libraries/decisions/fleet/run_times.cc
@@ -49,6 +49,7 @@
 }
 
 Duration DurationOf(double seconds) {
+  if (!std::isfinite(seconds)) return Duration{};
   return std::chrono::duration_cast<Duration>(
       std::chrono::duration<double>(std::clamp(seconds, 0.0, kMostSeconds)));
 }
