http: Count a header's fields as soon as it ends

Cause: fields were counted and charged only while the header was not done, so a header that ended inside the piece at hand was held uncounted until the request was whole. Change: leftovers and pieces are shown to the parser in header pieces while it is in a header; when that ends, its fields are counted once, refused with 431 over the limit, and charged as 128 bytes each beside the bytes taken.

--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -34,6 +34,8 @@
 constexpr std::size_t kBodyPiece = 16UL * 1024;
 // What a connection holds while it waits for a request.
 constexpr std::size_t kIdleBytes = 4096;
+// What a field takes beside its text.
+constexpr std::size_t kFieldBytes = 128;
 // Pause after an error of accept(), such as no free descriptor, that would only
 // repeat itself at once.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
@@ -78,6 +80,7 @@
     m_parser->body_limit(limits().m_maximum_body_bytes);
     m_received_bytes = 0;
     m_header_bytes = 0;
+    m_fields = 0;
     m_stream.expires_after(limits().m_receive_timeout);
     if (m_buffer.size() > 0) return Parse();
     if (m_buffer.capacity() > kHeaderPiece) m_buffer.shrink_to_fit();
@@ -112,12 +115,27 @@
 
   void Parse() {
     const std::size_t before = m_buffer.size();
-    beast::error_code code;
-    while (!code && m_buffer.size() > 0 && !m_parser->is_done()) {
-      m_buffer.consume(m_parser->put(m_buffer.data(), code));
+    // Of the buffer, what the parser has seen and waits to see with more.
+    std::size_t seen = 0;
+    while (seen < m_buffer.size() && !m_parser->is_done()) {
+      const bool was_in_header = !m_parser->is_header_done();
+      // A header that ends in a long piece is counted before what follows it.
+      const std::size_t shown =
+          was_in_header ? std::min(m_buffer.size(), seen + kHeaderPiece)
+                        : m_buffer.size();
+      beast::error_code code;
+      const std::size_t taken = m_parser->put(
+          asio::const_buffer(m_buffer.data().data(), shown), code);
+      const bool needs_more = code == beast::http::error::need_more;
+      if (code && !needs_more) return RejectMalformed(code);
+      m_buffer.consume(taken);
+      seen = needs_more ? shown - taken : 0;
+      if (!was_in_header) continue;
+      m_header_bytes += taken;
+      if (!m_parser->is_header_done()) continue;
+      m_fields = CountFields(m_parser->get());
+      if (m_fields > limits().m_maximum_fields) return RejectForFields();
     }
-    const bool needs_more = code == beast::http::error::need_more || !code;
-    if (!needs_more) return RejectMalformed(code);
     if (m_parser->is_done()) return Dispatch(m_parser->release());
     if (m_buffer.size() == m_buffer.max_size()) {
       return Reject(431, RefusalCause::kHeaderTooLarge,
@@ -130,16 +148,10 @@
   void Continue(std::size_t bytes) {
     const bool has_just_begun = m_received_bytes == 0;
     m_received_bytes += bytes;
-    if (!m_parser->is_header_done()) m_header_bytes = m_received_bytes;
-    if (CountFields() > limits().m_maximum_fields) {
-      return Reject(431, RefusalCause::kHeaderTooLarge, "too many fields");
-    }
     if (has_just_begun) {
       SetHoldingState(budget(), m_holding, HoldingState::kUnfinished);
     }
-    // The header is in the buffer and in the message.
-    const std::size_t held = kIdleBytes + m_buffer.capacity() +
-                             2 * m_header_bytes + m_parser->get().body().size();
+    const std::size_t held = HeldBeside(m_parser->get().body().size());
     if (!ChargeHolding(budget(), m_holding, held)) return RejectForMemory();
     if (has_just_begun || m_received_bytes >= m_next_progress) {
       m_next_progress = m_received_bytes + limits().m_least_progress_bytes;
@@ -148,14 +160,21 @@
     ReadPiece();
   }
 
-  // Fields of a few bytes take many times as much memory.
-  std::size_t CountFields() const {
-    if (m_parser->is_header_done()) return 0;
-    const auto& fields = m_parser->get();
+  static std::size_t CountFields(const beast::http::fields& fields) {
     return static_cast<std::size_t>(
         std::distance(fields.begin(), fields.end()));
   }
 
+  // Fields of a few bytes take many times as much memory.
+  std::size_t HeldBeside(std::size_t body_bytes) const {
+    return kIdleBytes + m_buffer.capacity() + m_header_bytes +
+           m_fields * kFieldBytes + body_bytes;
+  }
+
+  void RejectForFields() {
+    Reject(431, RefusalCause::kHeaderTooLarge, "too many fields");
+  }
+
   void RejectForMemory() {
     Reject(503, RefusalCause::kMemory, "not run: out of memory for requests");
   }
@@ -175,9 +194,11 @@
     m_stream.expires_never();
     m_keep_alive = message.keep_alive();
     SetHoldingState(budget(), m_holding, HoldingState::kFinished);
+    // Those of the trailer are there now.
+    m_fields = CountFields(message);
+    if (m_fields > limits().m_maximum_fields) return RejectForFields();
     if (!ChargeHolding(budget(), m_holding,
-                       kIdleBytes + m_buffer.capacity() + m_header_bytes +
-                           message.body().size())) {
+                       HeldBeside(message.body().size()))) {
       return RejectForMemory();
     }
     HttpRequest request;
@@ -187,9 +208,6 @@
       request.m_headers.emplace_back(std::string(field.name_string()),
                                      std::string(field.value()));
     }
-    if (request.m_headers.size() > limits().m_maximum_fields) {
-      return Reject(431, RefusalCause::kHeaderTooLarge, "too many fields");
-    }
     request.m_body = std::move(message.body());
     request.m_peer = m_peer;
     ++m_state->m_open_requests;
@@ -258,8 +276,9 @@
   beast::http::response<beast::http::string_body> m_message;
   bool m_keep_alive = true;
   std::size_t m_received_bytes = 0;  ///< Of the present request.
-  std::size_t m_header_bytes = 0;
-  std::size_t m_next_progress = 0;  ///< Expected within the period.
+  std::size_t m_header_bytes = 0;    ///< Of a header that the parser has taken.
+  std::size_t m_fields = 0;          ///< That the parser has made of it.
+  std::size_t m_next_progress = 0;   ///< Expected within the period.
 };
 
 void Accept(const std::shared_ptr<HttpServer::State>& state);
--- a/tests/limits/crowds.cc
+++ b/tests/limits/crowds.cc
@@ -46,6 +46,13 @@
   return text;
 }
 
+// A request whose body ends in the piece that holds the next one's header.
+std::string PipelinedSmallFields() {
+  return Submission(Filler(2500)) +
+         Head("POST", "Content-Length: 900000\r\n" + Repeated("a:\r\n", 15600) +
+                          "\r\n");
+}
+
 const std::string kUpgrade =
     "GET /mesh HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\n"
     "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
@@ -67,6 +74,8 @@
       {"chunk_extensions", Target::kCallers, 30, Chunked() + "5;a=", filler,
        8 * kMegabyte},
       {"headers", Target::kCallers, 100, Head("POST", ""), field, kMegabyte},
+      {"pipelined_small_fields", Target::kCallers, 100, PipelinedSmallFields(),
+       "x", 100},
       {"header_without_end", Target::kCallers, 100, Head("POST", "X-Field: "),
        filler, kMegabyte},
       {"chunked_bodies", Target::kCallers, 60, Chunked(), ChunkOf(8000),
