http: Count each byte once as progress

Cause: every piece counted the whole buffer, with what earlier pieces left. Change: the bytes that were read count, and leftovers once for their request. Result: two unit tests, a long trailer and a long header followed by single bytes, are not closed within 10 s on the code before, at a period of 0.5 s; they pass now.

--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -82,7 +82,7 @@
     m_header_bytes = 0;
     m_fields = 0;
     m_stream.expires_after(limits().m_receive_timeout);
-    if (m_buffer.size() > 0) return Parse();
+    if (m_buffer.size() > 0) return Parse(m_buffer.size());
     if (m_buffer.capacity() > kHeaderPiece) m_buffer.shrink_to_fit();
     ReadPiece();
   }
@@ -105,7 +105,7 @@
     if (code == asio::error::eof) return OnEnd();
     if (code) return;
     m_buffer.commit(bytes);
-    Parse();
+    Parse(bytes);
   }
 
   void OnEnd() {
@@ -113,8 +113,8 @@
     Reject(400, RefusalCause::kMalformed, "the request is not complete");
   }
 
-  void Parse() {
-    const std::size_t before = m_buffer.size();
+  // Takes the bytes that are new in the buffer, and what waits there.
+  void Parse(std::size_t new_bytes) {
     // Of the buffer, what the parser has seen and waits to see with more.
     std::size_t seen = 0;
     while (seen < m_buffer.size() && !m_parser->is_done()) {
@@ -141,13 +141,13 @@
       return Reject(431, RefusalCause::kHeaderTooLarge,
                     "the trailer or a chunk's extension is too large");
     }
-    Continue(before);
+    Continue(new_bytes);
   }
 
   // Waits for more of a request that has begun.
-  void Continue(std::size_t bytes) {
+  void Continue(std::size_t new_bytes) {
     const bool has_just_begun = m_received_bytes == 0;
-    m_received_bytes += bytes;
+    m_received_bytes += new_bytes;
     if (has_just_begun) {
       SetHoldingState(budget(), m_holding, HoldingState::kUnfinished);
     }
--- a/tests/http/unfinished_requests_test.cc
+++ b/tests/http/unfinished_requests_test.cc
@@ -51,8 +51,40 @@
   bool m_is_closed = false;
 };
 
+// Sends the start of a request and then single bytes, until the connection is
+// closed or each has been given much longer than the period.
+void Dribble(Trial& trial, const std::string& start) {
+  trial.Send(start);
+  for (int round = 0; round < 200 && !trial.m_is_closed; ++round) {
+    trial.RunFor(std::chrono::milliseconds(50));
+    if (!trial.m_is_closed) trial.Send("x");
+  }
+}
+
+HttpServerLimits ShortPeriod() {
+  HttpServerLimits limits;
+  limits.m_progress_period = std::chrono::milliseconds(500);
+  return limits;
+}
+
 }  // namespace
 
+TEST_CASE("A long trailer isn't counted as progress again with each byte") {
+  Trial trial(ShortPeriod());
+  Dribble(trial,
+          "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: " +
+              std::string(5500, 'x'));
+  CHECK(trial.m_is_closed);
+  CHECK(trial.m_received.empty());
+}
+
+TEST_CASE("A long header isn't counted as progress again with each byte") {
+  Trial trial(ShortPeriod());
+  Dribble(trial, "POST /a HTTP/1.1\r\nX: " + std::string(5500, 'x'));
+  CHECK(trial.m_is_closed);
+  CHECK(trial.m_received.empty());
+}
+
 TEST_CASE("Too many fields behind another request's body are refused at once") {
   Trial trial;
   trial.Send("POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhe");
