mesh: Answer no pings, and count answers that are being written

Cause: the library queues a pong for each ping and reads on, and its own sum lacks the messages that it has taken for the write under way. Change: a ping handler that answers none; answers are prepared here, so that a weak reference tells how long the library keeps each. The count of answers has no test of its own.

--- a/libraries/mesh/mesh_server.cc
+++ b/libraries/mesh/mesh_server.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <set>
 #include <utility>
+#include <vector>
 #include <websocketpp/config/asio_no_tls.hpp>
 #include <websocketpp/server.hpp>
 
@@ -13,6 +14,7 @@
 
 using WebSocketServer = websocketpp::server<websocketpp::config::asio>;
 using Connection = websocketpp::connection_hdl;
+using Message = WebSocketServer::message_ptr::element_type;
 
 struct MeshServer::State {
   WebSocketServer m_server;
@@ -20,6 +22,10 @@
   std::set<Connection, std::owner_less<Connection>> m_connections;
   std::shared_ptr<MemoryBudget> m_budget;
   std::map<Connection, HoldingId, std::owner_less<Connection>> m_holdings;
+  /// Answers that may not be written yet: the library keeps one for so long.
+  std::map<Connection, std::vector<std::weak_ptr<Message>>,
+           std::owner_less<Connection>>
+      m_unwritten;
   bool m_is_stopped = false;
 };
 
@@ -58,6 +64,36 @@
   SetHoldingState(*state.m_budget, holding->second, HoldingState::kFinished);
 }
 
+// Returns the bytes of the answers that are not written. The library's own sum
+// lacks those that it has taken for the write under way.
+std::size_t CountUnwritten(std::vector<std::weak_ptr<Message>>& messages) {
+  std::size_t bytes = 0;
+  std::vector<std::weak_ptr<Message>> unwritten;
+  for (const std::weak_ptr<Message>& entry : messages) {
+    const auto message = entry.lock();
+    if (!message) continue;
+    bytes += message->get_payload().size();
+    unwritten.push_back(entry);
+  }
+  messages = std::move(unwritten);
+  return bytes;
+}
+
+// A message that isn't prepared is copied as it is sent, and the copy can't be
+// followed.
+std::shared_ptr<Message> PrepareMessage(
+    const WebSocketServer::connection_ptr& session,
+    const std::string& payload) {
+  namespace frame = websocketpp::frame;
+  auto message = session->get_message(frame::opcode::binary, payload.size());
+  message->set_payload(payload);
+  message->set_header(frame::prepare_header(
+      frame::basic_header(frame::opcode::binary, payload.size(), true, false),
+      frame::extended_header(payload.size())));
+  message->set_prepared(true);
+  return message;
+}
+
 void Answer(const std::shared_ptr<MeshServer::State>& state,
             const Connection& connection, std::uint64_t number,
             const Result<Json>& result) {
@@ -71,14 +107,15 @@
   }
   websocketpp::lib::error_code code;
   const auto session = state->m_server.get_con_from_hdl(connection, code);
-  if (code) return;
+  if (code || state->m_connections.count(connection) == 0) return;
   const std::string payload = WriteCbor(Encode(envelope));
   // A peer that doesn't read makes its answers wait here.
-  if (session->get_buffered_amount() + payload.size() >
-      kMaximumMeshMessageBytes) {
+  auto& unwritten = state->m_unwritten[connection];
+  if (CountUnwritten(unwritten) + payload.size() > kMaximumMeshMessageBytes) {
     return CloseSocket(*state, connection);
   }
-  session->send(payload, websocketpp::frame::opcode::binary);
+  const auto message = PrepareMessage(session, payload);
+  if (!session->send(message)) unwritten.push_back(message);
 }
 
 std::string PeerAddress(const std::shared_ptr<MeshServer::State>& state,
@@ -152,8 +189,12 @@
     const auto self = weak.lock();
     if (!self) return;
     self->m_connections.erase(connection);
+    self->m_unwritten.erase(connection);
     Uncount(*self, connection);
   });
+  // Nobody here pings, and pongs would wait for a peer that doesn't read.
+  server.set_ping_handler(
+      [](const Connection&, const std::string&) { return false; });
   server.set_message_handler(
       [weak](const Connection& connection,
              const WebSocketServer::message_ptr& message) {
--- a/tests/limits/crowds.cc
+++ b/tests/limits/crowds.cc
@@ -62,6 +62,9 @@
 const std::string kLongMessage("\x82\xff\0\0\0\0\0\x3d\x09\0\0\0\0\0", 14);
 const std::string kMessage("\x82\xff\0\0\0\0\0\x1c\xfd\xe0\0\0\0\0", 14);
 
+// The header of a masked ping without a payload.
+const std::string kPing("\x89\x80\0\0\0\0", 6);
+
 }  // namespace
 
 std::vector<Crowd> MakeCrowds() {
@@ -104,6 +107,8 @@
        filler, kBodyBytes - 64000},
       {"relay_messages", Target::kRelay, 60, kUpgrade + kMessage, filler,
        1792000},
+      {"relay_pings", Target::kRelay, 10, kUpgrade, Repeated(kPing, 60000),
+       4 * kMegabyte, false, false},
       {"relay_headers", Target::kRelay, 100, "GET /mesh HTTP/1.1\r\n", field,
        kMegabyte},
       {"relay_idle_crowd", Target::kRelay, 600, kUpgrade, "", 0},
