http: Let an answer give way only when its peer takes nothing of it

Change: an answer is written piece by piece; only after a progress period without a byte written is it stalled and may give way. The unit test "A client that doesn't read its answer gives way before one in work" fixed the wrong rule: it made every answer give way. Two replace it: an answer in progress never gives way, and a stalled one does, before answers in progress and requests in work. Both fail on the code before. No unit test drives a real socket from answering to stalled; the crowd readers_that_do_not_read does.

--- a/libraries/http/http_server.cc
+++ b/libraries/http/http_server.cc
@@ -44,6 +44,7 @@
  public:
   Session(tcp::socket socket, std::shared_ptr<HttpServer::State> state)
       : m_stream(std::move(socket)),
+        m_stall_timer(m_stream.get_executor()),
         m_state(std::move(state)),
         m_holding(OpenHolding(budget(), kind(), [this] { m_stream.close(); })),
         m_is_counted(m_holding != budget().m_holdings.end()),
@@ -245,16 +246,44 @@
     m_message.keep_alive(m_keep_alive && !m_state->m_is_draining);
     m_message.prepare_payload();
     m_stream.expires_after(m_state->m_limits.m_send_timeout);
-    beast::http::async_write(m_stream, m_message,
-                             [self = shared_from_this(), was_counted](
-                                 beast::error_code code, std::size_t) {
-                               if (was_counted)
-                                 --self->m_state->m_open_requests;
-                               self->OnWritten(code);
-                             });
+    m_serializer.emplace(m_message);
+    WritePiece(was_counted);
+  }
+
+  void WritePiece(bool was_counted) {
+    AwaitStall();
+    beast::http::async_write_some(
+        m_stream, *m_serializer,
+        [self = shared_from_this(), was_counted](beast::error_code code,
+                                                 std::size_t) {
+          self->m_stall_timer.cancel();
+          if (!code && !self->m_serializer->is_done()) {
+            SetHoldingState(self->budget(), self->m_holding,
+                            HoldingState::kAnswering);
+            return self->WritePiece(was_counted);
+          }
+          if (was_counted) --self->m_state->m_open_requests;
+          self->OnWritten(code);
+        });
+  }
+
+  // An answer that its peer reads is never cut.
+  void AwaitStall() {
+    m_stall_timer.expires_after(limits().m_progress_period);
+    m_stall_timer.async_wait([weak = weak_from_this()](beast::error_code code) {
+      const auto self = weak.lock();
+      if (code || !self || !self->m_serializer) return;
+      // It may be due already when a piece is written and sets it anew.
+      if (self->m_stall_timer.expiry() >
+          asio::steady_timer::clock_type::now()) {
+        return;
+      }
+      SetHoldingState(self->budget(), self->m_holding, HoldingState::kStalled);
+    });
   }
 
   void OnWritten(beast::error_code code) {
+    m_serializer.reset();
     if (code) return;
     if (!m_message.keep_alive()) return Close();
     SetHoldingState(budget(), m_holding, HoldingState::kIdle);
@@ -267,6 +296,7 @@
   }
 
   beast::tcp_stream m_stream;
+  asio::steady_timer m_stall_timer;
   std::shared_ptr<HttpServer::State> m_state;
   HoldingId m_holding;
   bool m_is_counted;
@@ -274,6 +304,8 @@
   beast::flat_buffer m_buffer;
   std::optional<beast::http::request_parser<beast::http::string_body>> m_parser;
   beast::http::response<beast::http::string_body> m_message;
+  std::optional<beast::http::response_serializer<beast::http::string_body>>
+      m_serializer;
   bool m_keep_alive = true;
   std::size_t m_received_bytes = 0;  ///< Of the present request.
   std::size_t m_header_bytes = 0;    ///< Of a header that the parser has taken.
--- a/libraries/http/memory_budget.cc
+++ b/libraries/http/memory_budget.cc
@@ -84,12 +84,11 @@
   const HoldingId none = budget.m_holdings.end();
   const HoldingId waiting = FindFirst(budget, kind, IsWithoutRequest);
   if (waiting != none) return waiting;
-  // Callers read their answers at once; those that don't would hold all
-  // connections for as long as an answer may take.
+  // Those that read nothing of their answers would hold all connections for as
+  // long as an answer may take.
   return FindFirst(budget, kind, [kind](const Holding& holding) {
     // A peer's call that is cut is called again.
-    return holding.m_state == HoldingState::kAnswering ||
-           kind == PeerKind::kPeer;
+    return holding.m_state == HoldingState::kStalled || kind == PeerKind::kPeer;
   });
 }
 
--- a/libraries/http/memory_budget.h
+++ b/libraries/http/memory_budget.h
@@ -37,9 +37,10 @@
                                       std::size_t descriptors);
 
 /// What a connection does: it waits for a request, has received a part of one,
-/// has one that is being handled, or sends the answer. While a request is
-/// handled, its connection can't be made to give way.
-enum class HoldingState { kIdle, kUnfinished, kFinished, kAnswering };
+/// has one that is being handled, sends the answer, or sends one that its peer
+/// has taken nothing of for a period. While a request is handled and answered,
+/// its connection can't be made to give way.
+enum class HoldingState { kIdle, kUnfinished, kFinished, kAnswering, kStalled };
 
 /// What one connection makes the process hold.
 struct Holding {
@@ -78,7 +79,7 @@
 
 /// Counts a connection. If there is no room for one more of its kind, the
 /// client that has waited longest without a whole request gives way, or else
-/// the one that has been reading its answer for longest; without such a client,
+/// the one whose answer has been stalled for longest; without such a client,
 /// a connection that a peer has opened does not fit, and the end of the list is
 /// returned.
 HoldingId OpenHolding(MemoryBudget& budget, PeerKind kind,
