--- a/tests/limits/crowds.cc
+++ b/tests/limits/crowds.cc
@@ -46,6 +46,13 @@
   return text;
 }
 
+// A request whose body ends in the piece that holds the next one's header.
+std::string PipelinedSmallFields() {
+  return Submission(Filler(2500)) +
+         Head("POST", "Content-Length: 900000\r\n" + Repeated("a:\r\n", 15600) +
+                          "\r\n");
+}
+
 const std::string kUpgrade =
     "GET /mesh HTTP/1.1\r\nHost: a\r\nUpgrade: websocket\r\n"
     "Connection: Upgrade\r\nSec-WebSocket-Version: 13\r\n"
@@ -55,6 +62,9 @@
 const std::string kLongMessage("\x82\xff\0\0\0\0\0\x3d\x09\0\0\0\0\0", 14);
 const std::string kMessage("\x82\xff\0\0\0\0\0\x1c\xfd\xe0\0\0\0\0", 14);
 
+// The header of a masked ping without a payload.
+const std::string kPing("\x89\x80\0\0\0\0", 6);
+
 }  // namespace
 
 std::vector<Crowd> MakeCrowds() {
@@ -67,6 +77,8 @@
       {"chunk_extensions", Target::kCallers, 30, Chunked() + "5;a=", filler,
        8 * kMegabyte},
       {"headers", Target::kCallers, 100, Head("POST", ""), field, kMegabyte},
+      {"pipelined_small_fields", Target::kCallers, 100, PipelinedSmallFields(),
+       "x", 100},
       {"header_without_end", Target::kCallers, 100, Head("POST", "X-Field: "),
        filler, kMegabyte},
       {"chunked_bodies", Target::kCallers, 60, Chunked(), ChunkOf(8000),
@@ -95,6 +107,8 @@
        filler, kBodyBytes - 64000},
       {"relay_messages", Target::kRelay, 60, kUpgrade + kMessage, filler,
        1792000},
+      {"relay_pings", Target::kRelay, 10, kUpgrade, Repeated(kPing, 60000),
+       4 * kMegabyte, false, false},
       {"relay_headers", Target::kRelay, 100, "GET /mesh HTTP/1.1\r\n", field,
        kMegabyte},
       {"relay_idle_crowd", Target::kRelay, 600, kUpgrade, "", 0},
