--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -207,7 +207,7 @@
   /// Entries of the listing that may be older than what their workers have
   /// reported, and are not applied yet.
   std::map<WorkerId, ListedWorker> m_unsettled_entries;
-  TimePoint m_listed_at{};      ///< When the latest listing was requested.
+  TimePoint m_listed_at{};  ///< When the latest listing was requested.
   Evacuations m_evacuations;
   std::set<WorkerId> m_roster;  ///< Workers in the stored roster.
   /// Those of them that are not in m_workers.
