--- a/tests/http/memory_budget_test.cc
+++ b/tests/http/memory_budget_test.cc
@@ -64,6 +64,8 @@
   Trial trial;
   for (int number = 0; number < 40; ++number) {
     const HoldingId client = trial.Open(PeerKind::kClient);
+    // No more connections of clients fit.
+    if (client == trial.m_budget.m_holdings.end()) break;
     SetHoldingState(trial.m_budget, client, HoldingState::kFinished);
     ChargeHolding(trial.m_budget, client, kMegabyte);
   }
