fleet: Log the lease that a restarted worker may hold

Cause: the logs named neither the workers to which the leader ascribes the longest lease nor how long a new leader waits for those that it can't reach, so that a wait which is too short looked like a start in flight. Change: an event earlier_lease_assumed, and inherited_runs_ms in lead_loaded. Result: two lines of log; decisions are as before.

--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -113,7 +113,7 @@
 // Another leader may have granted the lease of runs that the worker reports
 // before this leader has granted any. A deadline on the clock of an earlier
 // incarnation may have granted the longest lease, whatever runs by now.
-void ExtendUnknownLease(const Fleet& fleet, Worker& worker,
+void ExtendUnknownLease(Fleet& fleet, Worker& worker,
                         const WorkerReport& report) {
   const bool has_earlier_lease = worker.m_may_hold_earlier_lease ||
                                  MayHaveRestarted(fleet.m_limits, report);
@@ -123,6 +123,10 @@
   worker.m_lease_until =
       report.m_clock +
       WorkerMilliseconds(ToMilliseconds(fleet.m_limits.m_longest_lease));
+  if (!has_earlier_lease) return;
+  fleet.m_events.push_back({"earlier_lease_assumed", JobKey(),
+                            worker.m_listing.m_worker, RunNumber(),
+                            Duration{}});
 }
 
 // Handles a run that the report lists neither as active nor as ended. If its
--- a/services/daisyarchd/fleet/leader_log.cc
+++ b/services/daisyarchd/fleet/leader_log.cc
@@ -25,6 +25,7 @@
   return name == "job_started" || name == "run_failed" ||
          name == "run_adopted" || name == "inherited_task_started" ||
          name == "worker_ready" || name == "worker_listed" ||
+         name == "earlier_lease_assumed" ||
          name.substr(0, kNearWaitPrefix.size()) == kNearWaitPrefix;
 }
 
--- a/services/daisyarchd/fleet/node_leadership.cc
+++ b/services/daisyarchd/fleet/node_leadership.cc
@@ -307,11 +307,14 @@
   };
   LoadLeader(node.m_leader, node.m_routes, [&node] {
     const Leader& leader = *node.m_leader;
+    const TimePoint runs_end_at = leader.m_fleet.m_inherited_runs_end_at;
+    const Duration longest_wait = std::max(Duration{}, runs_end_at - Now(node));
     LogEvent(LogLevel::kInfo, "lead_loaded",
              {{"term", node.m_claim.m_term.value()},
               {"jobs", std::uint64_t{leader.m_fleet.m_jobs.size()}},
               {"roster", std::uint64_t{leader.m_fleet.m_roster.size()}},
-              {"roster_revision", leader.m_roster_revision.value()}});
+              {"roster_revision", leader.m_roster_revision.value()},
+              {"inherited_runs_ms", ToMilliseconds(longest_wait)}});
     StepLeadership(node, LeadershipEvent::kLoaded);
   });
 }
