fleet: Wait for the lease of a restarted worker after a takeover

What callers saw: two runs of a task at once. A worker had restarted under its id and was cut off soon after; a long task ran on there while the next leader started it elsewhere. Change: the roster names each worker's incarnation and the end of such a lease, and is written before the worker gets work again; the handover names workers that may run tasks for longer than an ordinary lease; a worker that the platform lists under another incarnation than the roster is awaited for the longest lease. Why it works: no order that was sent to a former life can take effect once the worker has seen the raised token, and no work is given to it before the store holds the end of the lease that an earlier one may have granted.

--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -106,7 +106,9 @@
   bool m_is_listed = false;
   /// In the platform's latest listing, whatever its incarnation.
   bool m_has_entry = false;
-  bool m_is_in_roster = false;  ///< Stored, so that a later leader polls it.
+  /// Its present incarnation is stored, so that a later leader polls it.
+  bool m_is_in_roster = false;
+  Incarnation m_roster_incarnation;  ///< The stored one; 0: none is.
   bool m_is_evacuated = false;  ///< Its failure domain is; see evacuation.h.
   WorkerState m_state = WorkerState::kUnverified;
   FencingToken m_token;  ///< Carried by every new order.
@@ -165,8 +167,12 @@
   /// When its clock may show that an inherited late start is over.
   TimePoint m_late_start_check_at = TimePoint::max();
   WorkerMilliseconds m_lease_until;  ///< The latest deadline sent.
-  /// An order to an earlier incarnation may have granted this one a lease.
+  /// An order to an earlier incarnation may have granted this one a lease, of
+  /// which no report has told yet.
   bool m_may_hold_earlier_lease = false;
+  /// Until then it may hold a lease that such an order granted; 0: it holds
+  /// none.
+  TimePoint m_earlier_lease_until{};
 
   /// Until then the worker may run tasks that an earlier leader started; 0 once
   /// it has reported its runs to this leader.
--- a/libraries/decisions/fleet/late_start.cc
+++ b/libraries/decisions/fleet/late_start.cc
@@ -15,8 +15,6 @@
 // the poll that follows it.
 constexpr Duration kTransitSlack =
     kMaximumDispatchTime + std::chrono::milliseconds(200);
-// Each of two nodes' times of day may jump by up to 5 s.
-constexpr Duration kMaximumClockStep = std::chrono::seconds(10);
 // A reading of a clock and a difference of times are cut to milliseconds.
 constexpr WorkerMilliseconds kRounding{2};
 constexpr WorkerMilliseconds kUnknownClock{
@@ -210,7 +208,7 @@
   const TimePoint by_time_of_day =
       TimePoint(FromMilliseconds(stored.m_late_start_until_unix_ms -
                                  fleet.m_unix_offset_ms)) +
-      kMaximumClockStep;
+      kMaximumTimeOfDayError;
   const TimePoint by_term = SentBefore(fleet, stored.m_late_start_term) +
                             LongestEffectDelay(fleet.m_limits);
   const TimePoint until = std::min(by_time_of_day, by_term);
--- a/libraries/decisions/fleet/late_start.h
+++ b/libraries/decisions/fleet/late_start.h
@@ -20,6 +20,10 @@
 constexpr Duration kMaximumDispatchTime =
     kMaximumRelayedOrderAge + kMaximumConnectTime;
 
+/// The times of day of two nodes differ by at most this: each may jump by up to
+/// 5 s.
+constexpr Duration kMaximumTimeOfDayError = std::chrono::seconds(10);
+
 /// Returns how long after its handing over an order may take effect.
 Duration LongestEffectDelay(const FleetLimits& limits);
 /// Dates a start that is now handed to a connection or to a relay's call.
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "decisions/fleet/crash_count.h"
+#include "decisions/fleet/earlier_lease.h"
 #include "decisions/fleet/ended_runs.h"
 #include "decisions/fleet/fleet.h"
 #include "decisions/fleet/late_start.h"
@@ -102,33 +103,6 @@
   }
 }
 
-// Returns whether the worker started so recently that an order to its earlier
-// incarnation may still hold its lease. Its clock begins at its start.
-bool MayHaveRestarted(const FleetLimits& limits, const WorkerReport& report) {
-  return report.m_clock <
-         WorkerMilliseconds(ToMilliseconds(LongestEffectDelay(limits) +
-                                           limits.m_longest_lease));
-}
-
-// Another leader may have granted the lease of runs that the worker reports
-// before this leader has granted any. A deadline on the clock of an earlier
-// incarnation may have granted the longest lease, whatever runs by now.
-void ExtendUnknownLease(Fleet& fleet, Worker& worker,
-                        const WorkerReport& report) {
-  const bool has_earlier_lease = worker.m_may_hold_earlier_lease ||
-                                 MayHaveRestarted(fleet.m_limits, report);
-  worker.m_may_hold_earlier_lease = false;
-  if (report.m_running.empty() && !has_earlier_lease) return;
-  if (worker.m_lease_until != WorkerMilliseconds()) return;
-  worker.m_lease_until =
-      report.m_clock +
-      WorkerMilliseconds(ToMilliseconds(fleet.m_limits.m_longest_lease));
-  if (!has_earlier_lease) return;
-  fleet.m_events.push_back({"earlier_lease_assumed", JobKey(),
-                            worker.m_listing.m_worker, RunNumber(),
-                            Duration{}});
-}
-
 // Handles a run that the report lists neither as active nor as ended. If its
 // start was confirmed before the poll was sent, it is gone.
 void HandleMissingRun(Fleet& fleet, const Worker& worker, Job& job,
@@ -332,6 +306,7 @@
   }
   worker.m_former_incarnations.erase(incarnation);
   worker.m_listing.m_incarnation = incarnation;
+  RecordIncarnationSeen(fleet, worker, now);
   if (!was_known) return;
   // The new process may have another capacity and other labels.
   worker.m_is_listed = false;
@@ -344,8 +319,7 @@
   worker.m_listed_ends = 0;
   worker.m_unknown_end = OutcomeNumber();
   ResetClock(worker);
-  worker.m_lease_until = WorkerMilliseconds();
-  worker.m_may_hold_earlier_lease = true;
+  RecordRestartedLease(worker);
   worker.m_unknown_runs = 0;
   worker.m_has_unapplied_ends = worker.m_awaits_jobs = false;
   worker.m_consecutive_failures = 0;
@@ -393,7 +367,7 @@
   }
   RecordClock(*worker, report, now);
   if (token != worker->m_token) return;
-  ExtendUnknownLease(fleet, *worker, report);
+  ExtendUnknownLease(fleet, *worker, report, now);
   worker->m_unknown_runs = 0;
   for (std::size_t index = 0; index < active.size(); ++index) {
     ApplyActiveRun(fleet, *worker, report.m_running[index], active[index], now);
--- a/libraries/decisions/fleet/roster.cc
+++ b/libraries/decisions/fleet/roster.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "decisions/fleet/earlier_lease.h"
+
 namespace daisyarch::fleet {
 
 namespace {
@@ -28,6 +30,16 @@
          HasUnstoredEnds(worker);
 }
 
+// Returns whether the entry is what a later leader has to know of the worker
+// now.
+bool IsUpToDate(const RosterEntry& entry, const Worker& worker) {
+  const bool has_earlier_lease = worker.m_earlier_lease_until != TimePoint();
+  return worker.m_listing.m_address == entry.m_address &&
+         worker.m_listing.m_incarnation == entry.m_incarnation &&
+         !worker.m_may_hold_earlier_lease &&
+         has_earlier_lease == (entry.m_earlier_lease_until_unix_ms != 0);
+}
+
 }  // namespace
 
 // An end that waits for its job is applied at a later report. Without one, the
@@ -48,8 +60,9 @@
   for (const Worker* worker : fleet.m_worker_index.m_roster_candidates) {
     ++fleet.m_work.m_workers;
     if (worker->m_is_in_roster || !IsNeededInRoster(*worker)) continue;
-    missing.push_back(
-        {worker->m_listing.m_worker, worker->m_listing.m_address});
+    // The end of that lease is known once the worker has reported.
+    if (worker->m_may_hold_earlier_lease) continue;
+    missing.push_back(RosterEntryOf(fleet, *worker));
   }
   return missing;
 }
@@ -83,8 +96,9 @@
       fleet.m_unknown_in_roster.insert(entry.m_worker);
       continue;
     }
-    // A worker whose address has changed meanwhile is stored again.
-    if (worker->m_listing.m_address != entry.m_address) continue;
+    worker->m_roster_incarnation = entry.m_incarnation;
+    // A worker that has changed meanwhile is stored again.
+    if (!IsUpToDate(entry, *worker)) continue;
     worker->m_is_in_roster = true;
     UpdateWorkerIndex(fleet, *worker);
     fleet.m_needs_placement = true;
@@ -106,23 +120,38 @@
                        TimePoint inherited_runs_until) {
   fleet.m_roster.insert(entry.m_worker);
   Worker& worker = AddWorker(fleet, entry.m_worker);
-  worker.m_listing.m_address = entry.m_address;
+  RestoreRosterEntry(fleet, entry, worker, fleet.m_ticked_at);
   worker.m_token = TakeToken(fleet);
   worker.m_is_listed = false;
   worker.m_is_in_roster = true;
-  worker.m_inherited_runs_until = inherited_runs_until;
+  worker.m_inherited_runs_until =
+      std::max(inherited_runs_until, worker.m_earlier_lease_until);
   UpdateWorkerIndex(fleet, worker);
   fleet.m_inherited_runs_end_at =
-      std::max(fleet.m_inherited_runs_end_at, inherited_runs_until);
+      std::max(fleet.m_inherited_runs_end_at, worker.m_inherited_runs_until);
 }
 
+namespace {
+
+// Returns how much longer the worker may run tasks than for an ordinary lease;
+// 0: no longer than that.
+Duration LongRunsLeft(const Fleet& fleet, const Worker& worker, TimePoint now) {
+  if (now < worker.m_inherited_runs_until) {
+    return worker.m_inherited_runs_until - now;
+  }
+  const Duration left = EarlierLeaseEnd(fleet, worker, now) - now;
+  return left > fleet.m_limits.m_lease + kClockDriftSlack ? left : Duration{};
+}
+
+}  // namespace
+
 Handover HandoverOf(const Fleet& fleet, TimePoint now) {
   Handover handover;
   handover.m_term = fleet.m_term;
-  for (const Worker* worker : fleet.m_worker_index.m_inherited_runs) {
-    if (worker->m_inherited_runs_until <= now) continue;
-    handover.m_inherited_runs_ms[worker->m_listing.m_worker] =
-        ToMilliseconds(worker->m_inherited_runs_until - now);
+  for (const auto& [id, worker] : fleet.m_workers) {
+    const Duration left = LongRunsLeft(fleet, worker, now);
+    if (left == Duration{}) continue;
+    handover.m_inherited_runs_ms[id] = ToMilliseconds(left);
   }
   return handover;
 }
@@ -172,11 +201,15 @@
 
 void ApplyPredecessorEnded(Fleet& fleet, const Predecessor& predecessor) {
   const TimePoint end = PreviousLeasesEndAt(fleet.m_limits, predecessor);
-  fleet.m_inherited_runs_end_at = std::min(fleet.m_inherited_runs_end_at, end);
+  TimePoint last_end = end;
   for (Worker* worker : fleet.m_worker_index.m_inherited_runs) {
     worker->m_inherited_runs_until =
-        std::min(worker->m_inherited_runs_until, end);
+        std::min(worker->m_inherited_runs_until,
+                 std::max(end, worker->m_earlier_lease_until));
+    last_end = std::max(last_end, worker->m_inherited_runs_until);
   }
+  fleet.m_inherited_runs_end_at =
+      std::min(fleet.m_inherited_runs_end_at, last_end);
   fleet.m_needs_placement = true;
 }
 
--- a/libraries/decisions/fleet/roster.h
+++ b/libraries/decisions/fleet/roster.h
@@ -10,10 +10,14 @@
 // added before its first start, so that a later leader polls each of them,
 // whether the platform lists it or not.
 
-/// A worker and the address at which a later leader can poll it.
+/// What a later leader has to know of a worker.
 struct RosterEntry {
   WorkerId m_worker;
-  std::string m_address;
+  std::string m_address;      ///< Where the worker can be polled.
+  Incarnation m_incarnation;  ///< 0: not known.
+  /// Until then the worker may hold a lease that an order to an earlier
+  /// incarnation granted; 0: it holds none.
+  std::int64_t m_earlier_lease_until_unix_ms = 0;
 };
 
 /// Returns the workers that have to be stored before they get tasks.
@@ -45,8 +49,8 @@
 /// State that a leader stores for the next one in an orderly stop.
 struct Handover {
   Term m_term;  ///< Of the leader that stopped.
-  /// Workers that never reported to it, and for how many milliseconds they may
-  /// still run tasks of earlier leaders.
+  /// Workers that may run tasks of this leader or of earlier ones for longer
+  /// than a lease, and for how many milliseconds.
   std::map<WorkerId, std::int64_t> m_inherited_runs_ms;
 };
 
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -9,6 +9,7 @@
 #include "fleet/store_keys.h"
 #include "log/log.h"
 #include "wire/fleet_fields.h"
+#include "wire/roster_entry_text.h"
 
 namespace daisyarch::fleet {
 
@@ -226,7 +227,8 @@
           const TimePoint inherited_runs_until =
               InheritedRunsUntil(self->m_fleet.m_limits, self->m_predecessor,
                                  self->m_claim.m_term, worker, Now(*self));
-          ApplyRosterLoaded(self->m_fleet, {worker, item.m_value},
+          ApplyRosterLoaded(self->m_fleet,
+                            DecodeRosterEntry(worker, item.m_value),
                             inherited_runs_until);
         }
         self->m_is_loaded = true;
--- a/services/daisyarchd/fleet/leader_roster.cc
+++ b/services/daisyarchd/fleet/leader_roster.cc
@@ -3,6 +3,7 @@
 #include "fleet/leader.h"
 #include "fleet/store_keys.h"
 #include "log/log.h"
+#include "wire/roster_entry_text.h"
 
 namespace daisyarch::fleet {
 
@@ -59,8 +60,8 @@
   for (const RosterEntry& entry : missing) {
     transaction.m_expectations.push_back(
         RosterExpectation(leader, entry.m_worker));
-    transaction.m_puts.push_back(
-        {RosterItemKey(entry.m_worker), entry.m_address, StoreLeaseId()});
+    transaction.m_puts.push_back({RosterItemKey(entry.m_worker),
+                                  EncodeRosterEntry(entry), StoreLeaseId()});
   }
   for (const WorkerId& id : obsolete) {
     transaction.m_expectations.push_back(RosterExpectation(leader, id));
--- a/services/daisyarchd/fleet/store_keys.h
+++ b/services/daisyarchd/fleet/store_keys.h
@@ -31,7 +31,8 @@
 inline const std::string kEffectsKey = "daisyarch/effects";
 /// What the leaders have learned of run times and of the workers' speeds.
 inline const std::string kRunTimesKey = "daisyarch/run_times";
-/// The roster: the address of each worker that may run tasks.
+/// The roster: what a later leader has to know of each worker that may run
+/// tasks; see RosterEntry.
 inline const std::string kRosterPrefix = "daisyarch/workers/";
 
 /// The nodes that can be relays, each under its id and bound to a lease.
--- a/standins/site_store_standin/store_view.cc
+++ b/standins/site_store_standin/store_view.cc
@@ -3,6 +3,8 @@
 #include <absl/strings/escaping.h>
 #include <absl/strings/match.h>
 
+#include <algorithm>
+
 #include "fleet/store_keys.h"
 #include "wire/json.h"
 
@@ -17,11 +19,12 @@
   return found == addresses.end() ? address : found->second;
 }
 
-// A worker's entry is an object; the roster holds the address alone.
+// A worker's entry is an object; in the roster, the address comes first.
 std::string ReplaceIn(const Addresses& addresses, const std::string& key,
                       const std::string& value) {
   if (absl::StartsWith(key, fleet::kRosterPrefix)) {
-    return Replace(addresses, value);
+    const std::size_t end = std::min(value.find(' '), value.size());
+    return Replace(addresses, value.substr(0, end)) + value.substr(end);
   }
   Json entry = Json::parse(value, nullptr, false);
   if (!entry.is_object() || !entry.contains("addr")) return value;
--- a/tests/invariants/earlier_lease_test.cc
+++ b/tests/invariants/earlier_lease_test.cc
@@ -74,8 +74,7 @@
 
 // Guards against two runs of a task at once: the worker held the longest lease,
 // and the next leader waited for an ordinary one.
-TEST_CASE("A takeover awaits the lease of a restarted worker",
-          "[!shouldfail]") {
+TEST_CASE("A takeover awaits the lease of a restarted worker") {
   FakeSite site(1);
   RunTasksOnRestartedWorker(site);
   FakeSiteNode& leader = *FindLeader(site);
