fleet: Acknowledge no end that a late start may have begun

What was answered by one incarnation of a worker was taken as proven for the next.

Cause: a start and a poll that acknowledges ends were sent under one fencing token while neither had an answer. Both could reach the worker's next incarnation, the start first. That incarnation ended the run, and forgot its end on the poll's order, so nobody heard of it.

Change, by the order in which the two are sent: - Start, then poll: the poll acknowledges nothing while a start to that worker has no answer. A worker with unacknowledged ends answers at once, so the poll waits for the answers instead, until 300 ms after the last report. A start that times out is a late start, as before. - Poll, then start: the start carries a higher token. An incarnation that has taken the start rejects the poll; one that takes the poll first has nothing to forget. At the present incarnation the poll has mostly arrived by then. Its report counts under the lower token: only a token that is raised since an order is in doubt (m_report_token) voids reports. If the start overtakes the poll, the poll is rejected (PollFailure::kFenced) and sent again at once; the worker's state and its count of failed polls do not change. - A lapsed worker raised no token after an acknowledgement without an answer; now it does.

Tokens: these are raised per worker, so a term's 2^20 last as long as the busiest worker needs, 29 h at ten a second. A leader with few left gives up its claim. Also ruled out: starts that wait for the poll (up to 1 s), acknowledging polls that return at once (one more poll for each report with ends).

Why it works: between a start and an acknowledgement that are both unanswered, the later one is either not sent or outranks the earlier. An order with an answer has been carried out or rejected, and takes effect no more.

--- a/libraries/decisions/fleet/fleet.cc
+++ b/libraries/decisions/fleet/fleet.cc
@@ -12,8 +12,7 @@
 
 namespace {
 
-// Each is more than one term can use.
-constexpr std::uint64_t kTokensPerTerm = 1ULL << 20;
+// More than one term can use.
 constexpr std::uint64_t kRunsPerTerm = 1ULL << 20;
 constexpr Duration kStopRepeatInterval = std::chrono::milliseconds(500);
 constexpr Duration kLeaseSlack = std::chrono::milliseconds(100);
@@ -289,16 +288,6 @@
 
 }  // namespace
 
-FencingToken FirstToken(Term term) {
-  return FencingToken(term.value() * kTokensPerTerm);
-}
-
-FencingToken TakeToken(Fleet& fleet) {
-  fleet.m_last_token =
-      std::max(Next(fleet.m_last_token), FirstToken(fleet.m_term));
-  return fleet.m_last_token;
-}
-
 RunNumber FirstRun(Term term) {
   return RunNumber((term.value() - 1) * kRunsPerTerm + 1);
 }
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -109,6 +109,7 @@
 enum class PollFailure {
   kUnanswered,  ///< No response, or an error from the worker.
   kClosed,      ///< Its host refused or closed the connection.
+  kFenced,      ///< An order of this leader with a higher token came first.
 };
 
 /// What the end of a run that is not its task's present one has changed.
@@ -308,11 +309,6 @@
 /// earlier terms.
 RunNumber FirstRun(Term term);
 
-/// Returns the lowest fencing token of the term.
-FencingToken FirstToken(Term term);
-/// Returns a fencing token above all that workers were given in this term.
-FencingToken TakeToken(Fleet& fleet);
-
 // Events of the fleet. Each function may add to m_orders and m_changed_jobs.
 
 /// Adds a stored job with its stored progress. Does nothing if the job is
--- a/libraries/decisions/fleet/fleet_timers.cc
+++ b/libraries/decisions/fleet/fleet_timers.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "decisions/fleet/acknowledgement.h"
 #include "decisions/fleet/fleet.h"
 #include "decisions/fleet/late_start.h"
 #include "decisions/fleet/near_place.h"
@@ -13,23 +14,13 @@
 constexpr Duration kStopRepeatInterval = std::chrono::milliseconds(500);
 constexpr Duration kStopRetryInterval = std::chrono::milliseconds(100);
 
-// A worker that has restarted numbers its ended runs anew, so it would forget
-// ended runs that it has not reported.
-OutcomeNumber EndToAcknowledge(const Fleet& fleet, const Worker& worker,
-                               TimePoint now) {
-  if (!worker.m_is_incarnation_confirmed) return {};
-  if (worker.m_first_listed_end == OutcomeNumber()) return {};
-  const OutcomeNumber end = AcknowledgeableEnd(fleet, worker, now);
-  return worker.m_first_listed_end <= end ? end : OutcomeNumber();
-}
-
 void SendPoll(Fleet& fleet, Worker& worker, TimePoint now) {
   PollOrder poll;
   poll.m_worker = worker.m_listing.m_worker;
   poll.m_poll_number = ++worker.m_poll_number;
   poll.m_token = worker.m_token;
   poll.m_acknowledged = EndToAcknowledge(fleet, worker, now);
-  worker.m_poll_acknowledged = poll.m_acknowledged;
+  RecordAcknowledgement(worker, poll);
   // The lease of a worker that does not answer is not extended: an unanswered
   // poll may still have reached it, so the leader could never be sure that the
   // lease has expired.
@@ -98,6 +89,7 @@
     AbandonExpiredStarts(fleet, worker, now);
   }
   if (now < NextPollAt(worker)) return false;
+  if (PostponePoll(fleet, worker, now)) return false;
   SendPoll(fleet, worker, now);
   return true;
 }
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -110,6 +110,9 @@
   bool m_is_evacuated = false;  ///< Its failure domain is; see evacuation.h.
   WorkerState m_state = WorkerState::kUnverified;
   FencingToken m_token;  ///< Carried by every new order.
+  /// Reports under lower tokens do not count: an order under one of these may
+  /// still take effect.
+  FencingToken m_report_token;
   /// Reserved by the runs; the processors of best-effort tasks do not count.
   Resources m_used;
   std::set<TaskReference> m_runs;
@@ -123,6 +126,11 @@
   bool m_is_polling = false;          ///< A poll is waiting for its answer.
   std::uint64_t m_poll_number = 0;    ///< Number of the latest poll.
   OutcomeNumber m_poll_acknowledged;  ///< By the latest poll; 0: none.
+  /// Of the latest poll that acknowledged ends and has no answer; 0: none.
+  FencingToken m_acknowledging_token;
+  /// Tasks that were started by orders without an answer yet; a few others, of
+  /// which a report has shown the run.
+  std::set<TaskReference> m_unanswered_starts;
   TimePoint m_poll_sent_at{};
   TimePoint m_next_poll_at{};
 
--- a/libraries/decisions/fleet/late_start.cc
+++ b/libraries/decisions/fleet/late_start.cc
@@ -179,13 +179,6 @@
   return false;
 }
 
-OutcomeNumber AcknowledgeableEnd(const Fleet& fleet, const Worker& worker,
-                                 TimePoint now) {
-  return MayTakeOrderLate(fleet, worker.m_listing.m_worker, now)
-             ? OutcomeNumber()
-             : worker.m_stored_end;
-}
-
 // If each leader stored its own estimate, the wait would grow with their
 // number.
 void StoreLateStart(const Task& task, std::int64_t unix_offset_ms,
--- a/libraries/decisions/fleet/late_start.h
+++ b/libraries/decisions/fleet/late_start.h
@@ -53,10 +53,6 @@
 /// Returns whether an order of this leader or of an earlier one may still start
 /// a task, as far as this leader knows.
 bool MayAnyOrderStartLate(Fleet& fleet, TimePoint now);
-/// Returns the last ended run that may be acknowledged to the worker; 0 if none
-/// may be.
-OutcomeNumber AcknowledgeableEnd(const Fleet& fleet, const Worker& worker,
-                                 TimePoint now);
 /// Writes the task's late start into its row. One that an earlier leader stored
 /// is passed on as it was read.
 void StoreLateStart(const Task& task, std::int64_t unix_offset_ms,
--- a/libraries/decisions/fleet/listing.cc
+++ b/libraries/decisions/fleet/listing.cc
@@ -1,3 +1,4 @@
+#include "decisions/fleet/fencing.h"
 #include "decisions/fleet/fleet.h"
 #include "decisions/fleet/late_start.h"
 #include "decisions/fleet/roster.h"
@@ -25,7 +26,7 @@
   worker.m_listing = entry;
   worker.m_is_listed = true;
   // The worker may have been listed before and have seen a token then.
-  worker.m_token = TakeToken(fleet);
+  FenceWorker(fleet, worker);
   fleet.m_events.push_back(
       {"worker_listed", JobKey(), entry.m_worker, RunNumber(), Duration{}});
 }
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <limits>
 
+#include "decisions/fleet/acknowledgement.h"
 #include "decisions/fleet/choose_worker.h"
 #include "decisions/fleet/crash_count.h"
 #include "decisions/fleet/isolation.h"
@@ -24,6 +25,8 @@
 void AddStartOrder(PlacementPass& pass, const Job& job,
                    const TaskReference& reference, Worker& worker,
                    const Task& task) {
+  OutrankAcknowledgement(pass.m_fleet, worker);
+  worker.m_unanswered_starts.insert(reference);
   const WorkerMilliseconds until =
       LeaseDeadlineAt(pass.m_fleet, worker, pass.m_now);
   worker.m_lease_until = std::max(worker.m_lease_until, until);
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 
+#include "decisions/fleet/acknowledgement.h"
 #include "decisions/fleet/crash_count.h"
 #include "decisions/fleet/ended_runs.h"
 #include "decisions/fleet/fleet.h"
@@ -15,10 +16,6 @@
 constexpr std::int64_t kPercent = 100;
 // A best-effort task that uses this share of its demand is taken as unlimited.
 constexpr std::int64_t kUnlimitedUsePercent = 90;
-// Poll interval that extends leases while ended runs cannot be stored.
-constexpr Duration kUnstoredPollInterval = std::chrono::milliseconds(300);
-// A worker with ended runs that are not acknowledged answers polls at once.
-constexpr Duration kWithheldPollInterval = std::chrono::milliseconds(100);
 // Period that reported tail latencies cover, and the time until they arrive.
 constexpr Duration kTailLatencyWindow = std::chrono::milliseconds(600);
 constexpr Duration kPollRetryInterval = std::chrono::milliseconds(100);
@@ -220,23 +217,12 @@
 // Raises the worker's token, unless it has been raised since the order was sent
 // and the report under it is still to come.
 void FenceUnanswered(Fleet& fleet, Worker& worker, FencingToken token) {
-  const bool is_fenced =
-      worker.m_state == WorkerState::kUnverified && token < worker.m_token;
+  const bool is_fenced = worker.m_state == WorkerState::kUnverified &&
+                         token < worker.m_report_token;
   if (is_fenced) return;
   StepWorker(fleet, worker, WorkerEvent::kOrderUnanswered);
 }
 
-// A worker answers at once while it has unacknowledged ended runs, so the next
-// poll waits until these can be acknowledged.
-Duration UnacknowledgedPollInterval(const Fleet& fleet, const Worker& worker,
-                                    const WorkerReport& report, TimePoint now) {
-  if (report.m_ended.empty()) return Duration{};
-  const OutcomeNumber last = report.m_ended.back().m_number;
-  if (worker.m_stored_end < last) return kUnstoredPollInterval;
-  return AcknowledgeableEnd(fleet, worker, now) < last ? kWithheldPollInterval
-                                                       : Duration{};
-}
-
 void AggregateTailLatencies(const ImageId& image, ServingImage& serving,
                             const std::vector<FoundRun>& runs) {
   double sum = 0;
@@ -383,12 +369,13 @@
   if (awaited_jobs && !worker->m_awaits_jobs) fleet.m_needs_placement = true;
   worker->m_has_unapplied_ends = !has_all_ends;
   worker->m_is_incarnation_confirmed = true;
+  RecordAcknowledgementAnswered(*worker);
   // A new incarnation is polled again under its new token.
   if (before != Incarnation() && before != worker->m_listing.m_incarnation) {
     return;
   }
   RecordClock(*worker, report, now);
-  if (token != worker->m_token) return;
+  if (token < worker->m_report_token) return;
   ExtendUnknownLease(fleet, *worker, report);
   worker->m_unknown_runs = 0;
   for (std::size_t index = 0; index < active.size(); ++index) {
@@ -431,14 +418,18 @@
   if (worker == nullptr || poll != worker->m_poll_number) return;
   worker->m_is_polling = false;
   worker->m_is_incarnation_confirmed = false;
+  if (failure == PollFailure::kFenced) {
+    worker->m_next_poll_at = now;
+    return UpdateWorkerIndex(fleet, *worker);
+  }
   worker->m_next_poll_at = now + kPollRetryInterval;
   RecordPollFailure(fleet, *worker, failure, now);
-  // A poll that acknowledged ends must not make another incarnation forget
-  // its own, so later starts get a higher token than the poll has.
+  // It may have forgotten the ends, so its next report decides.
   StepWorker(fleet, *worker,
              worker->m_poll_acknowledged == OutcomeNumber()
                  ? WorkerEvent::kPollFailed
                  : WorkerEvent::kOrderUnanswered);
+  OutrankAcknowledgement(fleet, *worker);
   UpdateWorkerIndex(fleet, *worker);
 }
 
@@ -456,6 +447,7 @@
                           IsRunOnWorker(*task, *worker, order.m_run) &&
                           order.m_sent_at == task->m_start_sent_at;
   if (!is_current) return;
+  worker->m_unanswered_starts.erase(order.m_task);
   switch (outcome) {
     case StartOutcome::kStarted:
       RecordStart(fleet, *job, *task, order.m_task, now);
@@ -490,6 +482,7 @@
       FenceUnanswered(fleet, *worker, order.m_token);
       break;
   }
+  ResumePoll(fleet, *worker, now);
   UpdateWorkerIndex(fleet, *worker);
 }
 
--- a/libraries/decisions/fleet/roster.cc
+++ b/libraries/decisions/fleet/roster.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "decisions/fleet/fencing.h"
+
 namespace daisyarch::fleet {
 
 namespace {
@@ -107,7 +109,7 @@
   fleet.m_roster.insert(entry.m_worker);
   Worker& worker = AddWorker(fleet, entry.m_worker);
   worker.m_listing.m_address = entry.m_address;
-  worker.m_token = TakeToken(fleet);
+  FenceWorker(fleet, worker);
   worker.m_is_listed = false;
   worker.m_is_in_roster = true;
   worker.m_inherited_runs_until = inherited_runs_until;
--- a/libraries/decisions/fleet/run_chart.cc
+++ b/libraries/decisions/fleet/run_chart.cc
@@ -1,4 +1,5 @@
 #include "decisions/fleet/crash_count.h"
+#include "decisions/fleet/fencing.h"
 #include "decisions/fleet/fleet.h"
 #include "decisions/fleet/late_start.h"
 #include "decisions/fleet/occurrences.h"
@@ -180,7 +181,7 @@
 // the worker has reported under the new one.
 void RaiseToken(WorkerContext& context) {
   Worker& worker = context.m_worker;
-  worker.m_token = TakeToken(context.m_fleet);
+  FenceWorker(context.m_fleet, worker);
   worker.m_is_polling = false;
   worker.m_is_incarnation_confirmed = false;
   worker.m_next_poll_at = TimePoint();
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <utility>
 
+#include "decisions/fleet/fencing.h"
 #include "decisions/fleet/late_start.h"
 #include "decisions/fleet/load_control.h"
 #include "fleet/store_keys.h"
@@ -356,6 +357,9 @@
 
 void TickLeader(const LeaderPointer& leader) {
   if (!leader->m_is_loaded) return;
+  if (AreTokensUsedUp(leader->m_fleet)) {
+    return leader->m_on_claim_lost("the term has few fencing tokens left");
+  }
   MeasureTickGap(*leader);
   AdaptToLoop(leader->m_fleet, leader->m_tick_gap);
   LogLeaderStatus(*leader);
--- a/services/daisyarchd/fleet/leader_orders.cc
+++ b/services/daisyarchd/fleet/leader_orders.cc
@@ -32,12 +32,17 @@
   ApplyStartOutcome(leader->m_fleet, order, outcome, Now(*leader));
 }
 
-// If this leader has raised the worker's fencing token since it sent the order,
-// the rejection does not show that another leader exists.
+// Returns whether this leader has raised the worker's fencing token since it
+// sent an order. A rejection then does not show that another leader exists.
+bool HasRaisedToken(Leader& leader, const WorkerId& worker,
+                    FencingToken token) {
+  const Worker* known = FindWorker(leader.m_fleet, worker);
+  return known != nullptr && token < known->m_token;
+}
+
 void HandleFencedOrder(Leader& leader, const WorkerId& worker,
                        FencingToken token) {
-  const Worker* known = FindWorker(leader.m_fleet, worker);
-  if (known != nullptr && token < known->m_token) return;
+  if (HasRaisedToken(leader, worker, token)) return;
   leader.m_on_claim_lost("fenced by worker " + worker.value());
 }
 
@@ -98,6 +103,14 @@
   load.m_report_time += Now(leader) - began_at;
 }
 
+PollFailure PollFailureOf(Leader& leader, const PollOrder& order,
+                          const Error& error) {
+  if (error.m_is_closed_by_peer) return PollFailure::kClosed;
+  const bool is_fenced = error.m_code == ErrorCode::kConflict &&
+                         HasRaisedToken(leader, order.m_worker, order.m_token);
+  return is_fenced ? PollFailure::kFenced : PollFailure::kUnanswered;
+}
+
 void HandleOutcome(const LeaderPointer& leader, const PollOrder& order,
                    const Result<WorkerReport>& result) {
   RecordReportResult(*leader, order.m_worker, result);
@@ -106,9 +119,7 @@
     HandleFencedOrder(*leader, order.m_worker, order.m_token);
   }
   ApplyPollFailure(leader->m_fleet, order.m_worker, order.m_poll_number,
-                   result.assume_error().m_is_closed_by_peer
-                       ? PollFailure::kClosed
-                       : PollFailure::kUnanswered,
+                   PollFailureOf(*leader, order, result.assume_error()),
                    Now(*leader));
 }
 
--- a/tests/decisions/fleet/order_in_doubt_test.cc
+++ b/tests/decisions/fleet/order_in_doubt_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "decisions/fleet/fencing.h"
 #include "decisions/fleet/fleet_fixture.h"
 #include "models/fleet_worker_model.h"
 
@@ -81,8 +82,7 @@
 
 // Guards against an end that is forgotten before the leader has seen it. Both
 // orders are within their timeouts when the second one is sent.
-TEST_CASE("A late start is listed after a poll that was sent before it",
-          "[!shouldfail]") {
+TEST_CASE("A late start is listed after a poll that was sent before it") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, kCore);
   const EndedRun end = EndOne(fixture);
@@ -95,8 +95,7 @@
 }
 
 // The same, in the other order.
-TEST_CASE("A late start is listed after a poll that was sent after it",
-          "[!shouldfail]") {
+TEST_CASE("A late start is listed after a poll that was sent after it") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, kCore * 2);
   const EndedRun end = EndOne(fixture);
@@ -107,6 +106,68 @@
   CHECK(EndsAfterLateOrders(start, poll, fixture.m_now) == 1);
 }
 
+// Guards against a worker that gets nothing more since a start has outranked
+// its poll: the poll's report counts, and a poll that comes too late is sent
+// again.
+TEST_CASE("A start that outranks a poll takes no worker out of service") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore * 2);
+  const EndedRun end = EndOne(fixture);
+  Report(fixture, "w0", {}, {end});
+  Store(fixture);
+  const PollOrder poll = NextPoll(fixture);
+  const StartOrder start = SubmitOne(fixture, "second");
+  const Worker& worker = *FindWorker(fixture.m_fleet, WorkerId("w0"));
+  REQUIRE(start.m_token > poll.m_token);
+  SECTION("the poll came before the start") {
+    WorkerReport report;
+    report.m_incarnation = Incarnation(1);
+    report.m_clock =
+        WorkerMilliseconds(ToMilliseconds(fixture.m_now.time_since_epoch()));
+    report.m_running = {ActiveRunOf(start)};
+    ApplyReport(fixture.m_fleet, WorkerId("w0"), poll.m_poll_number,
+                poll.m_token, report, fixture.m_now);
+    CHECK(TaskOf(fixture, start.m_task).m_state == RunState::kRunning);
+  }
+  SECTION("the start came first") {
+    FailPoll(fixture, "w0", PollFailure::kFenced);
+    Wait(fixture, milliseconds(1));
+    const auto polls = TakeOrders<PollOrder>(fixture);
+    REQUIRE(polls.size() == 1);
+    CHECK(polls.front().m_token == start.m_token);
+  }
+  CHECK(worker.m_state == WorkerState::kReady);
+  CHECK(SubmitOne(fixture, "third").m_token == start.m_token);
+}
+
+// Guards against ends that are never acknowledged since some start is always on
+// its way: the next poll waits for the answers.
+TEST_CASE("Ends are acknowledged as soon as all starts are answered") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore * 2);
+  const EndedRun end = EndOne(fixture);
+  const StartOrder start = SubmitOne(fixture, "second");
+  Report(fixture, "w0", {}, {end});
+  Store(fixture);
+  Wait(fixture, milliseconds(5));
+  REQUIRE(TakeOrders<PollOrder>(fixture).empty());
+  ApplyStartOutcome(fixture.m_fleet, start, StartOutcome::kStarted,
+                    fixture.m_now);
+  Wait(fixture, milliseconds(1));
+  const auto polls = TakeOrders<PollOrder>(fixture);
+  REQUIRE(polls.size() == 1);
+  CHECK(polls.front().m_acknowledged == OutcomeNumber(1));
+}
+
+// Guards against orders under the tokens of the next term.
+TEST_CASE("A leader ends before the tokens of its term are used up") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  CHECK_FALSE(AreTokensUsedUp(fixture.m_fleet));
+  fixture.m_fleet.m_last_token = FencingToken(FirstToken(Term(3)).value() - 1);
+  CHECK(AreTokensUsedUp(fixture.m_fleet));
+}
+
 // Guards against a second run beside one that an order of the leader before
 // begins late: that leader ended before the order had timed out. All that it
 // had marked as changed was stored.
--- a/tests/invariants/restarted_worker_takeover_test.cc
+++ b/tests/invariants/restarted_worker_takeover_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "decisions/fleet/fencing.h"
 #include "fakes/fake_site.h"
 
 namespace daisyarch::fleet {
