--- a/libraries/decisions/fleet/roster.cc
+++ b/libraries/decisions/fleet/roster.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "decisions/fleet/earlier_lease.h"
+#include "decisions/fleet/fencing.h"
 
 namespace daisyarch::fleet {
 
@@ -121,7 +122,7 @@
   fleet.m_roster.insert(entry.m_worker);
   Worker& worker = AddWorker(fleet, entry.m_worker);
   RestoreRosterEntry(fleet, entry, worker, fleet.m_ticked_at);
-  worker.m_token = TakeToken(fleet);
+  FenceWorker(fleet, worker);
   worker.m_is_listed = false;
   worker.m_is_in_roster = true;
   worker.m_inherited_runs_until =
