http: Limit the header of an answer as a whole

A worker whose answer is a header of fields of a few bytes, without end, made the daemon hold 3,527 MB and 3,086 MB in two runs of `limits_worker_small_fields` on (60 workers, 4 MB each; bound 64 MB): the library takes whole lines out of the buffer and limits single lines only, and the fields were charged to nobody. A header that isn't whole may have 8 KB now, and is charged with what its fields can take.

--- a/libraries/http/http_client.cc
+++ b/libraries/http/http_client.cc
@@ -46,6 +46,11 @@
 
 // Of a response: its header, or a trailer or a chunk's extensions.
 constexpr std::size_t kMaximumHeaderBytes = 32UL * 1024;
+// Of a header that is not whole yet. The library limits single lines only.
+constexpr std::size_t kMaximumUnfinishedHeaderBytes = 8UL * 1024;
+// What a field takes beside its text, and the fewest bytes that make one.
+constexpr std::size_t kFieldBytes = 128;
+constexpr std::size_t kLeastFieldText = 4;
 
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
@@ -150,6 +155,7 @@
     m_parser.emplace();
     m_parser->eager(true);
     m_parser->body_limit(m_state->m_limits.m_maximum_response_bytes);
+    m_header_bytes = 0;
     ReadPiece();
   }
 
@@ -171,17 +177,24 @@
       return OnRead(code);
     }
     while (!code && m_buffer.size() > 0 && !m_parser->is_done()) {
-      m_buffer.consume(m_parser->put(m_buffer.data(), code));
+      const std::size_t taken = m_parser->put(m_buffer.data(), code);
+      m_buffer.consume(taken);
+      if (!m_parser->is_header_done()) m_header_bytes += taken;
     }
     if (code == beast::http::error::need_more) code = {};
     if (code || m_parser->is_done()) return OnRead(code);
     if (m_buffer.size() == m_buffer.max_size() ||
-        !Charge(m_buffer.capacity() + m_parser->get().body().size())) {
+        m_header_bytes > kMaximumUnfinishedHeaderBytes || !Charge(Held())) {
       return OnRead(beast::http::error::buffer_overflow);
     }
     ReadPiece();
   }
 
+  std::size_t Held() const {
+    return m_buffer.capacity() + m_parser->get().body().size() +
+           m_header_bytes / kLeastFieldText * kFieldBytes;
+  }
+
   void OnRead(beast::error_code code) {
     if (code) return Fail(ErrorCode::kOutcomeUnknown, "read answer", code);
     Charge(0);
@@ -279,6 +292,7 @@
   std::optional<beast::http::response_parser<beast::http::string_body>>
       m_parser;
   asio::steady_timer m_idle_timer;
+  std::size_t m_header_bytes = 0;  ///< Taken before the header was whole.
   bool m_is_idle_timer_set = false;
   bool m_is_idle = false;
   std::chrono::steady_clock::time_point m_idle_since;
