mesh: Answer no pings of a relay

A relay that sends pings and reads nothing made the leader hold 172 MB of pongs (`limits_relay_answers_pings` on, 20 relays; bound 64 MB), as the library queues one for each.

--- a/libraries/mesh/mesh_client.cc
+++ b/libraries/mesh/mesh_client.cc
@@ -130,6 +130,9 @@
           OnMessage(self, message->get_payload());
         }
       });
+  // Nobody here pings, and pongs would wait for a peer that doesn't read.
+  session->set_ping_handler(
+      [](const Connection&, const std::string&) { return false; });
   const auto on_closed = [current](const Connection&) {
     const auto self = current();
     if (!self) return;
