mesh: Count what a relay's answer holds before it is whole

20 relays whose answers of 4 MB never end made the leader hold 86 MB (`limits_relay_answers_long_messages` on; bound 64 MB): the library hands out whole messages only, and their number was limited by nothing. `CountedMessage`, which the library takes as its message buffer, shows each piece to the budget, under a kind of its own (`relay`).

--- a/libraries/http/memory_budget.cc
+++ b/libraries/http/memory_budget.cc
@@ -44,7 +44,8 @@
 // This process chooses how many connections to others it opens; clients make
 // room for these.
 bool IsOpenedHere(PeerKind kind) {
-  return kind == PeerKind::kStore || kind == PeerKind::kWorker;
+  return kind == PeerKind::kStore || kind == PeerKind::kWorker ||
+         kind == PeerKind::kRelay;
 }
 
 PeerKind WhoGivesWay(PeerKind kind) {
@@ -111,8 +112,8 @@
 }  // namespace
 
 const char* ToString(PeerKind kind) {
-  static constexpr const char* kNames[kPeerKinds] = {"client", "operations",
-                                                     "store", "worker", "peer"};
+  static constexpr const char* kNames[kPeerKinds] = {
+      "client", "operations", "store", "worker", "peer", "relay"};
   return kNames[IndexOf(kind)];
 }
 
@@ -130,18 +131,19 @@
   // being parsed is there twice, so a quarter of the memory is counted out.
   const std::size_t bytes = memory_bytes / 4;
   limits.m_bytes.m_total = bytes;
-  limits.m_bytes.m_reserved = {0, bytes / 32, bytes / 4, bytes / 8, bytes / 8};
-  limits.m_bytes.m_maximum = {bytes / 2, bytes / 32, bytes, bytes / 2,
-                              bytes / 4};
+  limits.m_bytes.m_reserved = {0,         bytes / 32, bytes / 4,
+                               bytes / 8, bytes / 8,  0};
+  limits.m_bytes.m_maximum = {bytes / 2, bytes / 32, bytes,
+                              bytes / 2, bytes / 4,  bytes / 4};
   const std::size_t sockets = Difference(descriptors, kOtherDescriptors);
   const std::size_t peers =
       std::clamp(bytes / 4 / kMaximumRelayCallBytes, kLeastPeerConnections,
                  kMostPeerConnections);
   limits.m_connections.m_total = sockets;
-  limits.m_connections.m_reserved = {0, kOperationsConnections,
-                                     kStoreConnections, sockets / 2, peers};
-  limits.m_connections.m_maximum = {sockets / 4, kOperationsConnections,
-                                    SIZE_MAX, SIZE_MAX, peers};
+  limits.m_connections.m_reserved = {
+      0, kOperationsConnections, kStoreConnections, sockets / 2, peers, 0};
+  limits.m_connections.m_maximum = {
+      sockets / 4, kOperationsConnections, SIZE_MAX, SIZE_MAX, peers, SIZE_MAX};
   return limits;
 }
 
--- a/libraries/http/memory_budget.h
+++ b/libraries/http/memory_budget.h
@@ -9,8 +9,8 @@
 namespace daisyarch {
 
 /// Whose connections hold memory of this process.
-enum class PeerKind { kClient, kOperations, kStore, kWorker, kPeer };
-constexpr std::size_t kPeerKinds = 5;
+enum class PeerKind { kClient, kOperations, kStore, kWorker, kPeer, kRelay };
+constexpr std::size_t kPeerKinds = 6;
 
 const char* ToString(PeerKind kind);
 
@@ -24,7 +24,7 @@
   /// Kept for the kind while it does not use it.
   std::array<std::size_t, kPeerKinds> m_reserved{};
   std::array<std::size_t, kPeerKinds> m_maximum{SIZE_MAX, SIZE_MAX, SIZE_MAX,
-                                                SIZE_MAX, SIZE_MAX};
+                                                SIZE_MAX, SIZE_MAX, SIZE_MAX};
 };
 
 struct MemoryBudgetLimits {
--- a/libraries/mesh/mesh_client.cc
+++ b/libraries/mesh/mesh_client.cc
@@ -2,20 +2,37 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <optional>
 #include <utility>
 #include <vector>
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/asio_no_tls_client.hpp>
 
+#include "mesh/counted_message.h"
 #include "mesh/mesh_envelope.h"
 #include "mesh/socket_options.h"
 
 namespace daisyarch {
 
-using WebSocketClient = websocketpp::client<websocketpp::config::asio_client>;
+namespace {
+
+// The names are the library's.
+// NOLINTBEGIN(readability-identifier-naming)
+struct CountedClientConfig : websocketpp::config::asio_client {
+  using type = CountedClientConfig;
+  using message_type = CountedMessage;
+  using con_msg_manager_type = CountedMessages;
+  using endpoint_msg_manager_type =
+      websocketpp::message_buffer::alloc::endpoint_msg_manager<CountedMessages>;
+};
+// NOLINTEND(readability-identifier-naming)
+
+using WebSocketClient = websocketpp::client<CountedClientConfig>;
 using Connection = websocketpp::connection_hdl;
 
-namespace {
+// Bytes that the library reads at a time.
+constexpr std::size_t kReadBytes =
+    CountedClientConfig::connection_read_buffer_size;
 
 struct PendingCall {
   MeshResponder m_on_answer;
@@ -29,11 +46,29 @@
 }  // namespace
 
 struct MeshClient::State {
-  State(boost::asio::io_context& loop, Address address)
-      : m_loop(loop), m_address(std::move(address)) {}
+  State(boost::asio::io_context& loop, Address address,
+        const MeshClientLimits& limits)
+      : m_loop(loop), m_address(std::move(address)), m_limits(limits) {}
+  ~State() { Uncount(); }
+  State(const State&) = delete;
+  State& operator=(const State&) = delete;
+
+  void Count() {
+    if (!m_limits.m_budget || m_holding) return;
+    m_holding = OpenHolding(*m_limits.m_budget, PeerKind::kRelay, [] {});
+  }
+  void Uncount() {
+    if (m_holding) CloseHolding(*m_limits.m_budget, *m_holding);
+    m_holding.reset();
+  }
+  bool Charge(std::size_t bytes) {
+    return !m_holding || ChargeHolding(*m_limits.m_budget, *m_holding, bytes);
+  }
 
   boost::asio::io_context& m_loop;
   Address m_address;
+  MeshClientLimits m_limits;
+  std::optional<HoldingId> m_holding;  ///< Of the link, unless it is closed.
   WebSocketClient m_client;
   LinkState m_link = LinkState::kClosed;
   Connection m_connection;
@@ -74,6 +109,7 @@
   if (state->m_link == LinkState::kClosed) return;
   state->m_link = LinkState::kClosed;
   ++state->m_link_generation;
+  state->Uncount();
   websocketpp::lib::error_code code;
   const auto session =
       state->m_client.get_con_from_hdl(state->m_connection, code);
@@ -109,6 +145,7 @@
       "ws://" + ToString(state->m_address) + "/mesh", code);
   if (code) return FailAllCalls(state, code.message());
   state->m_link = LinkState::kConnecting;
+  state->Count();
   const std::uint64_t generation = ++state->m_link_generation;
   const std::weak_ptr<MeshClient::State> weak = state;
   // Ignores events of a link that has been closed meanwhile.
@@ -126,18 +163,32 @@
   session->set_message_handler(
       [current](const Connection&,
                 const WebSocketClient::message_ptr& message) {
-        if (const auto self = current()) {
-          OnMessage(self, message->get_payload());
-        }
+        const auto self = current();
+        if (!self) return;
+        OnMessage(self, message->get_payload());
+        self->Charge(0);
       });
   // Nobody here pings, and pongs would wait for a peer that doesn't read.
   session->set_ping_handler(
       [](const Connection&, const std::string&) { return false; });
+  const auto messages =
+      session->get_message(websocketpp::frame::opcode::binary, 0)
+          ->messages()
+          .lock();
+  // The library is about to append to the message, so that the link can't be
+  // closed here. Without its socket, the library reads no more and closes it.
+  messages->m_on_growth = [current, raw = session.get()](std::size_t bytes) {
+    const auto self = current();
+    if (!self || self->Charge(bytes + kReadBytes)) return;
+    boost::system::error_code close_code;
+    raw->get_raw_socket().close(close_code);
+  };
   const auto on_closed = [current](const Connection&) {
     const auto self = current();
     if (!self) return;
     self->m_link = LinkState::kClosed;
     ++self->m_link_generation;
+    self->Uncount();
     FailAllCalls(self, "connection lost");
   };
   session->set_fail_handler(on_closed);
@@ -155,8 +206,9 @@
 
 }  // namespace
 
-MeshClient::MeshClient(boost::asio::io_context& loop, Address address)
-    : m_state(std::make_shared<State>(loop, std::move(address))) {
+MeshClient::MeshClient(boost::asio::io_context& loop, Address address,
+                       const MeshClientLimits& limits)
+    : m_state(std::make_shared<State>(loop, std::move(address), limits)) {
   WebSocketClient& client = m_state->m_client;
   client.clear_access_channels(websocketpp::log::alevel::all);
   client.clear_error_channels(websocketpp::log::elevel::all);
@@ -167,7 +219,7 @@
     const auto session = client.get_con_from_hdl(connection, error);
     if (!error) SendWithoutDelay(session->get_raw_socket());
   });
-  client.set_max_message_size(kMaximumMeshMessageBytes);
+  client.set_max_message_size(limits.m_maximum_message_bytes);
 }
 
 MeshClient::~MeshClient() {
--- a/libraries/mesh/mesh_client.h
+++ b/libraries/mesh/mesh_client.h
@@ -11,12 +11,19 @@
 
 namespace daisyarch {
 
+struct MeshClientLimits {
+  std::size_t m_maximum_message_bytes = kMaximumMeshMessageBytes;
+  /// Limits what answers hold until they are whole; null: it is not limited.
+  std::shared_ptr<MemoryBudget> m_budget;
+};
+
 /// Calls one peer over one connection. The connection is opened on demand and
 /// replaced when a call times out: an established connection can stop
 /// responding for good while new connections work.
 class MeshClient {
  public:
-  MeshClient(boost::asio::io_context& loop, Address address);
+  MeshClient(boost::asio::io_context& loop, Address address,
+             const MeshClientLimits& limits = {});
   ~MeshClient();
   MeshClient(const MeshClient&) = delete;
   MeshClient& operator=(const MeshClient&) = delete;
