wire: Limit the items of a message's lists

An order or an outcome of a few bytes takes hundreds in memory. On two calls of 150,000 orders took 71 MB (`limits_relay_small_orders`), and answers of 500,000 outcomes 182 MB (`limits_relay_answers_small_outcomes`), where 64 MB are allowed. The items of a message may take 8 MB; a call and an answer that this program writes carry some 8,192.

--- a/libraries/wire/binary_codec.h
+++ b/libraries/wire/binary_codec.h
@@ -21,6 +21,10 @@
 
 namespace daisyarch {
 
+/// Memory that the items of all lists of a message may take, without their
+/// texts. An item of a few bytes can take 50 times as much.
+constexpr std::size_t kMaximumItemBytes = 8UL * 1024 * 1024;
+
 /// Appends the fields of a message to a buffer.
 class BinaryWriter {
  public:
@@ -210,6 +214,8 @@
   bool ReadObject(std::vector<Item>& items) {
     std::size_t count = 0;
     if (!ReadCount(count)) return false;
+    if (count > m_item_room / sizeof(Item)) return false;
+    m_item_room -= count * sizeof(Item);
     items.clear();
     for (; count > 0; --count) {
       Item item{};
@@ -240,6 +246,7 @@
   }
 
   std::string_view m_input;
+  std::size_t m_item_room = kMaximumItemBytes;
   std::string m_error;
 };
 
