--- a/libraries/http/http_client.cc
+++ b/libraries/http/http_client.cc
@@ -336,6 +336,8 @@
   for (const auto& connection : busy) connection->Close();
 }
 
+bool HttpClient::IsCalling() const { return !m_state->m_busy.empty(); }
+
 const Address& HttpClient::address() const { return m_state->m_address; }
 
 }  // namespace daisyarch
--- a/libraries/http/http_client.h
+++ b/libraries/http/http_client.h
@@ -55,6 +55,9 @@
   /// Closes the connections that carry no request.
   void CloseIdleConnections();
 
+  /// Returns whether a request is in flight.
+  bool IsCalling() const;
+
   const Address& address() const;
 
   struct State;
--- a/libraries/mesh/mesh_client.cc
+++ b/libraries/mesh/mesh_client.cc
@@ -250,4 +250,6 @@
   if (m_state->m_link == LinkState::kClosed) OpenLink(m_state);
 }
 
+bool MeshClient::IsCalling() const { return !m_state->m_calls.empty(); }
+
 }  // namespace daisyarch
--- a/libraries/mesh/mesh_client.h
+++ b/libraries/mesh/mesh_client.h
@@ -35,6 +35,9 @@
   void Call(const std::string& method, Json body, Duration timeout,
             MeshResponder on_answer);
 
+  /// Returns whether a call has no answer yet.
+  bool IsCalling() const;
+
   struct State;
 
  private:
