--- a/tests/limits/faulty_answers.cc
+++ b/tests/limits/faulty_answers.cc
@@ -156,6 +156,7 @@
   for (const std::string list : {"items", "events"}) {
     answers.push_back({"store_new_" + list, PeerRole::kStore});
     answers.back().m_answers_per_peer = 2000;
+    answers.back().m_only_for = "prefix=servers/";
     answers.back().m_make_answer = [list](const std::string& request,
                                           std::size_t number) {
       // A watch that fails is followed by a listing.
--- a/tests/limits/faulty_peer.cc
+++ b/tests/limits/faulty_peer.cc
@@ -38,15 +38,21 @@
       });
 }
 
-void BeginForwarding(FaultyPeer& peer, const Socket& caller) {
+void BeginForwarding(FaultyPeer& peer, const Socket& caller,
+                     std::string begin = "") {
   const auto server =
       std::make_shared<tcp::socket>(peer.m_acceptor.get_executor());
   const tcp::endpoint endpoint(asio::ip::address_v4::loopback(),
                                peer.m_forward_port);
   peer.m_sockets.push_back(server);
-  server->async_connect(endpoint, [caller, server](Code code) {
+  const Text request = std::make_shared<std::string>(std::move(begin));
+  server->async_connect(endpoint, [caller, server, request](Code code) {
     if (code) return Close(caller);
-    Forward(caller, server);
+    asio::async_write(*server, asio::buffer(*request),
+                      [caller, server, request](Code write_code, std::size_t) {
+                        if (write_code) return Close(caller);
+                        Forward(caller, server);
+                      });
     Forward(server, caller);
   });
 }
@@ -118,6 +124,13 @@
   asio::async_read_until(*socket, asio::dynamic_buffer(*request), "\r\n\r\n",
                          [&peer, socket, request](Code code, std::size_t) {
                            if (code || peer.m_answer == nullptr) return;
+                           const std::string& part = peer.m_answer->m_only_for;
+                           if (request->find(part) == std::string::npos) {
+                             // Each request comes on a connection of its own.
+                             request->insert(request->find("\r\n"),
+                                             "\r\nConnection: close");
+                             return BeginForwarding(peer, socket, *request);
+                           }
                            Answer(peer, socket, *request);
                          });
 }
--- a/tests/limits/faulty_peer.h
+++ b/tests/limits/faulty_peer.h
@@ -26,6 +26,8 @@
   std::size_t m_piece_bytes = 0;
   bool m_is_reading = true;
   std::size_t m_answers_per_peer = 5;  ///< Sent or cut, before it is judged.
+  /// Requests without this text are passed on to the real server.
+  std::string m_only_for;
   /// Returns the whole answer to a request, the one with this number, if set.
   std::function<std::string(const std::string& request, std::size_t number)>
       m_make_answer;
