fleet: Keep the names of at most 1,000 unreadable entries

The leader keeps the key of each entry of the workers' listing that names no worker, for a line of the log. Events of new keys without end made it hold 292 MB in 22 s (`limits_store_new_events` on; bound 64 MB). It keeps 1,000 keys; the count on the line then says at least so many.

--- a/services/daisyarchd/fleet/leader_workers.cc
+++ b/services/daisyarchd/fleet/leader_workers.cc
@@ -12,6 +12,8 @@
 constexpr Duration kListingWait = std::chrono::milliseconds(300);
 constexpr Duration kListingInterval = std::chrono::milliseconds(100);
 constexpr Duration kListingTimeout = std::chrono::milliseconds(700);
+// Entries that name no worker are kept for the log only.
+constexpr std::size_t kMaximumUnreadableEntries = 1000;
 
 TimePoint Now(const Leader& leader) { return leader.m_runtime.m_clock.m_now(); }
 
@@ -56,7 +58,7 @@
     if (is_read) {
       ++next;
       leader.m_unreadable_entries.erase(item.m_key);
-    } else {
+    } else if (leader.m_unreadable_entries.size() < kMaximumUnreadableEntries) {
       leader.m_unreadable_entries.insert(item.m_key);
     }
   }
