soak: Restart workers under their ids while orders are on their way

Cause: the soak restarted workers, but no order meant for a former life ever reached the next one, all workers were of one failure domain, and no task but those that last took longer than a few seconds. Change: the stand-in of the workers holds the calls of its last moments and hands them to its next life, whose clock and counts start anew. Series of such restarts, of one worker or of a failure domain, are followed by a cut from all nodes and by the end of the leader, while tasks of 12 to 36 s run. The checks and their bounds stay.

--- a/standins/site_store_standin/main.cc
+++ b/standins/site_store_standin/main.cc
@@ -47,10 +47,11 @@
 // links of a view and asks for the leader's claim.
 Json HandleControl(SiteStore& store, Views& views, const std::string& path,
                    const Json& body) {
-  if (path == "/link") {
-    AddLink(views.m_views[body.value("view", std::string())],
-            body.value("worker", std::string()),
-            body.value("link", std::string()));
+  if (path == "/links") {
+    StoreView& view = views.m_views[body.value("view", std::string())];
+    for (const auto& [worker, link] : body["links"].items()) {
+      AddLink(view, worker, link.get<std::string>());
+    }
   }
   const std::string key = body.value("key", std::string());
   if (path == "/put") PutKey(store, key, body.value("value", std::string()));
--- a/standins/site_worker_standin/site_workers.cc
+++ b/standins/site_worker_standin/site_workers.cc
@@ -10,6 +10,8 @@
 
 namespace {
 
+using fleet::WorkerMilliseconds;
+
 constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(1500);
 constexpr Duration kEntryLasts = 3 * kHeartbeatInterval;
 constexpr Duration kCallTimeout = std::chrono::seconds(1);
@@ -98,7 +100,7 @@
   const Json entry = {
       {"service", "pool"},
       {"addr", worker.m_address},
-      {"zone", "zone-a"},
+      {"zone", worker.m_zone},
       {"version", "1"},
       {"slots", 8},
       {"state", "ready"},
@@ -121,14 +123,47 @@
   WriteEntry(workers, worker, now);
 }
 
-void Stop(SiteWorkers& workers, SiteWorker& worker, const Json& body) {
-  const TimePoint now = StandinNow();
+void PlanRestart(SiteWorker& worker, const Json& body) {
   if (!worker.m_model.m_is_up) return;
+  worker.m_ends_at =
+      StandinNow() + FromMilliseconds(body.value("withhold_ms", 0));
+  worker.m_next_id = body.value("id", worker.m_id);
+  worker.m_down = FromMilliseconds(body.value("down_ms", 0));
+  worker.m_latest_call = FromMilliseconds(body.value("late_ms", 0));
+}
+
+void End(SiteWorkers& workers, SiteWorker& worker, TimePoint now) {
   CrashProcess(worker.m_model, now);
   worker.m_polls.clear();
+  for (HeldCall& call : worker.m_held_calls) call.m_respond = nullptr;
   Write(workers, worker, "gone", worker.m_name);
-  worker.m_next_id = body.value("id", worker.m_id);
-  worker.m_restart_at = now + FromMilliseconds(body.value("down_ms", 0));
+  worker.m_ends_at = TimePoint::max();
+  worker.m_restart_at = now + worker.m_down;
+}
+
+// The first call is due at once, the last one after the longest delay.
+void SpreadHeldCalls(SiteWorker& worker, TimePoint now) {
+  const auto gaps = static_cast<std::int64_t>(worker.m_held_calls.size()) - 1;
+  std::int64_t number = 0;
+  for (HeldCall& call : worker.m_held_calls) {
+    call.m_due_at =
+        gaps <= 0 ? now : now + worker.m_latest_call * number++ / gaps;
+  }
+}
+
+void TakeHeldCalls(SiteWorkers& workers, SiteWorker& worker, TimePoint now) {
+  while (!worker.m_held_calls.empty() &&
+         worker.m_held_calls.front().m_due_at <= now) {
+    const HttpRequest request = worker.m_held_calls.front().m_request;
+    worker.m_held_calls.pop_front();
+    HandleCall(workers, worker, request, [](const HttpResponse&) {});
+    const WorkerMilliseconds lease =
+        worker.m_model.m_lease_until - ClockOf(worker.m_model, now);
+    std::cout << ToMilliseconds(now.time_since_epoch()) << " " << worker.m_id
+              << " takes " << request.m_target
+              << " of its former life; its lease lasts " << lease.value()
+              << " ms" << std::endl;
+  }
 }
 
 void RemoveFormerEntry(SiteWorkers& workers, SiteWorker& worker) {
@@ -147,9 +182,12 @@
       worker.m_remove_at = now + kEntryLasts;
       worker.m_id = worker.m_next_id;
     }
-    return Begin(workers, worker, now);
+    Begin(workers, worker, now);
+    return SpreadHeldCalls(worker, now);
   }
+  if (now >= worker.m_ends_at) return End(workers, worker, now);
   Advance(worker.m_model, now);
+  TakeHeldCalls(workers, worker, now);
   AnswerPolls(worker, now);
   if (now >= worker.m_next_heartbeat_at) WriteEntry(workers, worker, now);
 }
@@ -178,9 +216,10 @@
                    const Json& body) {
   for (const auto& worker : workers.m_workers) {
     if (worker->m_name != body.value("worker", std::string())) continue;
-    if (path == "/restart") Stop(workers, *worker, body);
+    if (path == "/restart") PlanRestart(*worker, body);
     if (path != "/begin") continue;
     worker->m_id = body.value("id", worker->m_name);
+    worker->m_zone = body.value("zone", std::string("zone-a"));
     worker->m_address = body.value("address", std::string());
     worker->m_model.m_clock_rate = body.value("clock_rate", 1.0);
     Begin(workers, *worker, StandinNow());
--- a/standins/site_worker_standin/site_workers.h
+++ b/standins/site_worker_standin/site_workers.h
@@ -32,8 +32,9 @@
 /// Adds a worker with a server of its own, which answers nothing yet.
 Result<void> AddWorker(SiteWorkers& workers, const std::string& name);
 
-/// Handles an order of the driver: /begin (worker, address, id) or /restart
-/// (worker, id, down_ms).
+/// Handles an order of the driver: /begin (worker, address, id, zone) or
+/// /restart (worker, id, down_ms, withhold_ms, late_ms). For the last
+/// `withhold_ms`, calls are held; the next life takes them within `late_ms`.
 Json HandleControl(SiteWorkers& workers, const std::string& path,
                    const Json& body);
 
--- a/standins/site_worker_standin/worker_calls.cc
+++ b/standins/site_worker_standin/worker_calls.cc
@@ -146,6 +146,10 @@
                 const HttpRequest& request, const HttpResponder& respond) {
   // Dropping the responder closes the connection.
   if (worker.m_address.empty() || !worker.m_model.m_is_up) return;
+  if (worker.m_ends_at != TimePoint::max()) {
+    worker.m_held_calls.push_back({request, respond, TimePoint::max()});
+    return;
+  }
   const std::string expected =
       FindHeader(request.m_headers, "X-Expect-Instance");
   if (!expected.empty() && expected != worker.m_id) {
@@ -177,9 +181,11 @@
 
 void AnswerPolls(SiteWorker& worker, TimePoint now) {
   if (!worker.m_model.m_is_up) return worker.m_polls.clear();
-  const bool has_ended = !worker.m_model.m_ended.empty();
+  // The next polls of a worker that is about to end are held.
+  const bool is_answered =
+      !worker.m_model.m_ended.empty() || worker.m_ends_at != TimePoint::max();
   for (auto poll = worker.m_polls.begin(); poll != worker.m_polls.end();) {
-    if (!has_ended && now < poll->m_until) {
+    if (!is_answered && now < poll->m_until) {
       ++poll;
       continue;
     }
--- a/tests/soak/soak_faults.cc
+++ b/tests/soak/soak_faults.cc
@@ -2,86 +2,15 @@
 
 #include <algorithm>
 #include <csignal>
-#include <iostream>
 
-#include "link_proxy/link_fault.h"
 #include "models/standin_main.h"
+#include "soak_actions.h"
+#include "soak_restarts.h"
 
 namespace daisyarch::soak {
 
 namespace {
 
-constexpr std::uint64_t kAll = 100;
-constexpr std::uint64_t kLeader = ~std::uint64_t{0};
-
-void Note(const std::string& text) {
-  std::cout << ToMilliseconds(StandinNow().time_since_epoch()) << " " << text
-            << std::endl;
-}
-
-void SetLink(SoakSite& site, const std::string& link, LinkMode mode,
-             Duration lasts, std::uint64_t percent = kAll,
-             Duration longest_delay = Duration::zero()) {
-  Note("link " + link + " mode " + std::to_string(static_cast<int>(mode)) +
-       " for " + std::to_string(ToMilliseconds(lasts)) + " ms, " +
-       std::to_string(percent) + "%");
-  Control(*site.m_proxy_control, "/fault",
-          {{"link", link},
-           {"mode", static_cast<int>(mode)},
-           {"for_ms", ToMilliseconds(lasts)},
-           {"percent", percent},
-           {"delay_ms", ToMilliseconds(longest_delay)}});
-}
-
-SoakDaemon& DaemonOf(SoakSite& site, std::uint64_t chosen) {
-  const std::size_t index = chosen == kLeader ? site.m_leader : chosen;
-  return site.m_daemons[index];
-}
-
-void SignalDaemon(SoakSite& site, std::uint64_t chosen, int signal) {
-  SoakDaemon& daemon = DaemonOf(site, chosen);
-  Note("signal " + std::to_string(signal) + " to " + daemon.m_node.m_name);
-  if (signal == SIGKILL || signal == SIGTERM) daemon.m_is_end_expected = true;
-  Signal(daemon.m_process, signal);
-}
-
-// A frozen daemon continues after the pause, whoever leads then.
-void FreezeDaemon(SoakSite& site, std::uint64_t chosen, Duration pause) {
-  const std::size_t index = chosen == kLeader ? site.m_leader : chosen;
-  SignalDaemon(site, index, SIGSTOP);
-  site.m_agenda.emplace(StandinNow() + pause,
-                        [&site, index] { SignalDaemon(site, index, SIGCONT); });
-}
-
-void FreezeStore(SoakSite& site, Duration pause) {
-  Note("the store pauses");
-  Signal(site.m_store, SIGSTOP);
-  site.m_agenda.emplace(StandinNow() + pause, [&site] {
-    Note("the store continues");
-    Signal(site.m_store, SIGCONT);
-  });
-}
-
-std::string DrawWorker(SoakSite& site) {
-  return "w" +
-         std::to_string(Choose(site.m_plan.m_random, 1, site.m_plan.m_workers));
-}
-
-void RestartWorker(SoakSite& site, const std::string& worker,
-                   const std::string& id, Duration down) {
-  Note("worker " + worker + " ends and begins as " + id);
-  SetLink(site, worker, LinkMode::kClosed, down);
-  Control(*site.m_worker_control, "/restart",
-          {{"worker", worker}, {"id", id}, {"down_ms", ToMilliseconds(down)}});
-}
-
-// Adds the action to the agenda and returns when its effect has ended.
-TimePoint Plan(SoakSite& site, TimePoint at, Duration lasts,
-               std::function<void()> action) {
-  site.m_agenda.emplace(at, std::move(action));
-  return at + lasts;
-}
-
 std::uint64_t DrawDaemon(SoakSite& site) {
   Random& random = site.m_plan.m_random;
   if (NextBelow(random, 3) > 0) return kLeader;
@@ -107,9 +36,9 @@
     const TimePoint begin = at + ChooseTime(random, 0, 300);
     const Duration lasts = ChooseTime(random, lasts_ms / 2, lasts_ms);
     end = std::max(
-        end, PlanLinkFault(site, begin, "w" + std::to_string(number),
-                           LinkMode::kLoseAnswers, lasts,
-                           Choose(random, kAll / 2, kAll), Duration::zero()));
+        end,
+        PlanLinkFault(site, begin, WorkerName(number), LinkMode::kLoseAnswers,
+                      lasts, Choose(random, kAll / 2, kAll), Duration::zero()));
   }
   return end;
 }
@@ -198,9 +127,13 @@
     const std::string id =
         is_same ? worker : worker + "x" + std::to_string(number);
     const Duration down = ChooseTime(random, 100, 3000);
-    return Plan(site, at, down, [&site, worker, id, down] {
-      RestartWorker(site, worker, id, down);
-    });
+    WorkerRestart restart;
+    restart.m_worker = worker;
+    restart.m_id = id;
+    restart.m_down = down;
+    restart.m_unreachable = down;
+    return Plan(site, at, down,
+                [&site, restart] { RestartWorker(site, restart); });
   }
   constexpr std::int64_t kLatestMs = 12000;
   const auto mode = static_cast<LinkMode>(Choose(random, 1, 3));
@@ -221,7 +154,7 @@
   std::vector<std::string> workers;
   for (std::uint64_t number = 1; number <= site.m_plan.m_workers; ++number) {
     if (NextBelow(random, kOneIn) > 0) continue;
-    workers.push_back("w" + std::to_string(number));
+    workers.push_back(WorkerName(number));
   }
   const TimePoint end =
       Plan(site, at, lasts, [&site, daemon, mode, lasts, workers] {
@@ -257,6 +190,10 @@
   } else {
     at += kEpisode;
   }
+  // Their cuts last for some time.
+  constexpr Duration kSeries = std::chrono::seconds(8);
+  const TimePoint first = NextBelow(random, 2) == 0 ? at : start;
+  calm = std::max(calm, PlanRestarts(site, traffic, first, end - kSeries));
   std::uint64_t number = 0;
   for (at += ChooseTime(random, 1000, 4000); at < end;
        at += ChooseTime(random, 500, 4000)) {
--- a/tests/soak/soak_plan.cc
+++ b/tests/soak/soak_plan.cc
@@ -24,6 +24,7 @@
                   const std::string& root) {
   constexpr std::uint64_t kSeconds = 30;
   constexpr std::uint64_t kIntervalMs = 500;
+  constexpr std::uint64_t kOneLargeIn = 12;
   SoakPlan plan;
   plan.m_seed = seed;
   plan.m_random.m_state = seed;
@@ -34,8 +35,11 @@
   plan.m_folder = (folder == nullptr ? build : std::string(folder)) + "/soak-" +
                   std::to_string(seed);
   // Drawn in any case, so that the rest of the seed stays the same.
-  const std::uint64_t daemons = Choose(plan.m_random, 3, 6);
-  const std::uint64_t workers = Choose(plan.m_random, 6, 40);
+  const bool is_large = NextBelow(plan.m_random, kOneLargeIn) == 0;
+  const std::uint64_t daemons =
+      is_large ? Choose(plan.m_random, 6, 12) : Choose(plan.m_random, 3, 6);
+  const std::uint64_t workers =
+      is_large ? Choose(plan.m_random, 200, 300) : Choose(plan.m_random, 6, 40);
   plan.m_daemons = NumberFrom("SOAK_DAEMONS", daemons);
   plan.m_workers = NumberFrom("SOAK_WORKERS", workers);
   plan.m_traffic = std::chrono::seconds(NumberFrom("SOAK_SECONDS", kSeconds));
--- a/tests/soak/soak_run.cc
+++ b/tests/soak/soak_run.cc
@@ -20,7 +20,8 @@
 constexpr Duration kStartBound = std::chrono::seconds(60);
 // After the faults: orders arrive up to 12 s late, leases last up to 10 s by a
 // clock that may be 2% slow, and jobs are asked for 14 s after the traffic; the
-// rest is for the attempts of two steps on a busy machine.
+// rest is for the attempts of two steps, or a long task of 36 s, on a busy
+// machine.
 constexpr Duration kEndBound = std::chrono::seconds(90);
 constexpr Duration kStableWindow = std::chrono::seconds(3);
 // Then nothing of a cancelled job may run.
--- a/tests/soak/soak_site.cc
+++ b/tests/soak/soak_site.cc
@@ -52,10 +52,6 @@
   return "n" + std::to_string(number);
 }
 
-std::string WorkerName(std::uint64_t number) {
-  return "w" + std::to_string(number);
-}
-
 std::string ViewName(std::uint64_t daemon) {
   return "view" + std::to_string(daemon);
 }
@@ -115,12 +111,13 @@
 
 void AddViews(SoakSite& site, const Ports& workers, const Ports& links) {
   for (std::uint64_t daemon = 1; daemon <= site.m_plan.m_daemons; ++daemon) {
+    Json link_of = Json::object();
     for (std::uint64_t worker = 1; worker <= site.m_plan.m_workers; ++worker) {
-      Control(*site.m_store_control, "/link",
-              {{"view", ViewName(daemon)},
-               {"worker", LoopbackAddress(workers.at(WorkerName(worker)))},
-               {"link", LoopbackAddress(links.at(LinkName(daemon, worker)))}});
+      link_of[LoopbackAddress(workers.at(WorkerName(worker)))] =
+          LoopbackAddress(links.at(LinkName(daemon, worker)));
     }
+    Control(*site.m_store_control, "/links",
+            {{"view", ViewName(daemon)}, {"links", std::move(link_of)}});
   }
 }
 
@@ -132,6 +129,7 @@
     Control(*site.m_worker_control, "/begin",
             {{"worker", name},
              {"id", name},
+             {"zone", ZoneOf(number)},
              {"clock_rate", rate},
              {"address", LoopbackAddress(workers.at(name))}});
   }
@@ -170,6 +168,15 @@
 
 }  // namespace
 
+std::string WorkerName(std::uint64_t number) {
+  return "w" + std::to_string(number);
+}
+
+std::string ZoneOf(std::uint64_t worker) {
+  static constexpr const char* kZones[] = {"zone-a", "zone-b", "zone-c"};
+  return kZones[worker % std::size(kZones)];
+}
+
 std::string RecordPath(const SoakPlan& plan) {
   return plan.m_folder + "/record.txt";
 }
--- a/tests/soak/soak_site.h
+++ b/tests/soak/soak_site.h
@@ -61,6 +61,10 @@
 /// Sends an order to a stand-in; its answer does not matter.
 void Control(HttpClient& client, const char* path, const Json& body);
 
+std::string WorkerName(std::uint64_t number);
+/// The failure domain of the worker; each is one of three.
+std::string ZoneOf(std::uint64_t worker);
+
 std::string RecordPath(const SoakPlan& plan);
 
 }  // namespace daisyarch::soak
--- a/tests/soak/soak_traffic.cc
+++ b/tests/soak/soak_traffic.cc
@@ -158,6 +158,19 @@
   }
 }
 
+void SubmitLongJob(SoakSite& site, SoakTraffic& traffic) {
+  // Runs take half of it to one and a half of it.
+  constexpr Duration kWork = std::chrono::seconds(24);
+  SoakPlan& plan = site.m_plan;
+  SoakJob& job = AddJob(site, traffic);
+  SiteStep step;
+  step.m_task_count =
+      static_cast<std::uint32_t>(Choose(plan.m_random, 1, plan.m_workers));
+  step.m_script.m_work = kWork;
+  job.m_job.m_steps.push_back(step);
+  Send(site, job);
+}
+
 void SubmitLastingJob(SoakSite& site, SoakTraffic& traffic) {
   SoakJob& job = AddJob(site, traffic);
   job.m_is_lasting = true;
--- a/tests/soak/soak_traffic.h
+++ b/tests/soak/soak_traffic.h
@@ -18,6 +18,8 @@
 void SubmitJob(SoakSite& site, SoakTraffic& traffic);
 /// Submits jobs of one step whose tasks are short and often fail.
 void SubmitFailingJobs(SoakSite& site, SoakTraffic& traffic, int count);
+/// Submits a job whose tasks run for 12 s or more and do not fail.
+void SubmitLongJob(SoakSite& site, SoakTraffic& traffic);
 /// Submits a job whose tasks run until it is cancelled.
 void SubmitLastingJob(SoakSite& site, SoakTraffic& traffic);
 
