soak: End leaders about when they lose restarted workers

Cause: most restarted workers got no order in their last moments, and many leaders ended before they had started tasks on the next lives, or long after the cut. Change: calls are held for up to 1.5 s, and half of the leaders end within half a second of the cut. The checks and their bounds stay. Traced: a hold for the former life grants 10 s at 2280.586 s, the leader is told to stop at 2282.516 s, the next one waits 4.304 s and starts the tasks elsewhere while the first runs have ended and the lease lasts.

--- a/tests/soak/soak_restarts.cc
+++ b/tests/soak/soak_restarts.cc
@@ -55,7 +55,7 @@
   Random& random = site.m_plan.m_random;
   const std::vector<std::string> workers = DrawWorkers(site);
   WorkerRestart restart;
-  restart.m_withholds = ChooseTime(random, 100, 700);
+  restart.m_withholds = ChooseTime(random, 300, 1500);
   restart.m_down = ChooseTime(random, 100, 900);
   // Mostly the orders reach the next life before any order that is meant for
   // it.
@@ -77,8 +77,11 @@
   Plan(site, back, Duration::zero(),
        [&site, &traffic] { SubmitLongJob(site, traffic); });
   const TimePoint cut = back + ChooseTime(random, 300, 4000);
+  // At any point, or about when the leader loses the workers.
   const TimePoint leader_ends =
-      at + ChooseTime(random, 0, ToMilliseconds(cut - at) + 2000);
+      NextBelow(random, 2) == 0
+          ? at + ChooseTime(random, 0, ToMilliseconds(cut - at) + 2000)
+          : cut + ChooseTime(random, 0, 1000) - std::chrono::milliseconds(500);
   return std::max(PlanCut(site, cut, workers),
                   PlanLeaderEnd(site, leader_ends));
 }
