settings: Take an optional setting that is not filled in as left out

A platform that knows only the placeholders of an earlier version leaves the others as they are.

A placeholder in a required setting stays an error, also where any text was taken before, as in the node's name.

--- a/libraries/settings/site_settings.cc
+++ b/libraries/settings/site_settings.cc
@@ -16,6 +16,15 @@
 constexpr std::size_t kMinimumMemoryMb = 48;
 constexpr std::size_t kMinimumDescriptors = 320;
 constexpr double kMaximumCount = 1e9;
+constexpr const char* kPlaceholderStart = "{{";
+
+// Without quotes, YAML reads a placeholder as a map whose only key is a map.
+bool IsPlaceholder(const YAML::Node& value) {
+  if (value.IsScalar()) {
+    return value.Scalar().find(kPlaceholderStart) != std::string::npos;
+  }
+  return value.IsMap() && value.size() == 1 && value.begin()->first.IsMap();
+}
 
 class SiteSettingsReader {
  public:
@@ -75,12 +84,25 @@
   Result<std::string> ReadText(const YAML::Node& node,
                                const std::string& key) const {
     const YAML::Node value = node[key];
+    if (value && IsPlaceholder(value)) {
+      return Fail(value, key, "the placeholder is not filled in");
+    }
     if (!value || !value.IsScalar() || value.Scalar().empty()) {
       return Fail(node, key, "expected non-empty text");
     }
     return value.Scalar();
   }
 
+  // Returns whether the section has the optional key with a value.
+  bool HasValue(const YAML::Node& section, const std::string& section_name,
+                const std::string& key, SiteSettings& settings) const {
+    const YAML::Node value = section[key];
+    if (!value) return false;
+    if (!IsPlaceholder(value)) return true;
+    settings.m_unfilled_keys.push_back(section_name + "." + key);
+    return false;
+  }
+
   Result<double> ReadNumber(const YAML::Node& node,
                             const std::string& key) const {
     TRY_ASSIGN(const std::string text, ReadText(node, key));
@@ -108,7 +130,7 @@
     TRY_ASSIGN(settings.m_client_address, ReadAddress(listen, "callers"));
     TRY_ASSIGN(settings.m_readiness_address, ReadAddress(listen, "ready"));
     TRY_ASSIGN(settings.m_metrics_address, ReadAddress(listen, "metrics"));
-    if (!listen["relay"]) return Success();
+    if (!HasValue(listen, "listen", "relay", settings)) return Success();
     TRY_ASSIGN(settings.m_relay_address, ReadAddress(listen, "relay"));
     return Success();
   }
@@ -139,10 +161,11 @@
                ReadSeconds(timing, "stop_grace_s"));
     TRY_ASSIGN(settings.m_state_retention,
                ReadSeconds(timing, "state_retention_s"));
-    const YAML::Node evacuation = timing["evacuation_ms"];
-    if (!evacuation || (evacuation.IsScalar() && evacuation.Scalar().empty())) {
+    if (!HasValue(timing, "timing", "evacuation_ms", settings)) {
       return Success();
     }
+    const YAML::Node evacuation = timing["evacuation_ms"];
+    if (evacuation.IsScalar() && evacuation.Scalar().empty()) return Success();
     TRY_ASSIGN(settings.m_evacuation_period,
                ReadMilliseconds(timing, "evacuation_ms"));
     return Success();
@@ -154,12 +177,12 @@
     if (!root["limits"]) return Success();
     TRY_ASSIGN(const YAML::Node limits,
                ReadSection(root, "limits", {"memory_mb", "descriptors"}));
-    if (limits["memory_mb"]) {
+    if (HasValue(limits, "limits", "memory_mb", settings)) {
       TRY_ASSIGN(const std::size_t megabytes,
                  ReadCount(limits, "memory_mb", kMinimumMemoryMb));
       settings.m_memory_bytes = megabytes * kBytesPerMegabyte;
     }
-    if (limits["descriptors"]) {
+    if (HasValue(limits, "limits", "descriptors", settings)) {
       TRY_ASSIGN(settings.m_maximum_descriptors,
                  ReadCount(limits, "descriptors", kMinimumDescriptors));
     }
--- a/libraries/settings/site_settings.h
+++ b/libraries/settings/site_settings.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "base/ids.h"
 #include "base/result.h"
@@ -41,6 +42,9 @@
   /// Of the process. What its peers may make it hold follows from these.
   std::size_t m_memory_bytes = 256UL * 1024 * 1024;
   std::size_t m_maximum_descriptors = 4096;
+  /// Optional keys whose value is still a placeholder, so the platform has not
+  /// filled it in. Their defaults hold.
+  std::vector<std::string> m_unfilled_keys;
 };
 
 /// Parses settings from YAML text. Fails with kInvalidArgument, file, line, key
