fleet: Take a later life's answer to a start as no answer

Callers saw two runs of a task at once. A worker that restarts under its id takes a start that was meant for its former life and answers it. The leader took the run as confirmed at the former life. When the worker was then cut off, so that neither a report nor the listing told of the restart, the former life's lease of 4 s lapsed and the task was started elsewhere, while the new life ran it under the longest lease (10 s): an order's deadline on the former clock is far ahead of a clock that has just begun.

Every answer carries the worker's clock. A later life began after the last reading of the former one's clock, and no clock runs fast, so a clock that reads at most the time since that reading may be a later life's. The start then counts as unanswered: the run stays unconfirmed until the longest lease of the latest order has ended, its row tells the next leader, and the token is raised. An answer of the life that the order was meant for shows more, however late it is, unless that life had just begun; the clock is not compared with a report that came after the order. After a restart that a report has shown, nothing changes. Answers to stops and throttles confirm no run, so their clocks are not needed.

Relays pass the clock on, in format 2 of their messages. Nodes of two formats use no relays of each other, as before.

--- a/libraries/decisions/fleet/relay_messages.cc
+++ b/libraries/decisions/fleet/relay_messages.cc
@@ -9,7 +9,9 @@
 OrderOutcome FailedOutcome(const Order& order, ErrorCode code,
                            StartOutcome start_outcome,
                            const std::string& detail) {
-  if (std::holds_alternative<StartOrder>(order)) return start_outcome;
+  if (std::holds_alternative<StartOrder>(order)) {
+    return StartAnswer{start_outcome, std::nullopt};
+  }
   Error error{code, "relay order", WorkerOf(order).value(), detail};
   if (std::holds_alternative<PollOrder>(order)) {
     return OrderOutcome(std::in_place_type<Result<WorkerReport>>,
--- a/libraries/decisions/fleet/relay_messages.h
+++ b/libraries/decisions/fleet/relay_messages.h
@@ -7,6 +7,7 @@
 #include "base/error.h"
 #include "decisions/fleet/fleet.h"
 #include "decisions/fleet/relay.h"
+#include "decisions/fleet/start_answer.h"
 
 // What a leader and a relay say to each other.
 
@@ -14,7 +15,7 @@
 
 /// The outcome of a start, of a stop or throttle order, or of a poll.
 using OrderOutcome =
-    std::variant<StartOutcome, Result<void>, Result<WorkerReport>>;
+    std::variant<StartAnswer, Result<void>, Result<WorkerReport>>;
 
 /// An order and the address of its worker.
 struct RelayedOrder {
@@ -25,7 +26,7 @@
 
 struct RelayedOutcome {
   OrderNumber m_number;
-  OrderOutcome m_outcome = StartOutcome::kUnanswered;
+  OrderOutcome m_outcome = StartAnswer();
 };
 
 /// A call of a leader. A relay keeps the outcomes of each session apart.
--- a/libraries/wire/relay_fields.cc
+++ b/libraries/wire/relay_fields.cc
@@ -26,6 +26,11 @@
 namespace fleet {
 
 // An outcome as it is encoded.
+struct EncodedStart {
+  StartOutcome m_outcome = StartOutcome::kUnanswered;
+  bool m_has_clock = false;
+  WorkerMilliseconds m_clock;
+};
 struct OrderDone {};
 struct OrderFailure {
   ErrorCode m_code = ErrorCode::kInternal;
@@ -40,7 +45,7 @@
 };
 struct EncodedOutcome {
   OrderNumber m_number;
-  std::variant<StartOutcome, OrderDone, WorkerReport, FailedOrder, FailedPoll>
+  std::variant<EncodedStart, OrderDone, WorkerReport, FailedOrder, FailedPoll>
       m_outcome;
 };
 struct EncodedAnswer {
@@ -138,6 +143,13 @@
   visit("lists_all_ends", report.m_lists_all_ends);
 }
 
+template <typename Visitor>
+void VisitFields(Visitor& visit, EncodedStart& start) {
+  visit("outcome", start.m_outcome);
+  visit("has_clock", start.m_has_clock);
+  visit("clock", start.m_clock);
+}
+
 template <typename Visitor>
 void VisitFields(Visitor& /*visit*/, OrderDone& /*done*/) {}
 
@@ -183,7 +195,7 @@
 
 // Changes with every change of the messages. Nodes of two versions use no
 // relays of each other.
-constexpr std::uint32_t kRelayFormat = 1;
+constexpr std::uint32_t kRelayFormat = 2;
 
 OrderFailure FailureOf(const Error& error) {
   return {error.m_code, error.m_detail, error.m_is_closed_by_peer};
@@ -198,8 +210,10 @@
   EncodedOutcome encoded;
   encoded.m_number = relayed.m_number;
   const OrderOutcome& outcome = relayed.m_outcome;
-  if (const auto* start = std::get_if<StartOutcome>(&outcome)) {
-    encoded.m_outcome = *start;
+  if (const auto* start = std::get_if<StartAnswer>(&outcome)) {
+    encoded.m_outcome =
+        EncodedStart{start->m_outcome, start->m_clock.has_value(),
+                     start->m_clock.value_or(WorkerMilliseconds())};
   } else if (const auto* order = std::get_if<Result<void>>(&outcome)) {
     if (*order) {
       encoded.m_outcome = OrderDone{};
@@ -216,7 +230,11 @@
   return encoded;
 }
 
-OrderOutcome OutcomeOf(StartOutcome outcome) { return outcome; }
+OrderOutcome OutcomeOf(const EncodedStart& start) {
+  StartAnswer answer{start.m_outcome, std::nullopt};
+  if (start.m_has_clock) answer.m_clock = start.m_clock;
+  return answer;
+}
 OrderOutcome OutcomeOf(OrderDone /*done*/) {
   return OrderOutcome(std::in_place_type<Result<void>>, Success());
 }
--- a/services/daisyarchd/fleet/fleet_runtime.h
+++ b/services/daisyarchd/fleet/fleet_runtime.h
@@ -8,6 +8,7 @@
 #include "decisions/fleet/fleet.h"
 #include "decisions/fleet/job_routes.h"
 #include "decisions/fleet/relay.h"
+#include "decisions/fleet/start_answer.h"
 #include "decisions/leadership/leadership.h"
 #include "metrics/metrics.h"
 #include "platform/store.h"
@@ -30,7 +31,7 @@
 /// Sends orders to workers at their addresses.
 struct OrderSender {
   std::function<void(const std::string& address, const StartOrder&,
-                     std::function<void(StartOutcome)>)>
+                     std::function<void(StartAnswer)>)>
       m_start;
   std::function<void(const std::string& address, const StopOrder&,
                      std::function<void(Result<void>)>)>
--- a/services/daisyarchd/fleet/leader_orders.cc
+++ b/services/daisyarchd/fleet/leader_orders.cc
@@ -18,18 +18,19 @@
 }
 
 void HandleOutcome(const LeaderPointer& leader, const StartOrder& order,
-                   StartOutcome outcome) {
-  if (outcome != StartOutcome::kStarted) {
+                   const StartAnswer& answer) {
+  if (answer.m_outcome != StartOutcome::kStarted) {
     LogEvent(LogLevel::kWarning, "start_failed",
              {{"job", order.m_task.m_job.value()},
               {"step", std::uint64_t{order.m_task.m_step}},
               {"task", std::uint64_t{order.m_task.m_index}},
               {"run", order.m_run.value()},
               {"worker", order.m_worker.value()},
-              {"outcome",
-               outcome == StartOutcome::kRefused ? "refused" : "unanswered"}});
+              {"outcome", answer.m_outcome == StartOutcome::kRefused
+                              ? "refused"
+                              : "unanswered"}});
   }
-  ApplyStartOutcome(leader->m_fleet, order, outcome, Now(*leader));
+  ApplyStartAnswer(leader->m_fleet, order, answer, Now(*leader));
 }
 
 // If this leader has raised the worker's fencing token since it sent the order,
@@ -140,7 +141,7 @@
 void HandleOrderOutcome(const LeaderPointer& leader, const Order& order,
                         const OrderOutcome& outcome) {
   if (const auto* start = std::get_if<StartOrder>(&order)) {
-    HandleOutcome(leader, *start, std::get<StartOutcome>(outcome));
+    HandleOutcome(leader, *start, std::get<StartAnswer>(outcome));
   } else if (const auto* stop = std::get_if<StopOrder>(&order)) {
     HandleOutcome(leader, *stop, std::get<Result<void>>(outcome));
   } else if (const auto* throttle = std::get_if<ThrottleOrder>(&order)) {
--- a/tests/fakes/charged_links.cc
+++ b/tests/fakes/charged_links.cc
@@ -47,8 +47,9 @@
   };
 }
 
-void ChargeOutcome(FakeSite& site, FakeSiteNode& node, StartOutcome outcome) {
-  if (outcome == StartOutcome::kUnanswered) return;
+void ChargeOutcome(FakeSite& site, FakeSiteNode& node,
+                   const StartAnswer& answer) {
+  if (answer.m_outcome == StartOutcome::kUnanswered) return;
   ChargeNode(site, node, &LoopCosts::m_answer);
 }
 
@@ -143,14 +144,14 @@
 OrderSender ChargeOrders(FakeSite& site, FakeSiteNode& node,
                          OrderSender orders) {
   // A start is sent in the pass that chose its worker.
-  orders.m_start = [&site, &node,
-                    send = ChargeOrder<StartOrder, StartOutcome>(
-                        site, node, orders.m_start)](
-                       const std::string& address, const StartOrder& order,
-                       std::function<void(StartOutcome)> on_answer) {
-    ChargeNode(site, node, &LoopCosts::m_placed_run);
-    send(address, order, std::move(on_answer));
-  };
+  orders.m_start =
+      [&site, &node,
+       send = ChargeOrder<StartOrder, StartAnswer>(site, node, orders.m_start)](
+          const std::string& address, const StartOrder& order,
+          std::function<void(StartAnswer)> on_answer) {
+        ChargeNode(site, node, &LoopCosts::m_placed_run);
+        send(address, order, std::move(on_answer));
+      };
   orders.m_stop =
       ChargeOrder<StopOrder, Result<void>>(site, node, orders.m_stop);
   orders.m_throttle =
--- a/tests/fakes/fake_site_links.cc
+++ b/tests/fakes/fake_site_links.cc
@@ -226,6 +226,16 @@
          worker.m_listing.m_incarnation == incarnation;
 }
 
+template <typename Order>
+auto AnswerTo(FleetWorkerModel& worker, const Order& order, TimePoint now) {
+  return Receive(worker, order, now);
+}
+
+StartAnswer AnswerTo(FleetWorkerModel& worker, const StartOrder& order,
+                     TimePoint now) {
+  return {Receive(worker, order, now), ClockOf(worker, now)};
+}
+
 template <typename Order, typename Answer>
 void SendToWorker(FakeSite& site, FakeSiteNode& node, const Order& order,
                   std::function<void(Answer)> on_answer, Answer no_answer,
@@ -259,7 +269,7 @@
                return DeliverError(site, node, deadline - now, on_answer,
                                    no_answer);
              }
-             const Answer answer = Receive(worker, order, now);
+             const Answer answer = AnswerTo(worker, order, now);
              if (!is_normal) return;
              Deliver(site, node, DrawOrderDelay(site), deadline, on_answer,
                      answer, no_answer);
@@ -469,9 +479,9 @@
   OrderSender sender;
   sender.m_start = [&site, &node](const std::string&, const StartOrder& order,
                                   auto on_answer) {
-    SendToWorker<StartOrder, StartOutcome>(site, node, order, on_answer,
-                                           StartOutcome::kUnanswered,
-                                           StartOutcome::kRefused);
+    SendToWorker<StartOrder, StartAnswer>(
+        site, node, order, on_answer, {StartOutcome::kUnanswered, std::nullopt},
+        {StartOutcome::kRefused, std::nullopt});
   };
   sender.m_stop = [&site, &node](const std::string&, const StopOrder& order,
                                  auto on_answer) {
--- a/tests/invariants/late_turn_test.cc
+++ b/tests/invariants/late_turn_test.cc
@@ -83,7 +83,7 @@
       const Duration arrival = dispatch + kLongestDelay;
       RestartAround(site, worker, site.m_loop.m_now + arrival);
       RunAfter(site.m_loop, dispatch + kOrderTimeout,
-               [on_answer] { on_answer(StartOutcome::kUnanswered); });
+               [on_answer] { on_answer(StartAnswer()); });
       RunAfter(site.m_loop, arrival, [&site, &worker, order] {
         static_cast<void>(Receive(worker, order, site.m_loop.m_now));
       });
--- a/tests/invariants/relay_test.cc
+++ b/tests/invariants/relay_test.cc
@@ -599,7 +599,7 @@
       RelayAnswer answer = ReadRelayAnswer(bytes, "test").assume_value();
       for (RelayedOutcome& outcome : answer.m_outcomes) {
         if (std::holds_alternative<Result<WorkerReport>>(outcome.m_outcome)) {
-          outcome.m_outcome = StartOutcome::kStarted;
+          outcome.m_outcome = StartAnswer{StartOutcome::kStarted, std::nullopt};
         } else {
           outcome.m_outcome = OrderOutcome(
               std::in_place_type<Result<WorkerReport>>,
--- a/tests/invariants/relay_timing_test.cc
+++ b/tests/invariants/relay_timing_test.cc
@@ -100,7 +100,7 @@
            auto read = ReadRelayAnswer(answer.assume_value(), "relay");
            RelayAnswer message = std::move(read).assume_value();
            for (RelayedOutcome& outcome : message.m_outcomes) {
-             if (!std::holds_alternative<StartOutcome>(outcome.m_outcome)) {
+             if (!std::holds_alternative<StartAnswer>(outcome.m_outcome)) {
                continue;
              }
              ++changed;
@@ -220,7 +220,7 @@
   for (FakeSiteNode* relay : relays) {
     auto& start = relay->m_node->m_runtime.m_order_sender.m_start;
     start = [&, start](const std::string& address, const StartOrder& order,
-                       std::function<void(StartOutcome)> on_answer) {
+                       std::function<void(StartAnswer)> on_answer) {
       if (site.m_loop.m_now - paused_at > kMaximumRelayedOrderAge) {
         ++late_starts;
       }
@@ -365,9 +365,10 @@
                    ReadRelayAnswer(answer.assume_value(), "").assume_value();
                for (const RelayedOutcome& outcome : message.m_outcomes) {
                  const auto* start =
-                     std::get_if<StartOutcome>(&outcome.m_outcome);
+                     std::get_if<StartAnswer>(&outcome.m_outcome);
                  if (start == nullptr) continue;
-                 ++(*start == StartOutcome::kRefused ? refused : carried_out);
+                 ++(start->m_outcome == StartOutcome::kRefused ? refused
+                                                               : carried_out);
                }
              }
              on_answer(std::move(answer));
--- a/tests/platform/worker_http_test.cc
+++ b/tests/platform/worker_http_test.cc
@@ -149,4 +149,19 @@
   }
 }
 
+// Guards against an answer of a restarted worker that passes for one of its
+// former life.
+TEST_CASE("The answer to a start tells the worker's clock") {
+  const auto clock_of = [](const std::string& body) {
+    return ReadStartAnswer(200, body, kWorker).m_clock;
+  };
+  CHECK(clock_of(R"({"clock_ms":482113})") ==
+        fleet::WorkerMilliseconds(482113));
+  for (const char* body : {"", "{}", "[]", R"({"clock_ms":-1})",
+                           R"({"clock_ms":"1"})", R"({"clock_ms":1.5})"}) {
+    INFO(body);
+    CHECK_FALSE(clock_of(body));
+  }
+}
+
 }  // namespace daisyarch::adapter
--- a/tests/wire/relay_fields_test.cc
+++ b/tests/wire/relay_fields_test.cc
@@ -52,7 +52,9 @@
   RelayAnswer answer;
   answer.m_clock = RelayMicroseconds(55);
   answer.m_is_leaving = true;
-  answer.m_outcomes.push_back({OrderNumber(1), StartOutcome::kRefused});
+  answer.m_outcomes.push_back(
+      {OrderNumber(1),
+       StartAnswer{StartOutcome::kRefused, WorkerMilliseconds(77)}});
   answer.m_outcomes.push_back({OrderNumber(2), Result<void>(Success())});
   OrderOutcome stop = UnknownOutcome(StopOrder{}, "a higher token");
   std::get<Result<void>>(stop).assume_error().m_code = ErrorCode::kConflict;
@@ -101,8 +103,9 @@
   CHECK(answer.m_clock == RelayMicroseconds(55));
   CHECK(answer.m_is_leaving);
   REQUIRE(answer.m_outcomes.size() == 5);
-  CHECK(std::get<StartOutcome>(answer.m_outcomes[0].m_outcome) ==
-        StartOutcome::kRefused);
+  const auto& start = std::get<StartAnswer>(answer.m_outcomes[0].m_outcome);
+  CHECK(start.m_outcome == StartOutcome::kRefused);
+  CHECK(start.m_clock == WorkerMilliseconds(77));
   CHECK(std::get<Result<void>>(answer.m_outcomes[1].m_outcome));
   const auto& failed = std::get<Result<void>>(answer.m_outcomes[2].m_outcome);
   REQUIRE_FALSE(failed);
