fleet: Keep the wait for the lease of a restarted worker

Cause: the platform's list may name a former life first and the present one then; the end of the lease was forgotten, and a known end of the leader before shortened the wait. A worker that restarts time and again prolonged the wait with each life. An end that was assumed from the list was kept over a later one. A term could count as drained before such an end was stored. Change: a takeover that waits for a worker keeps the end of its lease; it is prolonged once; an end that was assumed from the list is counted anew from the first report; a term is drained once such ends are stored. Evidence: three unit tests and one of the roster's text; "A restart that no leader has stored is awaited" and the others were written with the change, not run on the code before it.

--- a/libraries/decisions/fleet/earlier_lease.cc
+++ b/libraries/decisions/fleet/earlier_lease.cc
@@ -14,7 +14,7 @@
 constexpr std::int64_t kClockDriftPercent = 102;
 constexpr std::int64_t kPercent = 100;
 // An earlier leader sends orders to an incarnation that is gone until its poll
-// of it has failed.
+// of it has failed: the poll's wait and timeout, and the order's dispatch.
 constexpr Duration kUnnoticedRestart = std::chrono::seconds(3);
 
 // Returns when a lease has ended that was granted by `granted_at` at the
@@ -24,8 +24,8 @@
          kTransitSlack;
 }
 
-// Returns whether the worker started so recently that an order to its earlier
-// incarnation may still hold its lease. Its clock begins at its start.
+// Returns whether the worker started so recently that a lease may last that an
+// order to its earlier incarnation granted. Its clock begins at its start.
 bool MayHaveRestarted(const FleetLimits& limits, const WorkerReport& report) {
   return report.m_clock <
          WorkerMilliseconds(ToMilliseconds(LongestEffectDelay(limits) +
@@ -34,20 +34,23 @@
 
 }  // namespace
 
+// A takeover that waits for the worker goes on doing so.
 void RecordRestartedLease(Worker& worker) {
   worker.m_lease_until = WorkerMilliseconds();
   worker.m_may_hold_earlier_lease = true;
+  if (worker.m_inherited_runs_until != TimePoint()) return;
   worker.m_earlier_lease_until = TimePoint();
 }
 
-void RecordIncarnationSeen(Fleet& fleet, Worker& worker, TimePoint now) {
-  const Incarnation stored = worker.m_roster_incarnation;
-  if (stored == worker.m_listing.m_incarnation) return;
-  worker.m_is_in_roster = false;
+// The orders of earlier leaders grow no younger with further restarts.
+void AwaitUnknownRestart(Fleet& fleet, Worker& worker, TimePoint now) {
   const bool is_awaited = now < worker.m_inherited_runs_until;
-  if (!is_awaited || stored == Incarnation()) return;
+  if (!is_awaited || worker.m_is_unknown_restart_awaited) return;
+  if (worker.m_roster_incarnation == Incarnation()) return;
+  worker.m_is_unknown_restart_awaited = true;
   worker.m_earlier_lease_until =
-      LongestLeaseEnd(fleet.m_limits, now + kUnnoticedRestart);
+      std::max(worker.m_earlier_lease_until,
+               LongestLeaseEnd(fleet.m_limits, now + kUnnoticedRestart));
   worker.m_inherited_runs_until =
       std::max(worker.m_inherited_runs_until, worker.m_earlier_lease_until);
   fleet.m_inherited_runs_end_at =
@@ -66,9 +69,11 @@
   worker.m_lease_until =
       report.m_clock +
       WorkerMilliseconds(ToMilliseconds(fleet.m_limits.m_longest_lease));
-  // The stored end is earlier than one that is counted from this report.
-  const bool is_stored =
-      worker.m_is_in_roster && now < worker.m_earlier_lease_until;
+  // An end that an earlier leader has stored was counted from an earlier report
+  // of this incarnation.
+  const bool is_stored = worker.m_is_in_roster &&
+                         now < worker.m_earlier_lease_until &&
+                         !worker.m_is_unknown_restart_awaited;
   if (!has_earlier_lease || is_stored) return;
   worker.m_earlier_lease_until = LongestLeaseEnd(fleet.m_limits, now);
   worker.m_is_in_roster = false;
@@ -105,8 +110,8 @@
       TimePoint(FromMilliseconds(entry.m_earlier_lease_until_unix_ms -
                                  fleet.m_unix_offset_ms)) +
       kMaximumTimeOfDayError;
-  const TimePoint until =
-      std::min(by_time_of_day, LongestLeaseEnd(fleet.m_limits, now));
+  const TimePoint until = std::min(
+      by_time_of_day, LongestLeaseEnd(fleet.m_limits, now + kUnnoticedRestart));
   if (now < until) worker.m_earlier_lease_until = until;
 }
 
--- a/libraries/decisions/fleet/earlier_lease.h
+++ b/libraries/decisions/fleet/earlier_lease.h
@@ -16,9 +16,10 @@
 /// Records that the worker is now another incarnation than the one that this
 /// leader has sent orders to.
 void RecordRestartedLease(Worker& worker);
-/// Records that the worker's present incarnation is known to the leader. If an
-/// earlier leader did not know it, its orders may have granted the lease.
-void RecordIncarnationSeen(Fleet& fleet, Worker& worker, TimePoint now);
+/// Prolongs a takeover's wait for a worker whose present incarnation is not the
+/// one that an earlier leader stored: an order of that leader may have granted
+/// the longest lease.
+void AwaitUnknownRestart(Fleet& fleet, Worker& worker, TimePoint now);
 /// Assumes the longest lease after a worker's first report if a lease of which
 /// this leader does not know may last.
 void ExtendUnknownLease(Fleet& fleet, Worker& worker,
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -106,7 +106,8 @@
   bool m_is_listed = false;
   /// In the platform's latest listing, whatever its incarnation.
   bool m_has_entry = false;
-  /// Its present incarnation is stored, so that a later leader polls it.
+  /// Its present incarnation and the end of a lease that an order to an earlier
+  /// one granted are stored, so that a later leader polls and awaits it.
   bool m_is_in_roster = false;
   Incarnation m_roster_incarnation;  ///< The stored one; 0: none is.
   bool m_is_evacuated = false;  ///< Its failure domain is; see evacuation.h.
@@ -181,6 +182,9 @@
   /// Until then it may hold a lease that such an order granted; 0: it holds
   /// none.
   TimePoint m_earlier_lease_until{};
+  /// The wait for it has been prolonged, as its incarnation is not the one that
+  /// an earlier leader stored.
+  bool m_is_unknown_restart_awaited = false;
 
   /// Until then the worker may run tasks that an earlier leader started; 0 once
   /// it has reported its runs to this leader.
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -292,7 +292,10 @@
   }
   worker.m_former_incarnations.erase(incarnation);
   worker.m_listing.m_incarnation = incarnation;
-  RecordIncarnationSeen(fleet, worker, now);
+  if (worker.m_roster_incarnation != incarnation) {
+    worker.m_is_in_roster = false;
+    AwaitUnknownRestart(fleet, worker, now);
+  }
   if (!was_known) return;
   // The new process may have another capacity and other labels.
   worker.m_is_listed = false;
--- a/libraries/decisions/fleet/roster.cc
+++ b/libraries/decisions/fleet/roster.cc
@@ -31,14 +31,19 @@
          HasUnstoredEnds(worker);
 }
 
-// Returns whether the entry is what a later leader has to know of the worker
-// now.
-bool IsUpToDate(const RosterEntry& entry, const Worker& worker) {
-  const bool has_earlier_lease = worker.m_earlier_lease_until != TimePoint();
-  return worker.m_listing.m_address == entry.m_address &&
-         worker.m_listing.m_incarnation == entry.m_incarnation &&
+// The time of day is read anew with each tick.
+constexpr std::int64_t kRoundingMs = 100;
+
+// Returns whether the entry tells a later leader what it has to know of the
+// worker now. A lease may have ended earlier than stored.
+bool IsUpToDate(const Fleet& fleet, const RosterEntry& entry,
+                const Worker& worker) {
+  const RosterEntry needed = RosterEntryOf(fleet, worker);
+  return needed.m_address == entry.m_address &&
+         needed.m_incarnation == entry.m_incarnation &&
          !worker.m_may_hold_earlier_lease &&
-         has_earlier_lease == (entry.m_earlier_lease_until_unix_ms != 0);
+         needed.m_earlier_lease_until_unix_ms <=
+             entry.m_earlier_lease_until_unix_ms + kRoundingMs;
 }
 
 }  // namespace
@@ -61,7 +66,8 @@
   for (const Worker* worker : fleet.m_worker_index.m_roster_candidates) {
     ++fleet.m_work.m_workers;
     if (worker->m_is_in_roster || !IsNeededInRoster(*worker)) continue;
-    // The end of that lease is known once the worker has reported.
+    // The end of a lease that an order to its earlier incarnation granted is
+    // known once the worker has reported.
     if (worker->m_may_hold_earlier_lease) continue;
     missing.push_back(RosterEntryOf(fleet, *worker));
   }
@@ -80,6 +86,16 @@
   return obsolete;
 }
 
+bool HasUnstoredLease(const Fleet& fleet, TimePoint now) {
+  const WorkerSet& candidates = fleet.m_worker_index.m_roster_candidates;
+  return std::any_of(candidates.begin(), candidates.end(),
+                     [&fleet, now](const Worker* worker) {
+                       ++fleet.m_work.m_workers;
+                       return !worker->m_is_in_roster &&
+                              now < EarlierLeaseEnd(fleet, *worker, now);
+                     });
+}
+
 void BeginRosterRemoval(Fleet& fleet, const std::vector<WorkerId>& obsolete) {
   for (const WorkerId& id : obsolete) {
     Worker* worker = FindWorker(fleet, id);
@@ -99,7 +115,7 @@
     }
     worker->m_roster_incarnation = entry.m_incarnation;
     // A worker that has changed meanwhile is stored again.
-    if (!IsUpToDate(entry, *worker)) continue;
+    if (!IsUpToDate(fleet, entry, *worker)) continue;
     worker->m_is_in_roster = true;
     UpdateWorkerIndex(fleet, *worker);
     fleet.m_needs_placement = true;
@@ -204,9 +220,9 @@
   const TimePoint end = PreviousLeasesEndAt(fleet.m_limits, predecessor);
   TimePoint last_end = end;
   for (Worker* worker : fleet.m_worker_index.m_inherited_runs) {
-    worker->m_inherited_runs_until =
-        std::min(worker->m_inherited_runs_until,
-                 std::max(end, worker->m_earlier_lease_until));
+    worker->m_inherited_runs_until = std::min(
+        worker->m_inherited_runs_until,
+        std::max(end, EarlierLeaseEnd(fleet, *worker, fleet.m_ticked_at)));
     last_end = std::max(last_end, worker->m_inherited_runs_until);
   }
   fleet.m_inherited_runs_end_at =
--- a/libraries/decisions/fleet/roster.h
+++ b/libraries/decisions/fleet/roster.h
@@ -34,6 +34,10 @@
 /// Returns whether the worker may run a task of a job that is not known yet.
 bool MayRunUnknownJobs(const Fleet& fleet, const Worker& worker, TimePoint now);
 
+/// Returns whether a worker may hold a lease that an order to an earlier
+/// incarnation granted and that is not in the stored roster.
+bool HasUnstoredLease(const Fleet& fleet, TimePoint now);
+
 /// Records that the removal of these workers is about to be sent. They get no
 /// tasks until they are stored again, as the removal may take effect at any
 /// time from now on.
--- a/services/daisyarchd/fleet/leader_writes.cc
+++ b/services/daisyarchd/fleet/leader_writes.cc
@@ -49,6 +49,8 @@
 void WriteDrainedTerm(const LeaderPointer& leader) {
   if (leader->m_has_sent_drained_term || !leader->m_has_worker_listing) return;
   if (MayHaveInheritedRuns(leader->m_fleet, Now(*leader))) return;
+  // A run that the worker reported may have been adopted meanwhile.
+  if (HasUnstoredLease(leader->m_fleet, Now(*leader))) return;
   leader->m_has_sent_drained_term = true;
   StoreTransaction transaction;
   transaction.m_expectations.push_back(ClaimExpectation(*leader));
--- a/tests/decisions/fleet/roster_test.cc
+++ b/tests/decisions/fleet/roster_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "decisions/fleet/fleet_fixture.h"
+#include "wire/roster_entry_text.h"
 
 namespace daisyarch::fleet {
 
@@ -194,6 +195,87 @@
   CHECK(TakeOrders<StartOrder>(fixture).size() == 1);
 }
 
+namespace {
+
+// Loads a worker that an earlier leader has stored and that is not reached, and
+// a job that that leader may have started on it.
+void LoadUnreachableWorker(FleetFixture& fixture) {
+  RosterEntry entry{WorkerId("lost"), "lost", Incarnation(7)};
+  SetTime(fixture.m_fleet, fixture.m_now, 0);
+  ApplyRosterLoaded(fixture.m_fleet, entry,
+                    fixture.m_now + fixture.m_fleet.m_limits.m_lease);
+  AddReadyWorkers(fixture, 1, kCore);
+  SubmitInherited(fixture);
+}
+
+// Lists the worker under this incarnation.
+void ListLostWorker(FleetFixture& fixture, Incarnation incarnation) {
+  ListedWorker entry;
+  entry.m_worker = WorkerId("lost");
+  entry.m_address = "lost";
+  entry.m_incarnation = incarnation;
+  entry.m_pool = PoolId("pool");
+  ApplyListingChanges(fixture.m_fleet, {{entry.m_worker, entry}}, fixture.m_now,
+                      fixture.m_now);
+}
+
+}  // namespace
+
+// Guards against a second run of a task beside one that a worker which nobody
+// has heard since its restart holds under the longest lease.
+TEST_CASE("A restart that no leader has stored is awaited") {
+  FleetFixture fixture;
+  LoadUnreachableWorker(fixture);
+  ListLostWorker(fixture, Incarnation(8));
+  // An entry of its former life may have come first, or another restart follow.
+  SECTION("under one incarnation") {}
+  SECTION("and another restart") { ListLostWorker(fixture, Incarnation(9)); }
+  Predecessor predecessor;
+  predecessor.m_first_seen_at = fixture.m_now - std::chrono::minutes(1);
+  predecessor.m_ended_at = fixture.m_now;
+  ApplyPredecessorEnded(fixture.m_fleet, predecessor);
+  Wait(fixture, fixture.m_fleet.m_limits.m_longest_lease);
+  CHECK(CountStarts(fixture) == 0);
+  Wait(fixture, std::chrono::seconds(4));
+  CHECK(CountStarts(fixture) == 1);
+}
+
+// Guards against inherited tasks that wait for good.
+TEST_CASE("A worker that restarts time and again is awaited once") {
+  FleetFixture fixture;
+  LoadUnreachableWorker(fixture);
+  for (std::uint64_t incarnation = 8; incarnation < 13; ++incarnation) {
+    ListLostWorker(fixture, Incarnation(incarnation));
+    Wait(fixture, std::chrono::seconds(3));
+  }
+  CHECK(CountStarts(fixture) == 1);
+}
+
+// Guards against a handover that shortens the wait for a worker whose restart
+// the leader has noticed, but which has not reported since.
+TEST_CASE("A handover names workers that have restarted unheard") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, kCore);
+  Worker& worker = *FindWorker(fixture.m_fleet, WorkerId("w0"));
+  UpdateIncarnation(fixture.m_fleet, worker, Incarnation(2), fixture.m_now);
+  const Handover handover = HandoverOf(fixture.m_fleet, fixture.m_now);
+  REQUIRE(handover.m_inherited_runs_ms.count(WorkerId("w0")) == 1);
+  CHECK(handover.m_inherited_runs_ms.at(WorkerId("w0")) >=
+        ToMilliseconds(fixture.m_fleet.m_limits.m_longest_lease));
+}
+
+TEST_CASE("A roster entry is read as it was written") {
+  const RosterEntry entry{WorkerId("w"), "127.0.0.1:80", Incarnation(9), 1234};
+  const RosterEntry read =
+      DecodeRosterEntry(entry.m_worker, EncodeRosterEntry(entry));
+  CHECK(read.m_address == entry.m_address);
+  CHECK(read.m_incarnation == entry.m_incarnation);
+  CHECK(read.m_earlier_lease_until_unix_ms == 1234);
+  const RosterEntry earlier = DecodeRosterEntry(entry.m_worker, "127.0.0.1:80");
+  CHECK(earlier.m_address == entry.m_address);
+  CHECK(earlier.m_incarnation == Incarnation());
+}
+
 TEST_CASE("No lease outlasts the wait of the next leader") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, Millicores(4000));
