tests: Store the roster where a worker restarts

Cause: since a worker that has restarted gets work only once the roster names its new incarnation; four tests and the played leader never store it, so nothing was started (late_start_test, capacity_change_test, run_once_test, report_order_test failed). Change: they store it, as the leader does after each pass; no check changed.

--- a/tests/decisions/fleet/capacity_change_test.cc
+++ b/tests/decisions/fleet/capacity_change_test.cc
@@ -54,6 +54,7 @@
 // Returns the tasks that start after the timers have run.
 std::size_t CountLaterStarts(FleetFixture& fixture) {
   Wait(fixture, kRetryInterval);
+  ApplyRosterStored(fixture.m_fleet, MissingFromRoster(fixture.m_fleet));
   if (fixture.m_fleet.m_needs_placement) {
     PlaceRuns(fixture.m_fleet, fixture.m_now);
   }
--- a/tests/decisions/fleet/late_start_test.cc
+++ b/tests/decisions/fleet/late_start_test.cc
@@ -341,6 +341,7 @@
   ReportAsRestarted(fixture, id, {});
   ReportAsRestarted(fixture, id, {});
   ListAsRestarted(fixture, id);
+  ApplyRosterStored(fixture.m_fleet, MissingFromRoster(fixture.m_fleet));
   Submit(fixture, MakePlan("job", 1, kCore));
   const auto starts = TakeOrders<StartOrder>(fixture);
   REQUIRE(starts.size() == 1);
--- a/tests/decisions/fleet/played_leader.cc
+++ b/tests/decisions/fleet/played_leader.cc
@@ -522,6 +522,7 @@
     Advance(entry.second, play.m_fixture.m_now);
   fleet.m_jobs_known_at = play.m_fixture.m_now;
   TickFleet(fleet, play.m_fixture.m_now, UnixMs(play));
+  ApplyRosterStored(fleet, MissingFromRoster(fleet));
   Store(play);
   if (fleet.m_needs_placement) PlaceRuns(fleet, play.m_fixture.m_now);
   TakeOrders(play);
--- a/tests/decisions/fleet/run_once_test.cc
+++ b/tests/decisions/fleet/run_once_test.cc
@@ -411,6 +411,7 @@
   Wait(fixture, milliseconds(10));
   Report(fixture, "w0", {}, {});
   List(fixture, listed, Incarnation(1));
+  ApplyRosterStored(fixture.m_fleet, MissingFromRoster(fixture.m_fleet));
   Submit(fixture, MakePlan("job", 1, kCore));
   const auto starts = TakeOrders<StartOrder>(fixture);
   REQUIRE(starts.size() == 1);
