fleet: Assume no earlier lease of a worker that is new

What callers would see: in the first 24 s of a site, inherited tasks wait for up to 10 s for a worker that has crashed (LOST). Cause: stored the longest lease for every worker that is young enough to have restarted, also where nobody had sent orders to an earlier life of it. Change: only where this leader knew another incarnation, or an earlier leader stored the worker.

--- a/libraries/decisions/fleet/earlier_lease.cc
+++ b/libraries/decisions/fleet/earlier_lease.cc
@@ -63,6 +63,9 @@
                         const WorkerReport& report, TimePoint now) {
   const bool has_earlier_lease = worker.m_may_hold_earlier_lease ||
                                  MayHaveRestarted(fleet.m_limits, report);
+  // Nobody has sent orders to an earlier incarnation of any other worker.
+  const bool had_orders = worker.m_may_hold_earlier_lease ||
+                          worker.m_inherited_runs_until != TimePoint();
   worker.m_may_hold_earlier_lease = false;
   if (report.m_running.empty() && !has_earlier_lease) return;
   if (worker.m_lease_until != WorkerMilliseconds()) return;
@@ -74,7 +77,7 @@
   const bool is_stored = worker.m_is_in_roster &&
                          now < worker.m_earlier_lease_until &&
                          !worker.m_is_unknown_restart_awaited;
-  if (!has_earlier_lease || is_stored) return;
+  if (!has_earlier_lease || !had_orders || is_stored) return;
   worker.m_earlier_lease_until = LongestLeaseEnd(fleet.m_limits, now);
   worker.m_is_in_roster = false;
   fleet.m_events.push_back({"earlier_lease_assumed", JobKey(),
