fleet: Send no start again to a worker without room for it

Cause: a task that must not move keeps its capacity at the worker reserved, and the start was sent again without a look at the capacity.

It now waits until what is reserved fits, or until no order can take effect any more.

--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -66,6 +66,12 @@
   AddStartOrder(pass, job, reference, worker, task);
 }
 
+// The capacity of a task that must not move is reserved. A worker may have
+// shrunk since its start was sent.
+bool HasRoomForReserved(const Worker& worker) {
+  return Fits(worker.m_used, worker.m_listing.m_capacity);
+}
+
 // Starts the tasks that must not move although their starts have not taken
 // effect.
 void ResendStarts(PlacementPass& pass) {
@@ -77,6 +83,7 @@
     if (task == nullptr) continue;
     Worker* worker = FindWorker(fleet, task->m_worker);
     if (worker == nullptr || !IsInService(*worker) ||
+        !HasRoomForReserved(*worker) ||
         worker->m_quarantined_until > pass.m_now) {
       continue;
     }
--- a/tests/decisions/fleet/capacity_change_test.cc
+++ b/tests/decisions/fleet/capacity_change_test.cc
@@ -121,6 +121,26 @@
   }
 }
 
+// Guards against a worker with more tasks than it has room for: one that had
+// restarted with less capacity got the start that its former life did not
+// answer.
+TEST_CASE("No start is sent again to a worker without room for it") {
+  FleetFixture fixture;
+  AddReadyWorkers(fixture, 1, Millicores(4000));
+  Submit(fixture, MakePlan("job", 1, kCore));
+  const auto starts = TakeOrders<StartOrder>(fixture);
+  REQUIRE(starts.size() == 1);
+  ApplyStartOutcome(fixture.m_fleet, starts[0], StartOutcome::kUnanswered,
+                    fixture.m_now);
+  Wait(fixture, kShort);
+  ListProcessors(fixture, "w0", Millicores(500));
+  Report(fixture, "w0", {}, {});
+  REQUIRE(fixture.m_fleet.m_resends.size() == 1);
+  CHECK(CountLaterStarts(fixture) == 0);
+  ListProcessors(fixture, "w0", Millicores(1000));
+  CHECK(CountLaterStarts(fixture) == 1);
+}
+
 TEST_CASE("A shrunk capacity is known in every state of a worker") {
   FleetFixture fixture;
   AddReadyWorkers(fixture, 1, Millicores(4000));
