fleet: Assume no lease of an incarnation that was heard before

What callers would see (LOST): at each takeover, a leader took every worker whose clock had run for less than 24 s for one that had just restarted, and stored that it may hold the longest lease. A leader that followed within 13 s then held back all inherited tasks for up to 13.3 s if one such worker was gone.

Cause: a roster entry was stored as soon as the worker was listed, so its incarnation did not show that a leader had heard of it.

A worker is now stored once it has reported, with the end of a lease that it may hold. An incarnation that the roster names has therefore rejected the orders to its former lives, and its stored end is all that has to be awaited. A restart that no leader has heard of is awaited as before.

"No earlier lease is assumed ..." and "A worker is stored in the roster once it has reported" failed before (three checks). Tests and benchmarks that stored the roster before the first report do so after it; the test of a young worker now says that no earlier leader has stored it. No check is changed.

--- a/benchmarks/fleet_bench.cc
+++ b/benchmarks/fleet_bench.cc
@@ -75,7 +75,6 @@
     listing.push_back(worker);
   }
   ApplyListing(busy.m_fleet, listing, busy.m_now, busy.m_now);
-  ApplyRosterStored(busy.m_fleet, MissingFromRoster(busy.m_fleet));
   TickFleet(busy.m_fleet, busy.m_now, 0);
   for (const ListedWorker& listed : listing) {
     const Worker& worker = *FindWorker(busy.m_fleet, listed.m_worker);
@@ -84,6 +83,7 @@
     ApplyReport(busy.m_fleet, listed.m_worker, worker.m_poll_number,
                 worker.m_token, report, busy.m_now);
   }
+  ApplyRosterStored(busy.m_fleet, MissingFromRoster(busy.m_fleet));
 }
 
 // Two thirds of the pairs of images are known.
--- a/benchmarks/near_place_bench.cc
+++ b/benchmarks/near_place_bench.cc
@@ -85,7 +85,6 @@
     listing.push_back(worker);
   }
   ApplyListing(racks.m_fleet, listing, racks.m_now, racks.m_now);
-  ApplyRosterStored(racks.m_fleet, MissingFromRoster(racks.m_fleet));
   TickFleet(racks.m_fleet, racks.m_now, 0);
   for (const ListedWorker& listed : listing) {
     const Worker& worker = *FindWorker(racks.m_fleet, listed.m_worker);
@@ -94,6 +93,7 @@
     ApplyReport(racks.m_fleet, listed.m_worker, worker.m_poll_number,
                 worker.m_token, report, racks.m_now);
   }
+  ApplyRosterStored(racks.m_fleet, MissingFromRoster(racks.m_fleet));
   racks.m_fleet.m_orders.clear();
 }
 
--- a/libraries/decisions/fleet/earlier_lease.cc
+++ b/libraries/decisions/fleet/earlier_lease.cc
@@ -38,6 +38,7 @@
 void RecordRestartedLease(Worker& worker) {
   worker.m_lease_until = WorkerMilliseconds();
   worker.m_may_hold_earlier_lease = true;
+  worker.m_are_leases_known = false;
   if (worker.m_inherited_runs_until != TimePoint()) return;
   worker.m_earlier_lease_until = TimePoint();
 }
@@ -58,26 +59,27 @@
 }
 
 // Another leader may have granted the lease of runs that the worker reports
-// before this leader has granted any.
+// before this leader has granted any. A leader that has stored this incarnation
+// had heard of it, and stored the end of a lease that it may hold.
 void ExtendUnknownLease(Fleet& fleet, Worker& worker,
                         const WorkerReport& report, TimePoint now) {
-  const bool has_earlier_lease = worker.m_may_hold_earlier_lease ||
-                                 MayHaveRestarted(fleet.m_limits, report);
+  const bool is_stored = worker.m_roster_incarnation != Incarnation() &&
+                         worker.m_roster_incarnation == report.m_incarnation;
+  const bool has_unstored_lease =
+      worker.m_may_hold_earlier_lease ||
+      (!is_stored && MayHaveRestarted(fleet.m_limits, report));
   // Nobody has sent orders to an earlier incarnation of any other worker.
   const bool had_orders = worker.m_may_hold_earlier_lease ||
                           worker.m_inherited_runs_until != TimePoint();
   worker.m_may_hold_earlier_lease = false;
-  if (report.m_running.empty() && !has_earlier_lease) return;
-  if (worker.m_lease_until != WorkerMilliseconds()) return;
+  worker.m_are_leases_known = true;
+  const bool may_hold_lease = !report.m_running.empty() || has_unstored_lease ||
+                              now < worker.m_earlier_lease_until;
+  if (!may_hold_lease || worker.m_lease_until != WorkerMilliseconds()) return;
   worker.m_lease_until =
       report.m_clock +
       WorkerMilliseconds(ToMilliseconds(fleet.m_limits.m_longest_lease));
-  // An end that an earlier leader has stored was counted from an earlier report
-  // of this incarnation.
-  const bool is_stored = worker.m_is_in_roster &&
-                         now < worker.m_earlier_lease_until &&
-                         !worker.m_is_unknown_restart_awaited;
-  if (!has_earlier_lease || !had_orders || is_stored) return;
+  if (!has_unstored_lease || !had_orders) return;
   worker.m_earlier_lease_until = LongestLeaseEnd(fleet.m_limits, now);
   worker.m_is_in_roster = false;
   fleet.m_events.push_back({"earlier_lease_assumed", JobKey(),
--- a/libraries/decisions/fleet/earlier_lease.h
+++ b/libraries/decisions/fleet/earlier_lease.h
@@ -21,7 +21,7 @@
 /// the longest lease.
 void AwaitUnknownRestart(Fleet& fleet, Worker& worker, TimePoint now);
 /// Assumes the longest lease after a worker's first report if a lease of which
-/// this leader does not know may last.
+/// no leader knows may last.
 void ExtendUnknownLease(Fleet& fleet, Worker& worker,
                         const WorkerReport& report, TimePoint now);
 /// Returns until when the worker may hold a lease that an order to an earlier
--- a/libraries/decisions/fleet/fleet_worker.h
+++ b/libraries/decisions/fleet/fleet_worker.h
@@ -176,6 +176,8 @@
   /// When its clock may show that an inherited late start is over.
   TimePoint m_late_start_check_at = TimePoint::max();
   WorkerMilliseconds m_lease_until;  ///< The latest deadline sent.
+  /// A report to this leader has told of its present incarnation's leases.
+  bool m_are_leases_known = false;
   /// An order to an earlier incarnation may have granted this one a lease, of
   /// which no report has told yet.
   bool m_may_hold_earlier_lease = false;
--- a/libraries/decisions/fleet/roster.cc
+++ b/libraries/decisions/fleet/roster.cc
@@ -41,7 +41,7 @@
   const RosterEntry needed = RosterEntryOf(fleet, worker);
   return needed.m_address == entry.m_address &&
          needed.m_incarnation == entry.m_incarnation &&
-         !worker.m_may_hold_earlier_lease &&
+         worker.m_are_leases_known &&
          needed.m_earlier_lease_until_unix_ms <=
              entry.m_earlier_lease_until_unix_ms + kRoundingMs;
 }
@@ -68,7 +68,7 @@
     if (worker->m_is_in_roster || !IsNeededInRoster(*worker)) continue;
     // The end of a lease that an order to its earlier incarnation granted is
     // known once the worker has reported.
-    if (worker->m_may_hold_earlier_lease) continue;
+    if (!worker->m_are_leases_known) continue;
     missing.push_back(RosterEntryOf(fleet, *worker));
   }
   return missing;
--- a/tests/decisions/fleet/disruption_budget_test.cc
+++ b/tests/decisions/fleet/disruption_budget_test.cc
@@ -57,9 +57,9 @@
   third.m_address = third.m_worker.value();
   ApplyListingChanges(fleet, {{third.m_worker, third}}, fixture.m_now,
                       fixture.m_now);
-  ApplyRosterStored(fleet, MissingFromRoster(fleet));
   TickFleet(fleet, fixture.m_now, 0);
   Report(fixture, "w2", {}, {});
+  ApplyRosterStored(fleet, MissingFromRoster(fleet));
   fleet.m_orders.clear();
 }
 
--- a/tests/decisions/fleet/fleet_fixture.cc
+++ b/tests/decisions/fleet/fleet_fixture.cc
@@ -34,11 +34,11 @@
     listing.push_back(worker);
   }
   ApplyListing(fixture.m_fleet, listing, fixture.m_now, fixture.m_now);
-  ApplyRosterStored(fixture.m_fleet, MissingFromRoster(fixture.m_fleet));
   TickFleet(fixture.m_fleet, fixture.m_now, 0);
   for (const ListedWorker& worker : listing) {
     Report(fixture, worker.m_worker.value(), {}, {});
   }
+  ApplyRosterStored(fixture.m_fleet, MissingFromRoster(fixture.m_fleet));
   fixture.m_fleet.m_orders.clear();
 }
 
--- a/tests/decisions/fleet/fleet_fixture.h
+++ b/tests/decisions/fleet/fleet_fixture.h
@@ -19,8 +19,8 @@
   TimePoint m_now = TimePoint(std::chrono::seconds(100));
 };
 
-/// Lists workers "w0", "w1", ..., stores them in the roster and lets each
-/// answer its first poll.
+/// Lists workers "w0", "w1", ..., lets each answer its first poll and stores
+/// them in the roster.
 void AddReadyWorkers(FleetFixture& fixture, int count, Millicores processors);
 
 /// Returns a job with one step of equal tasks in the queue "batch", whose tasks
--- a/tests/decisions/fleet/inherited_late_start_test.cc
+++ b/tests/decisions/fleet/inherited_late_start_test.cc
@@ -93,7 +93,6 @@
     listing.push_back(entry);
   }
   ApplyListing(fixture.m_fleet, listing, fixture.m_now, fixture.m_now);
-  ApplyRosterStored(fixture.m_fleet, MissingFromRoster(fixture.m_fleet));
   TickFleet(fixture.m_fleet, fixture.m_now, UnixMs(fixture, clock_step));
   AnswerPolls(fixture, chain);
 }
@@ -106,6 +105,7 @@
     fixture.m_fleet.m_orders.clear();
     TickFleet(fixture.m_fleet, fixture.m_now, UnixMs(fixture, clock_step));
     AnswerPolls(fixture, chain);
+    ApplyRosterStored(fixture.m_fleet, MissingFromRoster(fixture.m_fleet));
     PlaceRuns(fixture.m_fleet, fixture.m_now);
     if (!TakeOrders<StartOrder>(fixture).empty()) return true;
   }
--- a/tests/decisions/fleet/late_start_test.cc
+++ b/tests/decisions/fleet/late_start_test.cc
@@ -519,8 +519,10 @@
   const WorkerId id("w0");
   AddReadyWorkers(fixture, 1, kCore);
   Worker& worker = *FindWorker(fixture.m_fleet, id);
-  // As loaded by a leader that does not know its earlier incarnation.
+  // As loaded by a leader that does not know its earlier incarnation, after one
+  // that had not heard of the present one.
   worker.m_lease_until = worker.m_clock = WorkerMilliseconds();
+  worker.m_roster_incarnation = Incarnation();
   Wait(fixture, seconds(11));
   WorkerReport report;
   report.m_incarnation = Incarnation(1);
--- a/tests/decisions/fleet/roster_test.cc
+++ b/tests/decisions/fleet/roster_test.cc
@@ -251,6 +251,57 @@
   CHECK(CountStarts(fixture) == 1);
 }
 
+namespace {
+
+// Lets the worker answer as a process that began a few seconds ago.
+void ReportYoung(FleetFixture& fixture, Incarnation incarnation) {
+  const Worker& worker = *FindWorker(fixture.m_fleet, WorkerId("lost"));
+  WorkerReport report;
+  report.m_incarnation = incarnation;
+  report.m_clock = WorkerMilliseconds(5000);
+  ApplyReport(fixture.m_fleet, WorkerId("lost"), worker.m_poll_number,
+              worker.m_token, report, fixture.m_now);
+}
+
+}  // namespace
+
+// Guards against lasting tasks that stay idle for 13 s after each change of
+// leaders in a site's first 24 s.
+TEST_CASE("No earlier lease is assumed of an incarnation that was heard") {
+  FleetFixture fixture;
+  LoadUnreachableWorker(fixture);
+  ReportYoung(fixture, Incarnation(7));
+  CHECK(MissingFromRoster(fixture.m_fleet).empty());
+  CHECK(HandoverOf(fixture.m_fleet, fixture.m_now).m_inherited_runs_ms.empty());
+}
+
+// Guards against a second run of a task beside one under a lease that an
+// earlier leader had stored.
+TEST_CASE("A stored lease of an incarnation that was heard is handed over") {
+  FleetFixture fixture;
+  RosterEntry entry{WorkerId("lost"), "lost", Incarnation(7)};
+  entry.m_earlier_lease_until_unix_ms = 5000;
+  SetTime(fixture.m_fleet, fixture.m_now, 0);
+  ApplyRosterLoaded(fixture.m_fleet, entry, fixture.m_now);
+  ReportYoung(fixture, Incarnation(7));
+  const Worker& worker = *FindWorker(fixture.m_fleet, WorkerId("lost"));
+  CHECK(worker.m_lease_until > WorkerMilliseconds(5000));
+  const Handover handover = HandoverOf(fixture.m_fleet, fixture.m_now);
+  REQUIRE(handover.m_inherited_runs_ms.count(WorkerId("lost")) == 1);
+  CHECK(handover.m_inherited_runs_ms.at(WorkerId("lost")) >= 5000);
+}
+
+// Guards against an entry that vouches for an incarnation of which no leader
+// knows yet which leases it may hold.
+TEST_CASE("A worker is stored in the roster once it has reported") {
+  FleetFixture fixture;
+  ListLostWorker(fixture, Incarnation(7));
+  CHECK(MissingFromRoster(fixture.m_fleet).empty());
+  Wait(fixture, std::chrono::milliseconds(100));
+  ReportYoung(fixture, Incarnation(7));
+  CHECK(MissingFromRoster(fixture.m_fleet).size() == 1);
+}
+
 // Guards against a handover that shortens the wait for a worker whose restart
 // the leader has noticed, but which has not reported since.
 TEST_CASE("A handover names workers that have restarted unheard") {
--- a/tests/platform/listing_test.cc
+++ b/tests/platform/listing_test.cc
@@ -265,10 +265,10 @@
   fleet::FleetFixture fixture;
   fleet::ApplyListing(fixture.m_fleet, ReadWorkers(items), fixture.m_now,
                       fixture.m_now);
-  fleet::ApplyRosterStored(fixture.m_fleet,
-                           fleet::MissingFromRoster(fixture.m_fleet));
   fleet::TickFleet(fixture.m_fleet, fixture.m_now, 0);
   fleet::Report(fixture, "w0", {}, {});
+  fleet::ApplyRosterStored(fixture.m_fleet,
+                           fleet::MissingFromRoster(fixture.m_fleet));
   fleet::Submit(fixture, fleet::MakePlan("j", 3, Millicores(1000)));
   const auto starts = fleet::TakeOrders<fleet::StartOrder>(fixture);
   CHECK(starts.size() == 3);
@@ -284,10 +284,10 @@
     fleet::FleetFixture fixture;
     fleet::ApplyListing(fixture.m_fleet, ReadWorkers({SoundItem("w0")}),
                         fixture.m_now, fixture.m_now);
-    fleet::ApplyRosterStored(fixture.m_fleet,
-                             fleet::MissingFromRoster(fixture.m_fleet));
     fleet::TickFleet(fixture.m_fleet, fixture.m_now, 0);
     fleet::Report(fixture, "w0", {}, {});
+    fleet::ApplyRosterStored(fixture.m_fleet,
+                             fleet::MissingFromRoster(fixture.m_fleet));
     fleet::Submit(fixture, fleet::MakePlan("j", 1, Millicores(1000)));
     CHECK(fleet::TakeOrders<fleet::StartOrder>(fixture).size() == 1);
     const StoredItem replaced{"servers/w0", odd.m_value, StoreRevision(2)};
@@ -312,10 +312,10 @@
                         fixture.m_now);
   };
   list(SoundItem("w0"));
-  fleet::ApplyRosterStored(fixture.m_fleet,
-                           fleet::MissingFromRoster(fixture.m_fleet));
   fleet::TickFleet(fixture.m_fleet, fixture.m_now, 0);
   fleet::Report(fixture, "w0", {}, {});
+  fleet::ApplyRosterStored(fixture.m_fleet,
+                           fleet::MissingFromRoster(fixture.m_fleet));
   list(without);
   fleet::Submit(fixture, fleet::MakePlan("j", 1, Millicores(1000)));
   CHECK(fleet::TakeOrders<fleet::StartOrder>(fixture).empty());
