fleet: Keep the wait that a handover names

A leader that stops hands over how long its workers may run tasks, and tells its end as well.

The end of a leader that has handed over shortens no wait any more: unnamed workers are awaited for an ordinary lease anyway.

--- a/libraries/decisions/fleet/roster.cc
+++ b/libraries/decisions/fleet/roster.cc
@@ -217,6 +217,8 @@
 }
 
 void ApplyPredecessorEnded(Fleet& fleet, const Predecessor& predecessor) {
+  // The handover names the workers with longer leases.
+  if (Next(predecessor.m_handover.m_term) == fleet.m_term) return;
   const TimePoint end = PreviousLeasesEndAt(fleet.m_limits, predecessor);
   TimePoint last_end = end;
   for (Worker* worker : fleet.m_worker_index.m_inherited_runs) {
--- a/tests/decisions/fleet/roster_test.cc
+++ b/tests/decisions/fleet/roster_test.cc
@@ -302,6 +302,27 @@
   CHECK(MissingFromRoster(fixture.m_fleet).size() == 1);
 }
 
+// Guards against a second run of a task beside one under a lease that the
+// handover names, where the end of the leader before is told late.
+TEST_CASE("The end of a leader that has handed over shortens no wait") {
+  FleetFixture fixture;
+  LoadUnreachableWorker(fixture);
+  Predecessor predecessor;
+  predecessor.m_handover.m_term = Term(1);
+  predecessor.m_handover.m_inherited_runs_ms[WorkerId("lost")] = 10000;
+  predecessor.m_first_seen_at = fixture.m_now - std::chrono::minutes(1);
+  ApplyRosterLoaded(
+      fixture.m_fleet, {WorkerId("lost"), "lost", Incarnation(7)},
+      InheritedRunsUntil(fixture.m_fleet.m_limits, predecessor, Term(2),
+                         WorkerId("lost"), fixture.m_now));
+  predecessor.m_ended_at = fixture.m_now;
+  ApplyPredecessorEnded(fixture.m_fleet, predecessor);
+  Wait(fixture, std::chrono::seconds(9));
+  CHECK(CountStarts(fixture) == 0);
+  Wait(fixture, std::chrono::seconds(2));
+  CHECK(CountStarts(fixture) == 1);
+}
+
 // Guards against a handover that shortens the wait for a worker whose restart
 // the leader has noticed, but which has not reported since.
 TEST_CASE("A handover names workers that have restarted unheard") {
