--- a/review/standins-3/case_site.cc
+++ b/review/standins-3/case_site.cc
@@ -4,6 +4,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -11,6 +12,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <iomanip>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <thread>
@@ -21,6 +23,9 @@
 
 using Json = nlohmann::json;
 
+// Of each node, by its settings and as the platform limits it.
+constexpr rlim_t kDescriptors = 4100;
+
 // The socket is kept bound, and does not listen, so that nobody else takes the
 // port; the node can listen there all the same.
 std::uint16_t ReservePort() {
@@ -54,6 +59,8 @@
 }
 
 void Note(Site& site, const std::string& line) {
+  static std::mutex mutex;
+  const std::lock_guard<std::mutex> lock(mutex);
   site.m_record << std::fixed << std::setprecision(3) << Seconds(site) << " "
                 << line << std::endl;
 }
@@ -75,7 +82,7 @@
 }
 
 pid_t Start(Site& site, const std::string& name,
-            const std::vector<std::string>& words) {
+            const std::vector<std::string>& words, rlim_t descriptors) {
   const std::string log = site.m_folder + "/" + name + ".log";
   std::vector<std::string> copies = words;
   std::vector<char*> pointers;
@@ -84,6 +91,10 @@
   const pid_t pid = fork();
   if (pid != 0) return pid;
   prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (descriptors > 0) {
+    const rlimit limit{descriptors, descriptors};
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
   const int output = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   dup2(output, STDOUT_FILENO);
   dup2(output, STDERR_FILENO);
@@ -168,7 +179,7 @@
       {"zone", "zone-a"},
       {"limits.cpu_share", site.m_share},
       {"limits.memory_mb", site.m_memory_mb},
-      {"limits.max_fds", "4100"},
+      {"limits.max_fds", std::to_string(kDescriptors)},
       {"bounds.far_x", "1.5"},
       {"listen.front", Local(node.m_callers)},
       {"listen.ready", Local(node.m_ready)},
@@ -197,8 +208,9 @@
 }
 
 void StartNode(Site& site, Node& node) {
-  node.m_pid = Start(site, node.m_name,
-                     {"target/daisyarchd", "--site=" + node.m_settings});
+  node.m_pid =
+      Start(site, node.m_name,
+            {"target/daisyarchd", "--site=" + node.m_settings}, kDescriptors);
   Note(site, "platform starts " + node.m_name);
 }
 
--- a/review/standins-3/case_site.h
+++ b/review/standins-3/case_site.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <sys/resource.h>
 #include <sys/types.h>
 
 #include <chrono>
@@ -47,9 +48,10 @@
 
 /// Reads the words ROOT BUILD RECORD of the command line and makes the folder.
 bool OpenSite(Site& site, int count, char** words);
-/// Starts a program; its output goes to NAME.log in the folder.
+/// Starts a program with so many descriptors; 0: as many as this one. Its
+/// output goes to NAME.log in the folder.
 pid_t Start(Site& site, const std::string& name,
-            const std::vector<std::string>& words);
+            const std::vector<std::string>& words, rlim_t descriptors = 0);
 /// Starts a stand-in that prints its ports.
 bool StartStandin(Site& site, const std::string& name,
                   const std::vector<std::string>& words, std::size_t ports,
