--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -17,7 +17,7 @@
 constexpr int kWorkers = 10;
 // As the site files have it: srv_crash, share 0.14, for_s 4.5.
 constexpr int kDownMs = 3000;
-constexpr int kUpMs = 600;  ///< From the start of its task to the next crash.
+constexpr int kUpMs = 400;  ///< From the start of its task to the next crash.
 constexpr int kCrashes = 8;
 const char* const kJob = "c000000000000001";
 const char* const kPath = "/jobs/c000000000000001";
@@ -54,10 +54,12 @@
   return starts;
 }
 
-// Returns whether the executor has got a task again within half a minute.
+// Returns whether the executor has got a task again within 25 s.
 bool AwaitStart(Case& play, std::size_t before) {
-  for (int tries = 0; tries < 600; ++tries) {
+  for (int tries = 0; tries < 500; ++tries) {
     if (StartsOnFirst(play) > before) return true;
+    if (tries % 40 == 39) AskState(play);
+    if (play.m_state == "failed") return false;
     Sleep(50);
   }
   return false;
@@ -66,7 +68,7 @@
 // The executor crashes again and again, soon after it has taken up its task.
 void CrashRepeatedly(Case& play) {
   Site& site = play.m_site;
-  for (int crash = 0; crash < kCrashes && Seconds(site) < 90; ++crash) {
+  for (int crash = 0; crash < kCrashes && Seconds(site) < 70; ++crash) {
     const std::size_t starts = StartsOnFirst(play);
     Note(site,
          "executor w1 crashes, down for " + std::to_string(kDownMs) + " ms");
