--- a/review/12/case.cc
+++ b/review/12/case.cc
@@ -1,129 +1,132 @@
 #include <csignal>
-#include <cstdio>
 #include <nlohmann/json.hpp>
 #include <string>
 
 #include "case_site.h"
 #include "runs.h"
 
-// A job whose tasks last fills all executors, one of which crashes several
-// times.
+// The leader is killed just after it has sent a start, which the executor
+// leaves unanswered and carries out late, in its next life behind a cut.
 
 namespace review {
 namespace {
 
 using Json = nlohmann::json;
 
-constexpr int kWorkers = 10;
-// As the site files have it: srv_crash, share 0.14, for_s 4.5.
-constexpr int kDownMs = 3000;
-constexpr int kUpMs = 400;  ///< From the start of its task to the next crash.
-constexpr int kCrashes = 8;
-const char* const kJob = "c000000000000001";
-const char* const kPath = "/jobs/c000000000000001";
+constexpr int kWorkers = 7;
+const char* const kLast = "w7";
+// As the site files have it: applied_late, "carried out 2 to 12 s later";
+// node_kill, count 1, for_s 3.5; node_cut of servers, for_s 5.5, "reborn".
+constexpr int kLateMs = 6000;
+constexpr int kNodeDownMs = 3000;
+constexpr int kCutAfterMs = 4000;
+constexpr int kCutMs = 5500;
+constexpr int kDownMs = 500;
 
-// Each task takes a whole executor and runs until it is stopped.
-std::string LastingJob() {
-  const Json step = {{"count", kWorkers},
-                     {"cpu", 4000},
-                     {"mem_mb", 4000},
-                     {"est_ms", 400},
-                     {"long_running", true}};
-  return Json{{"spec", std::string(kJob) + ";0,0,0"}, {"steps", {step}}}.dump();
+std::string Job(const std::string& spec, int count, int processors) {
+  const Json step = {
+      {"count", count}, {"cpu", processors}, {"mem_mb", 512}, {"est_ms", 1000}};
+  return Json{{"spec", spec}, {"steps", {step}}}.dump();
 }
 
-struct Case {
-  Site m_site;
-  std::string m_state;
-};
+bool Begin(Site& site) {
+  if (!StartStore(site) || !StartWorkers(site, kWorkers, true)) return false;
+  PutConfiguration(site);
+  for (const char* name : {"n1", "n2", "n3"}) AddNode(site, name);
+  for (Node& node : site.m_nodes) StartNode(site, node);
+  if (!WaitUntilReady(site, 20)) return false;
+  for (int tries = 0; tries < 100 && LeaderOf(site) < 0; ++tries) Sleep(100);
+  return LeaderOf(site) >= 0;
+}
 
-void AskState(Case& play) {
-  Site& site = play.m_site;
-  Node& node = site.m_nodes[1];
-  const Answer answer = Ask(node.m_callers, "GET", kPath, "", 2000);
-  play.m_state = StateOf(answer);
-  Note(site, "GET " + std::string(kJob) + " at " + node.m_name + " -> " +
-                 std::to_string(answer.m_status) + " " + play.m_state);
+bool Submit(Site& site, const Node& node, const std::string& id,
+            const std::string& body) {
+  const Answer answer = Ask(node.m_callers, "POST", "/jobs/" + id, body, 3000);
+  Note(site, "POST " + id + " at " + node.m_name + " -> " +
+                 std::to_string(answer.m_status));
+  return answer.m_status == 200;
 }
 
-std::size_t StartsOnFirst(Case& play) {
-  std::size_t starts = 0;
-  for (const Run& run : ReadRuns(play.m_site).m_runs) {
-    if (run.m_worker == "w1") ++starts;
-  }
-  return starts;
+void Tell(Site& site, const char* path, const char* key, int value) {
+  Note(site, std::string("link of ") + kLast + ": " + path + " " +
+                 std::to_string(value) + " ms");
+  Ask(site.m_links["control"], "POST", path,
+      Json{{"link", kLast}, {key, value}}.dump(), 1000);
 }
 
-// Returns whether the executor has got a task again within 25 s.
-bool AwaitStart(Case& play, std::size_t before) {
-  for (int tries = 0; tries < 500; ++tries) {
-    if (StartsOnFirst(play) > before) return true;
-    if (tries % 40 == 39) AskState(play);
-    if (play.m_state == "failed") return false;
-    Sleep(50);
+bool AwaitHeldStart(Site& site) {
+  for (int tries = 0; tries < 200; ++tries) {
+    const Answer answer = Ask(site.m_links["control"], "POST", "/held",
+                              Json{{"link", kLast}}.dump(), 1000);
+    if (answer.m_body.find("true") != std::string::npos) return true;
+    Sleep(10);
   }
   return false;
 }
 
-// The executor crashes again and again, soon after it has taken up its task.
-void CrashRepeatedly(Case& play) {
-  Site& site = play.m_site;
-  for (int crash = 0; crash < kCrashes && Seconds(site) < 70; ++crash) {
-    const std::size_t starts = StartsOnFirst(play);
-    Note(site,
-         "executor w1 crashes, down for " + std::to_string(kDownMs) + " ms");
-    Ask(site.m_workers["control"], "POST", "/restart",
-        Json{{"worker", "w1"}, {"down_ms", kDownMs}}.dump(), 1000);
-    if (!AwaitStart(play, starts)) return;
-    Sleep(kUpMs);
-    AskState(play);
-    if (play.m_state == "failed") return;
+// Returns whether two runs of one task overlap on executors that are up.
+bool HasTwoRuns(Site& site) {
+  const Runs runs = ReadRuns(site);
+  bool has_two = false;
+  for (std::size_t first = 0; first < runs.m_runs.size(); ++first) {
+    for (std::size_t second = first + 1; second < runs.m_runs.size();
+         ++second) {
+      const Run& left = runs.m_runs[first];
+      const Run& right = runs.m_runs[second];
+      if (left.m_task != right.m_task || right.m_begin >= left.m_end) continue;
+      has_two = true;
+      Note(site, left.m_task + ": run " + std::to_string(left.m_run) + " on " +
+                     left.m_worker + " from " + std::to_string(left.m_begin) +
+                     " to " + std::to_string(left.m_end) + ", run " +
+                     std::to_string(right.m_run) + " on " + right.m_worker +
+                     " from " + std::to_string(right.m_begin) + " to " +
+                     std::to_string(right.m_end));
+    }
   }
+  return has_two;
 }
 
-bool Begin(Case& play) {
-  Site& site = play.m_site;
-  if (!StartStore(site) || !StartWorkers(site, kWorkers)) return false;
-  PutConfiguration(site);
-  for (const char* name : {"n1", "n2", "n3"}) AddNode(site, name);
-  for (Node& node : site.m_nodes) StartNode(site, node);
-  if (!WaitUntilReady(site, 20)) return false;
-  for (int tries = 0; tries < 100 && LeaderOf(site) < 0; ++tries) Sleep(100);
-  return LeaderOf(site) >= 0;
-}
-
-int Play(Case& play) {
-  Site& site = play.m_site;
-  if (!Begin(play)) return 2;
-  const Answer answer =
-      Ask(site.m_nodes[0].m_callers, "POST", kPath, LastingJob(), 3000);
-  Note(site, "POST " + std::string(kJob) + " at n1 -> " +
-                 std::to_string(answer.m_status));
-  if (answer.m_status != 200) return 2;
-  Sleep(8000);
-  AskState(play);
-  if (play.m_state != "running" && play.m_state != "queued") return 2;
-  if (!IsCalm()) CrashRepeatedly(play);
-  Sleep(10000);
-  AskState(play);
-  int failed_ends = 0;
-  for (const Run& run : ReadRuns(site).m_runs) {
-    if (run.m_how == "failed") ++failed_ends;
+int Play(Site& site) {
+  if (!Begin(site)) return 2;
+  Sleep(3000);
+  const int leader = LeaderOf(site);
+  Node& leading = site.m_nodes[static_cast<std::size_t>(leader)];
+  const Node& other = site.m_nodes[static_cast<std::size_t>(leader + 1) % 3];
+  // All executors but the last are full for a moment.
+  if (!Submit(site, other, "b000000000000001",
+              Job("fill;1500,0,0", kWorkers - 1, 4000))) {
+    return 2;
+  }
+  Sleep(300);
+  if (!IsCalm()) Tell(site, "/late", "ms", kLateMs);
+  if (!Submit(site, other, "c000000000000001",
+              Job("victim;24000,0,0", 1, 2000))) {
+    return 2;
+  }
+  if (!IsCalm()) {
+    if (!AwaitHeldStart(site)) return 2;
+    KillNode(site, leading, SIGKILL);
+    Sleep(kNodeDownMs);
+    StartNode(site, leading);
+    Sleep(kCutAfterMs - kNodeDownMs);
+    Tell(site, "/cut", "for_ms", kCutMs);
+    Note(site, std::string(kLast) + " crashes and starts again");
+    Ask(site.m_workers["control"], "POST", "/restart",
+        Json{{"worker", kLast}, {"down_ms", kDownMs}}.dump(), 1000);
   }
-  Note(site, "runs that ended failed: " + std::to_string(failed_ends));
-  if (failed_ends > 0) return 2;
-  return play.m_state == "failed" || play.m_state == "canceled" ? 1 : 0;
+  Sleep(15000);
+  return HasTwoRuns(site) ? 1 : 0;
 }
 
 }  // namespace
 }  // namespace review
 
 int main(int count, char** words) {
-  review::Case play;
-  if (!review::OpenSite(play.m_site, count, words)) return 2;
-  const int result = review::Play(play);
-  review::NoteRuns(play.m_site);
-  review::EndSite(play.m_site);
-  review::Note(play.m_site, "result " + std::to_string(result));
+  review::Site site;
+  if (!review::OpenSite(site, count, words)) return 2;
+  const int result = review::Play(site);
+  review::NoteRuns(site);
+  review::EndSite(site);
+  review::Note(site, "result " + std::to_string(result));
   return result;
 }
--- a/review/standins-3/case_site.cc
+++ b/review/standins-3/case_site.cc
@@ -128,7 +128,21 @@
   return StartStandin(site, "paged_store", {}, 2, site.m_store);
 }
 
-bool StartWorkers(Site& site, int count) {
+namespace {
+
+bool StartLinks(Site& site, int count) {
+  std::vector<std::string> words;
+  for (int number = 1; number <= count; ++number) {
+    const std::string name = "w" + std::to_string(number);
+    words.push_back(name + "=" + std::to_string(site.m_workers[name]));
+  }
+  return StartStandin(site, "late_proxy", words,
+                      static_cast<std::size_t>(count) + 1, site.m_links);
+}
+
+}  // namespace
+
+bool StartWorkers(Site& site, int count, bool has_links) {
   const bool has_started =
       StartStandin(site, "site_worker_standin",
                    {"--workers=" + std::to_string(count),
@@ -136,13 +150,15 @@
                     "--store=" + Local(site.m_store["control"])},
                    static_cast<std::size_t>(count) + 1, site.m_workers);
   if (!has_started) return false;
+  if (has_links && !StartLinks(site, count)) return false;
   for (int number = 1; number <= count; ++number) {
     const std::string name = "w" + std::to_string(number);
+    const Ports& ports = has_links ? site.m_links : site.m_workers;
     Ask(site.m_workers["control"], "POST", "/begin",
         Json{{"worker", name},
              {"id", name},
              {"zone", "zone-a"},
-             {"address", Local(site.m_workers[name])}}
+             {"address", Local(ports.at(name))}}
             .dump(),
         2000);
   }
--- a/review/standins-3/case_site.h
+++ b/review/standins-3/case_site.h
@@ -35,6 +35,7 @@
   Clock::time_point m_began_at = Clock::now();
   Ports m_store;
   Ports m_workers;
+  Ports m_links;  ///< Of the proxy, if there is one.
   std::vector<pid_t> m_standins;
   std::vector<Node> m_nodes;
   std::string m_memory_mb = "260";
@@ -57,8 +58,9 @@
                   const std::vector<std::string>& words, std::size_t ports,
                   Ports& found);
 bool StartStore(Site& site);
-/// Starts the project's stand-in of the workers and lets them begin.
-bool StartWorkers(Site& site, int count);
+/// Starts the project's stand-in of the workers and lets them begin; with
+/// links, a proxy stands between the nodes and each of them.
+bool StartWorkers(Site& site, int count, bool has_links = false);
 /// Writes the configuration, as the operator does.
 void PutConfiguration(Site& site);
 void AddNode(Site& site, const std::string& name);
