fleet: Store each start before it leaves

A leader ended with a start in flight, the worker answered the next leader, and its next process carried the start out behind a cut.

Cause: a leader stored that a start may take effect late only once its answer had timed out. The next leader knew of none, and took the report of the worker's present process for proof that nothing could begin there.

Evidence: the next leader starts run 1048577 on w1 while run 1 is on its way to w7, and its record knows of no run of the task.

A start leaves only once it is named there. The next leader takes each over as an unanswered start of its own: the task stays with that worker, and is sent there again under the same run number.

Weighed: rows of progress before each start, a wait of 12 s after each takeover, an item for each start.

--- a/libraries/decisions/fleet/ended_runs.cc
+++ b/libraries/decisions/fleet/ended_runs.cc
@@ -5,6 +5,7 @@
 #include "decisions/fleet/late_start.h"
 #include "decisions/fleet/learn_run_times.h"
 #include "decisions/fleet/occurrences.h"
+#include "decisions/fleet/start_journal.h"
 
 namespace daisyarch::fleet {
 
@@ -130,6 +131,7 @@
   if (!is_present) {
     return ApplySupersededEnd(fleet, job, task, worker, ended, now);
   }
+  ConfirmJournaledStart(fleet, worker, job, task, ended.m_task);
   // Its start may have no answer yet.
   task.m_start_confirmation = StartConfirmation::kConfirmed;
   RecordCheckpoint(job, task, ended.m_task, ended.m_checkpoint);
--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -64,6 +64,7 @@
   std::string m_payload;
   std::string m_checkpoint;
   TimePoint m_sent_at{};  ///< See Task::m_start_sent_at.
+  bool m_is_resent = false;  ///< An earlier order may start the same run.
 };
 
 /// Stops one run of a task.
--- a/libraries/decisions/fleet/fleet_task.h
+++ b/libraries/decisions/fleet/fleet_task.h
@@ -86,6 +86,9 @@
   std::int64_t m_inherited_late_start_unix_ms = 0;
   LateStartClock m_late_start_clock;
   Term m_late_start_term;           ///< Of the leader that sent the order.
+  /// That order is the only one for the task's run, so that a report of the run
+  /// shows that the order has taken effect.
+  bool m_has_single_order = false;
   TimePoint m_over_target_since{};  ///< 0: tail latency is within its target.
   TimePoint m_limit_changed_at{};
   TimePoint m_stop_sent_at{};
--- a/libraries/decisions/fleet/late_start.cc
+++ b/libraries/decisions/fleet/late_start.cc
@@ -26,18 +26,6 @@
   return task.m_start_sent_at + LongestEffectDelay(limits);
 }
 
-// Returns what the clock of the task's worker reads at `until`. It advances no
-// faster than the leader's, and the next one begins after the last answer.
-LateStartClock ClockAt(Fleet& fleet, const WorkerId& id, TimePoint until) {
-  const Worker* worker = FindWorker(fleet, id);
-  if (worker == nullptr) return {};
-  if (worker->m_clock_began_after == TimePoint()) return {};
-  const WorkerMilliseconds clock =
-      WorkerMilliseconds(ToMilliseconds(until - worker->m_clock_began_after)) +
-      kRounding;
-  return {worker->m_listing.m_incarnation, clock, clock - worker->m_clock};
-}
-
 // Returns how long the worker's clock has to run on until it shows that the
 // late start is over; max() if it cannot show that. A leader's polls reach no
 // incarnation before the one that the row of an earlier leader names.
@@ -79,6 +67,19 @@
   return limits.m_longest_order_delay + kTransitSlack;
 }
 
+// The clock advances no faster than the leader's, and that of the next
+// incarnation begins after the last answer.
+LateStartClock LateStartClockAt(Fleet& fleet, const WorkerId& id,
+                                TimePoint until) {
+  const Worker* worker = FindWorker(fleet, id);
+  if (worker == nullptr) return {};
+  if (worker->m_clock_began_after == TimePoint()) return {};
+  const WorkerMilliseconds clock =
+      WorkerMilliseconds(ToMilliseconds(until - worker->m_clock_began_after)) +
+      kRounding;
+  return {worker->m_listing.m_incarnation, clock, clock - worker->m_clock};
+}
+
 // An order that is not its task's latest keeps a time of its own, so that its
 // outcome is not taken for that of the latest one.
 void RecordStartSent(Fleet& fleet, StartOrder& order, TimePoint now) {
@@ -108,7 +109,7 @@
   const TimePoint until = LatestEffectOf(fleet.m_limits, task);
   if (until >= task.m_late_start_until) {
     task.m_late_start_until = until;
-    task.m_late_start_clock = ClockAt(fleet, task.m_worker, until);
+    task.m_late_start_clock = LateStartClockAt(fleet, task.m_worker, until);
   }
   task.m_late_start_worker = task.m_worker;
   task.m_late_start_term = fleet.m_term;
@@ -281,6 +282,19 @@
   found->second.m_inherited = std::move(left);
 }
 
+void ForgetInheritedLateStart(Fleet& fleet, const Worker& worker,
+                              const TaskReference& reference) {
+  const auto found = fleet.m_late_starts.find(worker.m_listing.m_worker);
+  if (found == fleet.m_late_starts.end()) return;
+  std::vector<InheritedLateStart>& inherited = found->second.m_inherited;
+  inherited.erase(
+      std::remove_if(inherited.begin(), inherited.end(),
+                     [&reference](const InheritedLateStart& late_start) {
+                       return late_start.m_task == reference;
+                     }),
+      inherited.end());
+}
+
 void ForgetLateStarts(Fleet& fleet, TimePoint now) {
   auto& starts = fleet.m_late_starts;
   for (auto next = starts.begin(); next != starts.end();) {
--- a/libraries/decisions/fleet/late_start.h
+++ b/libraries/decisions/fleet/late_start.h
@@ -29,6 +29,9 @@
 /// Dates a start that is now handed to a connection or to a relay's call.
 /// Its age, and that of its task's latest start, count from this.
 void RecordStartSent(Fleet& fleet, StartOrder& order, TimePoint now);
+/// Returns what the clock of the worker reads at `until`.
+LateStartClock LateStartClockAt(Fleet& fleet, const WorkerId& id,
+                                TimePoint until);
 /// Returns until when an order may start the task although no answer to it is
 /// awaited any more; a time in the past if there is none.
 TimePoint LateStartUntil(const FleetLimits& limits, const Task& task);
@@ -68,6 +71,9 @@
 /// while an order may start one of its tasks again.
 void RestoreLateStartOfEndedJob(Fleet& fleet, const TaskProgress& stored,
                                 const JobKey& job);
+/// Forgets an inherited late start at the worker that has taken effect.
+void ForgetInheritedLateStart(Fleet& fleet, const Worker& worker,
+                              const TaskReference& reference);
 /// Records what a report shows of the worker's clock.
 void RecordClock(Worker& worker, const WorkerReport& report, TimePoint now);
 /// Does so for a worker that has restarted and not told its clock yet.
--- a/libraries/decisions/fleet/place_runs.cc
+++ b/libraries/decisions/fleet/place_runs.cc
@@ -24,7 +24,7 @@
 
 void AddStartOrder(PlacementPass& pass, const Job& job,
                    const TaskReference& reference, Worker& worker,
-                   const Task& task) {
+                   const Task& task, bool is_resent) {
   OutrankAcknowledgement(pass.m_fleet, worker);
   worker.m_unanswered_starts.insert(reference);
   const WorkerMilliseconds until =
@@ -33,7 +33,7 @@
   pass.m_fleet.m_orders.push_back(StartOrder{
       worker.m_listing.m_worker, worker.m_listing.m_incarnation, reference,
       task.m_run, worker.m_token, until, job.m_plan.m_payload,
-      task.m_checkpoint, task.m_start_sent_at});
+      task.m_checkpoint, task.m_start_sent_at, is_resent});
 }
 
 void Start(PlacementPass& pass, Job& job, const TaskReference& reference,
@@ -61,9 +61,10 @@
   task.m_start_confirmation = StartConfirmation::kPending;
   task.m_start_sent_at = pass.m_now;
   task.m_started_at = task.m_unconfirmed_until = TimePoint();
+  task.m_has_single_order = false;
   MarkProgressChanged(job, reference);
   StepTask(pass.m_fleet, job, reference, RunEvent::kPlaced);
-  AddStartOrder(pass, job, reference, worker, task);
+  AddStartOrder(pass, job, reference, worker, task, false);
 }
 
 // The capacity of a task that must not move is reserved. A worker may have
@@ -95,8 +96,9 @@
     task->m_start_confirmation = StartConfirmation::kPending;
     task->m_start_sent_at = pass.m_now;
     task->m_started_at = TimePoint();
+    task->m_has_single_order = false;
     StepTask(fleet, *job, reference, RunEvent::kResent);
-    AddStartOrder(pass, *job, reference, *worker, *task);
+    AddStartOrder(pass, *job, reference, *worker, *task, true);
   }
 }
 
--- a/libraries/decisions/fleet/reports.cc
+++ b/libraries/decisions/fleet/reports.cc
@@ -7,6 +7,7 @@
 #include "decisions/fleet/fleet.h"
 #include "decisions/fleet/late_start.h"
 #include "decisions/fleet/occurrences.h"
+#include "decisions/fleet/start_journal.h"
 
 namespace daisyarch::fleet {
 
@@ -87,6 +88,7 @@
     }
     CheckAdoptedLimit(task, step, active);
   }
+  ConfirmJournaledStart(fleet, worker, job, task, active.m_task);
   if (task.m_start_confirmation != StartConfirmation::kConfirmed) {
     RecordStart(fleet, job, task, active.m_task, now);
   }
--- a/libraries/decisions/fleet/start_answer.cc
+++ b/libraries/decisions/fleet/start_answer.cc
@@ -22,14 +22,15 @@
 
 // The later incarnation has clipped the order's deadline to the longest lease,
 // and may take other orders to the former one until these are too late.
-void ApplyStartAnswer(Fleet& fleet, const StartOrder& order,
-                      const StartAnswer& answer, TimePoint now) {
+StartOutcome ApplyStartAnswer(Fleet& fleet, const StartOrder& order,
+                              const StartAnswer& answer, TimePoint now) {
   const Worker* worker = FindWorker(fleet, order.m_worker);
   const bool is_in_doubt =
       answer.m_outcome == StartOutcome::kStarted && worker != nullptr &&
       MayComeFromLaterIncarnation(*worker, order, answer, now);
   if (!is_in_doubt) {
-    return ApplyStartOutcome(fleet, order, answer.m_outcome, now);
+    ApplyStartOutcome(fleet, order, answer.m_outcome, now);
+    return answer.m_outcome;
   }
   fleet.m_events.push_back(
       {"start_answered_after_restart", order.m_task.m_job, order.m_worker,
@@ -37,6 +38,7 @@
   Job* job = FindJob(fleet, order.m_task.m_job);
   if (job != nullptr) RecordJobStart(fleet, *job);
   ApplyStartOutcome(fleet, order, StartOutcome::kUnanswered, now);
+  return StartOutcome::kUnanswered;
 }
 
 }  // namespace daisyarch::fleet
--- a/libraries/decisions/fleet/start_answer.h
+++ b/libraries/decisions/fleet/start_answer.h
@@ -14,7 +14,8 @@
 
 /// Applies the answer. If it may come from a later incarnation of the worker
 /// than the one that the order was meant for, the order counts as unanswered.
-void ApplyStartAnswer(Fleet& fleet, const StartOrder& order,
-                      const StartAnswer& answer, TimePoint now);
+/// Returns the outcome that was applied.
+StartOutcome ApplyStartAnswer(Fleet& fleet, const StartOrder& order,
+                              const StartAnswer& answer, TimePoint now);
 
 }  // namespace daisyarch::fleet
--- a/libraries/wire/fleet_fields.h
+++ b/libraries/wire/fleet_fields.h
@@ -4,6 +4,7 @@
 #include "decisions/fleet/learned_effects.h"
 #include "decisions/fleet/learned_run_times.h"
 #include "decisions/fleet/roster.h"
+#include "decisions/fleet/start_journal.h"
 #include "wire/placement_fields.h"
 
 namespace daisyarch {
@@ -88,6 +89,27 @@
   visit.Optional("late_start_term", task.m_late_start_term);
 }
 
+template <typename Visitor>
+void VisitFields(Visitor& visit, JournaledStart& start) {
+  visit("job", start.m_task.m_job);
+  visit("occurrence", start.m_task.m_occurrence);
+  visit("step", start.m_task.m_step);
+  visit("index", start.m_task.m_index);
+  visit("run", start.m_run);
+  visit("worker", start.m_worker);
+  visit("incarnation", start.m_clock.m_incarnation);
+  visit("clock_ms", start.m_clock.m_until);
+  visit("restarted_clock_ms", start.m_clock.m_until_if_restarted);
+  visit("resent", start.m_is_resent);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& visit, StartJournal& journal) {
+  visit("term", journal.m_term);
+  visit("until_unix_ms", journal.m_until_unix_ms);
+  visit("starts", journal.m_starts);
+}
+
 template <typename Visitor>
 void VisitFields(Visitor& visit, Handover& handover) {
   visit("term", handover.m_term);
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -213,6 +213,20 @@
          loaded.m_next_job == jobs.size();
 }
 
+void FinishLoad(const LeaderPointer& leader,
+                const std::function<void()>& on_loaded) {
+  leader->m_is_loaded = true;
+  leader->m_loaded_at = Now(*leader);
+  StartWorkersWatch(leader);
+  StartEvacuationsWatch(leader);
+  StartRelays(leader);
+  LoadEffects(leader);
+  on_loaded();
+  TickWatch(leader->m_workers_watch, leader->m_runtime.m_store,
+            leader->m_runtime.m_clock.m_now);
+  TickEvacuationsWatch(leader);
+}
+
 void LoadRoster(const LeaderPointer& leader, std::function<void()> on_loaded) {
   const std::weak_ptr<Leader> weak = leader;
   leader->m_runtime.m_store.m_list(
@@ -232,16 +246,11 @@
                             DecodeRosterEntry(worker, item.m_value),
                             inherited_runs_until);
         }
-        self->m_is_loaded = true;
-        self->m_loaded_at = Now(*self);
-        StartWorkersWatch(self);
-        StartEvacuationsWatch(self);
-        StartRelays(self);
-        LoadEffects(self);
-        on_loaded();
-        TickWatch(self->m_workers_watch, self->m_runtime.m_store,
-                  self->m_runtime.m_clock.m_now);
-        TickEvacuationsWatch(self);
+        LoadStarts(self, [weak, on_loaded] {
+          if (const LeaderPointer loaded = weak.lock()) {
+            FinishLoad(loaded, on_loaded);
+          }
+        });
       });
 }
 
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -11,6 +11,7 @@
 #include "decisions/fleet/job_routes.h"
 #include "decisions/fleet/learned_run_times.h"
 #include "decisions/fleet/roster.h"
+#include "decisions/fleet/start_journal.h"
 #include "fleet/fleet_runtime.h"
 #include "fleet/prefix_watch.h"
 #include "fleet/relay_links.h"
@@ -44,7 +45,26 @@
   std::size_t m_next_change = 0;  ///< Index of the first in no transaction yet.
   /// The transactions that are not applied yet, by m_begin.
   std::map<std::size_t, ProgressTransaction> m_open;
-  bool m_is_failing = false;  ///< The last call got no answer or an error.
+  bool m_is_failing = false;     ///< The last call got no answer or an error.
+  BatchNumber m_last_batch;      ///< The latest that has begun.
+  bool m_is_incomplete = false;  ///< Some of its changes are left to the next.
+};
+
+/// Writes the start journal, one write at a time. Starts leave once it names
+/// them.
+struct StartWriter {
+  OpenStarts m_open;
+  std::vector<StartOrder> m_waiting;  ///< For the next write.
+  std::vector<StartOrder> m_writing;  ///< Named by the write in flight.
+  /// Named by the stored journal, and waiting for a newer listing.
+  std::vector<StartOrder> m_named;
+  bool m_is_in_flight = false;
+  TimePoint m_next_at{};  ///< No write is sent before.
+  TimePoint m_sent_at{};  ///< The latest write.
+  TimePoint m_next_clearing_at{};
+  StoreRevision m_revision;  ///< Of the stored journal.
+  /// The journal of the leader before stays until this batch is stored.
+  BatchNumber m_inherited_batch;
 };
 
 /// Writes what the leader has learned of run times.
@@ -82,6 +102,9 @@
   std::uint64_t m_encoded_rows = 0;   ///< Rows of progress that have changed.
   std::uint64_t m_written_rows = 0;   ///< Rows in the values that were written.
   std::uint64_t m_written_bytes = 0;  ///< Of these values.
+  std::uint64_t m_start_writes = 0;   ///< Of the start journal.
+  std::uint64_t m_written_starts = 0;  ///< That left after such a write.
+  Duration m_start_hold{};  ///< Sum, from their decision until they left.
   Duration m_write_time{};  ///< Spent on taking, encoding and sending them.
 };
 
@@ -114,6 +137,7 @@
   /// Keys of the parts of ended jobs that are still stored.
   std::set<std::string> m_obsolete_parts;
   BatchWriter m_writer;
+  StartWriter m_start_writer;
   TimePoint m_next_write_at{};
   PrefixWatchPointer m_workers_watch;
   PrefixWatchPointer m_evacuations_watch;  ///< Null: there are no evacuations.
@@ -185,6 +209,19 @@
 /// and applies their outcomes.
 void SendOrders(const LeaderPointer& leader);
 
+/// Holds a start back until the start journal names it.
+void HoldStart(Leader& leader, StartOrder order);
+/// Writes the start journal if there is news, and takes starts back that have
+/// waited for too long.
+void WriteStarts(const LeaderPointer& leader);
+/// Reads the start journal of the leader before and takes it over. Jobs and
+/// roster must be loaded.
+void LoadStarts(const LeaderPointer& leader, std::function<void()> on_loaded);
+/// Sends a start that the journal names, directly or through a relay.
+void SendStart(const LeaderPointer& leader, StartOrder order);
+/// Takes a start back that was never sent.
+void WithholdStart(const LeaderPointer& leader, const StartOrder& order);
+
 /// Returns whether a start that was decided on may still leave: in a long turn
 /// the claim may have ended since, or the listing have become too old.
 bool MayStartsLeave(const Leader& leader);
--- a/services/daisyarchd/fleet/leader_orders.cc
+++ b/services/daisyarchd/fleet/leader_orders.cc
@@ -30,7 +30,10 @@
                               ? "refused"
                               : "unanswered"}});
   }
-  ApplyStartAnswer(leader->m_fleet, order, answer, Now(*leader));
+  const StartOutcome applied =
+      ApplyStartAnswer(leader->m_fleet, order, answer, Now(*leader));
+  RecordOpenStartOutcome(leader->m_start_writer.m_open, order, applied,
+                         Next(leader->m_writer.m_last_batch));
 }
 
 // Returns whether this leader has raised the worker's fencing token since it
@@ -162,21 +165,31 @@
   }
 }
 
+void SendStart(const LeaderPointer& leader, StartOrder start) {
+  const std::string address = AddressOf(*leader, start.m_worker);
+  Order order = std::move(start);
+  if (GiveToRelay(*leader, address, order)) return;
+  SendDirectly(leader, address, order);
+}
+
+void WithholdStart(const LeaderPointer& leader, const StartOrder& order) {
+  const Order unsent = order;
+  HandleOrderOutcome(leader, unsent,
+                     UnsentOutcome(unsent, "the start may not leave any more"));
+}
+
 void SendOrders(const LeaderPointer& leader) {
   Fleet& fleet = leader->m_fleet;
   std::vector<Order> orders = std::move(fleet.m_orders);
   fleet.m_orders.clear();
-  if (orders.empty()) return;
+  if (orders.empty()) return WriteStarts(leader);
   const TimePoint began_at = Now(*leader);
   for (Order& order : orders) {
     ++leader->m_load.m_orders[order.index()];
-    if (std::holds_alternative<StartOrder>(order)) {
+    if (auto* start = std::get_if<StartOrder>(&order)) {
       leader->m_runtime.m_metrics->IncrementCounter("daisyarch_starts_total",
                                                     "");
-    }
-    if (std::holds_alternative<StartOrder>(order) && !MayStartsLeave(*leader)) {
-      HandleOrderOutcome(leader, order,
-                         UnsentOutcome(order, "the turn took too long"));
+      HoldStart(*leader, std::move(*start));
       continue;
     }
     const std::string address = AddressOf(*leader, WorkerOf(order));
@@ -184,6 +197,7 @@
       SendDirectly(leader, address, order);
     }
   }
+  WriteStarts(leader);
   leader->m_load.m_order_time += Now(*leader) - began_at;
 }
 
--- a/services/daisyarchd/fleet/progress_writer.cc
+++ b/services/daisyarchd/fleet/progress_writer.cc
@@ -246,6 +246,7 @@
             {"term", leader.m_claim.m_term.value()}});
   change.m_has_ended = false;
   leader.m_writer.m_batch.m_ends.clear();
+  leader.m_writer.m_is_incomplete = true;
   leader.m_next_write_at = Now(leader) + kRejectedWriteDelay;
   Job* job = FindJob(leader.m_fleet, change.m_key);
   if (job == nullptr) return;
@@ -357,6 +358,9 @@
   leader->m_load.m_longest_batch = std::max(leader->m_load.m_longest_batch,
                                             Now(*leader) - writer.m_began_at);
   ApplyStoredBatch(leader->m_fleet, writer.m_batch);
+  if (!writer.m_is_incomplete) {
+    ForgetStoredStarts(leader->m_start_writer.m_open, writer.m_last_batch);
+  }
   writer.m_batch = {};
   RequestSchedulingPass(leader);
 }
@@ -365,6 +369,8 @@
 void BeginBatch(const LeaderPointer& leader) {
   BatchWriter& writer = leader->m_writer;
   writer.m_batch = TakeChanges(leader->m_fleet);
+  writer.m_last_batch = Next(writer.m_last_batch);
+  writer.m_is_incomplete = false;
   writer.m_next_change = 0;
   writer.m_began_at = Now(*leader);
   for (const JobChange& change : writer.m_batch.m_changes) {
--- a/services/daisyarchd/fleet/store_keys.h
+++ b/services/daisyarchd/fleet/store_keys.h
@@ -35,6 +35,10 @@
 /// tasks; see RosterEntry.
 inline const std::string kRosterPrefix = "daisyarch/workers/";
 
+/// The starts of the leader whose outcomes are not stored with their jobs'
+/// progress; see start_journal.h.
+inline const std::string kStartsKey = "daisyarch/starts";
+
 /// The nodes that can be relays, each under its id and bound to a lease.
 inline const std::string kRelayPrefix = "daisyarch/relays/";
 
