fleet: Keep a job that was cancelled before it was stored from running

Cause: a cancellation that found neither the job nor an end of it changed nothing. A submission whose write had no answer is repeated until its deadline, also when its client has left, or is carried out late by the store itself.

Evidence: the job's item is created after the reads of the cancellation; in the record of the case all jobs at fault start within 0.7 s after the 410.

Change: such a cancellation stores a withdrawal, on whose absence each submission depends, and says that there is no such job only once it is stored; 503 or 504 otherwise. A submission that meets it is told 503, with the time until it is forgotten. Withdrawals of a node share writes at a limited rate, the leader removes them after the retention period.

--- a/services/daisyarchd/fleet/fleet_runtime.h
+++ b/services/daisyarchd/fleet/fleet_runtime.h
@@ -10,6 +10,7 @@
 #include "decisions/fleet/relay.h"
 #include "decisions/fleet/start_answer.h"
 #include "decisions/leadership/leadership.h"
+#include "fleet/withdrawals.h"
 #include "metrics/metrics.h"
 #include "platform/store.h"
 #include "settings/site_settings.h"
@@ -77,6 +78,7 @@
   RelayCaller m_call_relay;
   RelayLimits m_relay_limits;
   std::unique_ptr<Metrics> m_metrics = std::make_unique<Metrics>();
+  Withdrawals m_withdrawals;
 };
 
 }  // namespace daisyarch::fleet
--- a/services/daisyarchd/fleet/job_service.cc
+++ b/services/daisyarchd/fleet/job_service.cc
@@ -1,9 +1,11 @@
 #include "fleet/job_service.h"
 
+#include <algorithm>
 #include <memory>
 #include <utility>
 
 #include "fleet/store_keys.h"
+#include "fleet/withdrawals.h"
 #include "log/log.h"
 #include "wire/fleet_fields.h"
 
@@ -135,7 +137,25 @@
   SendWrite(write);
 }
 
-// Without a job item, the job has ended or never existed.
+// The submission may be on its way: a node repeats it without an answer, and
+// the store may carry it out late.
+void CancelMissingJob(const std::shared_ptr<Cancellation>& cancellation) {
+  WithdrawJob(cancellation->m_runtime, cancellation->m_key,
+              cancellation->m_deadline, [cancellation](Withdrawal outcome) {
+                switch (outcome) {
+                  case Withdrawal::kStored:
+                    return cancellation->m_on_answer(Acceptance::kNoSuchJob);
+                  case Withdrawal::kJobFound:
+                    return TryCancel(cancellation);
+                  case Withdrawal::kNotStored:
+                    return cancellation->m_on_answer(Acceptance::kNotRun);
+                  case Withdrawal::kUnknown:
+                    return cancellation->m_on_answer(Acceptance::kUnknown);
+                }
+              });
+}
+
+// Without a job item, the job has ended, or is not stored yet.
 void CancelEndedJob(const std::shared_ptr<Cancellation>& cancellation) {
   ReadStateFromProgress(
       cancellation->m_runtime, cancellation->m_key,
@@ -143,9 +163,8 @@
         if (!state) {
           return cancellation->m_on_answer(AcceptanceOf(state.assume_error()));
         }
-        cancellation->m_on_answer(state.assume_value()
-                                      ? Acceptance::kStored
-                                      : Acceptance::kNoSuchJob);
+        if (!state.assume_value()) return CancelMissingJob(cancellation);
+        cancellation->m_on_answer(Acceptance::kStored);
       });
 }
 
@@ -173,21 +192,35 @@
       });
 }
 
+// A failed condition of a submission means that the job is already stored, has
+// ended, or was withdrawn before any of its writes took effect.
+bool IsWithdrawn(const std::vector<StoredItem>& items, const JobKey& key) {
+  return std::all_of(items.begin(), items.end(),
+                     [&key](const StoredItem& item) {
+                       return item.m_key == WithdrawnItemKey(key);
+                     });
+}
+
 }  // namespace
 
 void AcceptJob(FleetRuntime& runtime, const JobPlan& plan, TimePoint deadline,
                AcceptanceCallback on_answer) {
   StoreTransaction transaction;
-  transaction.m_expectations = {{JobItemKey(plan.m_key), StoreRevision()},
-                                {ProgressItemKey(plan.m_key), StoreRevision()}};
+  transaction.m_expectations = {
+      {JobItemKey(plan.m_key), StoreRevision()},
+      {ProgressItemKey(plan.m_key), StoreRevision()},
+      {WithdrawnItemKey(plan.m_key), StoreRevision()}};
   transaction.m_puts = {
       {JobItemKey(plan.m_key), WriteCbor(Encode(plan)), StoreLeaseId()}};
   auto write = std::make_shared<RepeatedWrite>(RepeatedWrite{
       runtime, std::move(transaction), plan.m_key, deadline, false,
-      [on_answer = std::move(on_answer)](Result<TransactionResult> result) {
+      [key = plan.m_key,
+       on_answer = std::move(on_answer)](Result<TransactionResult> result) {
         if (!result) return on_answer(AcceptanceOf(result.assume_error()));
-        // A failed condition means that the job is already stored.
-        on_answer(Acceptance::kStored);
+        const TransactionResult& outcome = result.assume_value();
+        const bool is_withdrawn =
+            !outcome.m_is_applied && IsWithdrawn(outcome.m_current_items, key);
+        on_answer(is_withdrawn ? Acceptance::kWithdrawn : Acceptance::kStored);
       }});
   SendWrite(write);
 }
--- a/services/daisyarchd/fleet/job_service.h
+++ b/services/daisyarchd/fleet/job_service.h
@@ -11,9 +11,10 @@
 /// Outcome of a submission or a cancellation.
 enum class Acceptance {
   kStored,
-  kNotRun,   ///< Has no effect and never will.
-  kUnknown,  ///< May have taken effect, or may do so later.
-  kNoSuchJob,
+  kNotRun,     ///< Has no effect and never will.
+  kUnknown,    ///< May have taken effect, or may do so later.
+  kNoSuchJob,  ///< None is stored under the key for the retention period.
+  kWithdrawn,  ///< Cancelled before it was stored; it never runs.
 };
 
 using AcceptanceCallback = std::function<void(Acceptance)>;
@@ -28,7 +29,8 @@
                AcceptanceCallback on_answer);
 
 /// Stores the cancellation of a job, with the same retries. kStored also for
-/// a job that has already ended.
+/// a job that has already ended. Without a job, stores that none may be stored
+/// under the key, and says kNoSuchJob.
 void CancelStoredJob(FleetRuntime& runtime, const JobKey& key,
                      TimePoint deadline, AcceptanceCallback on_answer);
 
--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -386,6 +386,7 @@
   WriteDrainedTerm(leader);
   WriteEffects(leader);
   RemoveOldProgress(leader);
+  RemoveOldWithdrawals(leader);
   RequestSchedulingPass(leader);
 }
 
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -80,6 +80,13 @@
   std::uint64_t m_line_count = 0;  ///< Written or dropped.
 };
 
+/// Removes old withdrawals from the store.
+struct WithdrawalRemover {
+  std::vector<std::string> m_old;  ///< Keys of those that are still stored.
+  bool m_is_calling = false;
+  TimePoint m_next_at{};  ///< No call is sent before.
+};
+
 /// What the leader has handled since its last status line, and the time that it
 /// took.
 struct LoopLoad {
@@ -169,6 +176,7 @@
   TimePoint m_next_roster_at{};
   bool m_is_removing = false;
   TimePoint m_next_removal_at{};
+  WithdrawalRemover m_withdrawal_remover;
   bool m_is_pass_requested = false;
   TimePoint m_next_placement_at{};
   LogBudget m_routine_log_budget;
@@ -242,6 +250,8 @@
 /// Removes obsolete parts of progress, and the progress of jobs whose retention
 /// period is over.
 void RemoveOldProgress(const LeaderPointer& leader);
+/// Removes the withdrawals whose retention period is over; see withdrawals.h.
+void RemoveOldWithdrawals(const LeaderPointer& leader);
 /// Writes the fleet's events to the metrics and, at a limited rate, to the
 /// log.
 void LogFleetEvents(Leader& leader);
--- a/services/daisyarchd/fleet/store_keys.h
+++ b/services/daisyarchd/fleet/store_keys.h
@@ -39,6 +39,10 @@
 /// progress; see start_journal.h.
 inline const std::string kStartsKey = "daisyarch/starts";
 
+/// Keys under which no job may be stored, as a cancellation has found none, and
+/// the Unix time in ms of that; see withdrawals.h.
+inline const std::string kWithdrawnPrefix = "daisyarch/withdrawn/";
+
 /// The nodes that can be relays, each under its id and bound to a lease.
 inline const std::string kRelayPrefix = "daisyarch/relays/";
 
@@ -52,6 +56,10 @@
   return kProgressPrefix + key.value();
 }
 
+inline std::string WithdrawnItemKey(const JobKey& key) {
+  return kWithdrawnPrefix + key.value();
+}
+
 /// Returns the key of one part of a job's progress; part 0 is the item above.
 inline std::string ProgressPartKey(const JobKey& key, ProgressPart part) {
   if (part == ProgressPart()) return ProgressItemKey(key);
--- a/tests/platform/ingress_test.cc
+++ b/tests/platform/ingress_test.cc
@@ -102,6 +102,28 @@
   CHECK(StatusOf(site, "/unknown/") == 404);
 }
 
+// Guards against a submission that is told to come back soon, or that the job is
+// accepted, although its cancellation has found no job and was acknowledged.
+TEST_CASE("A job that was cancelled before it was accepted is refused") {
+  fleet::FakeSite site(1);
+  site.m_routes = fleet::MakeTestRoutes();
+  fleet::AddSiteNode(site, "n0");
+  RunFor(site.m_loop, std::chrono::seconds(2));
+  HttpRequest cancellation = MakeSubmission();
+  cancellation.m_method = "DELETE";
+  HttpResponse answer;
+  const auto record = [&answer](const HttpResponse& given) { answer = given; };
+  HandleJobRequest(*site.m_nodes.front()->m_node, cancellation, record);
+  RunFor(site.m_loop, std::chrono::milliseconds(100));
+  CHECK(answer.m_status == 410);
+  HandleJobRequest(*site.m_nodes.front()->m_node, MakeSubmission(), record);
+  RunFor(site.m_loop, std::chrono::milliseconds(100));
+  CHECK(answer.m_status == 503);
+  // The retention period of the site and its slack.
+  CHECK(FindHeader(answer.m_headers, "Retry-After") == "630");
+  CHECK(StatusOf(site, "/batch/0123456789abcdef") == 410);
+}
+
 // When the store has not answered for seconds, a submission must not wait for a
 // write that would time out: it is refused with 503 before anything is sent.
 TEST_CASE("A job is refused at once while the store is unreachable") {
