fleet: Learn of cancellations before a new leader starts anything

Cause: a leader lists the jobs, then loads their progress and the roster, and places tasks as soon as workers have reported. Its watch on the jobs is asked for the first time after that, so a cancellation since the list was unknown.

Change: nothing is placed before the first answer of that watch to a call sent after loading. The first call returns at once. A takeover takes no longer where the store answers, since the workers are polled meanwhile.

Test: "A job that is cancelled while a leader loads is not started" fails with 2 of 5 checks without the condition (the job's tasks start 4 s after the cancellation, and it ends as completed), and passes with it.

--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -18,6 +18,8 @@
 
 // A page can be 1 MB, whose transfer alone takes 0.8 s at 10 Mbit/s.
 constexpr Duration kLoadTimeout = std::chrono::seconds(3);
+constexpr Duration kFirstJobsWait = std::chrono::milliseconds(1);
+constexpr Duration kJobsWait = std::chrono::milliseconds(2000);
 // The gap between ticks is averaged over about this many.
 constexpr int kGapSamples = 4;
 // One turn of the loop decodes this much at most, but one job at least.
@@ -89,7 +91,13 @@
   watch->m_prefix = kJobPrefix;
   watch->m_as_of = as_of;
   watch->m_has_listing = true;
+  // The first call only tells what has changed while the leader was loading.
+  watch->m_wait = kFirstJobsWait;
   const std::weak_ptr<Leader> weak = leader;
+  watch->m_on_answer = [weak] {
+    const LeaderPointer self = weak.lock();
+    if (self) self->m_jobs_watch->m_wait = kJobsWait;
+  };
   watch->m_on_listing = [weak](const std::vector<StoredItem>& items) {
     const LeaderPointer self = weak.lock();
     if (!self) return;
@@ -294,6 +302,12 @@
       });
 }
 
+// A job may have been cancelled since the leader read the jobs, and loading the
+// rest takes seconds with a long backlog.
+bool AreCancellationsKnown(const Leader& leader) {
+  return leader.m_jobs_watch->m_known_at >= leader.m_loaded_at;
+}
+
 void RunSchedulingPass(const LeaderPointer& leader) {
   leader->m_is_pass_requested = false;
   ++leader->m_load.m_passes;
@@ -304,6 +318,7 @@
   const TimePoint began_at = Now(*leader);
   leader->m_load.m_tick_time += began_at - ticked_at;
   if (fleet.m_needs_placement && leader->m_has_worker_listing &&
+      AreCancellationsKnown(*leader) &&
       began_at >= leader->m_next_placement_at && leader->m_may_start_runs()) {
     has_unfinished_pass = PlaceRuns(fleet, began_at);
     leader->m_load.m_placement_time += Now(*leader) - began_at;
