--- a/libraries/decisions/fleet/late_start.cc
+++ b/libraries/decisions/fleet/late_start.cc
@@ -39,9 +39,10 @@
   return until - report.m_clock;
 }
 
-// Returns a time by which a leader had sent what its rows tell of. It stores
-// nothing once a later one has claimed leadership.
-TimePoint SentBefore(const Fleet& fleet, Term term) {
+// Returns a time by which a leader had decided on the starts that its rows and
+// its journal tell of. It stores nothing once a later one has claimed
+// leadership.
+TimePoint DecidedBefore(const Fleet& fleet, Term term) {
   if (term == Term()) return fleet.m_ticked_at;
   const auto later = fleet.m_terms_seen_at.upper_bound(term);
   return later == fleet.m_terms_seen_at.end()
@@ -128,6 +129,7 @@
   task.m_inherited_late_start_unix_ms = 0;
   task.m_late_start_clock = LateStartClock();
   task.m_late_start_term = Term();
+  task.m_has_single_order = false;
 }
 
 // The deadline of the order is no bound: a worker that restarts accepts one
@@ -197,14 +199,15 @@
 // The time of day of the node that stored the time may differ from this one's,
 // in either direction.
 void RestoreLateStart(Fleet& fleet, const TaskProgress& stored,
-                      const TaskReference& reference, Task& task) {
+                      const TaskReference& reference, Task& task,
+                      Duration hold) {
   if (stored.m_late_start_until_unix_ms == 0) return;
   const TimePoint by_time_of_day =
       TimePoint(FromMilliseconds(stored.m_late_start_until_unix_ms -
                                  fleet.m_unix_offset_ms)) +
       kMaximumTimeOfDayError;
-  const TimePoint by_term = SentBefore(fleet, stored.m_late_start_term) +
-                            LongestEffectDelay(fleet.m_limits);
+  const TimePoint by_term = DecidedBefore(fleet, stored.m_late_start_term) +
+                            LongestEffectDelay(fleet.m_limits) + hold;
   const TimePoint until = std::min(by_time_of_day, by_term);
   if (until <= fleet.m_ticked_at) return;
   task.m_late_start_until = until;
--- a/libraries/decisions/fleet/late_start.h
+++ b/libraries/decisions/fleet/late_start.h
@@ -20,6 +20,9 @@
 constexpr Duration kMaximumDispatchTime =
     kMaximumRelayedOrderAge + kMaximumConnectTime;
 
+/// A start leaves within this time of its decision, or never.
+constexpr Duration kMaximumStartHold = std::chrono::seconds(2);
+
 /// The times of day of two nodes differ by at most this: each may jump by up to
 /// 5 s.
 constexpr Duration kMaximumTimeOfDayError = std::chrono::seconds(10);
@@ -64,9 +67,11 @@
 /// is passed on as it was read.
 void StoreLateStart(const Task& task, std::int64_t unix_offset_ms,
                     TaskProgress& row);
-/// Takes over what an earlier leader has stored of a late start.
+/// Takes over what an earlier leader has stored of a late start, which has left
+/// within `hold` of that.
 void RestoreLateStart(Fleet& fleet, const TaskProgress& stored,
-                      const TaskReference& reference, Task& task);
+                      const TaskReference& reference, Task& task,
+                      Duration hold = {});
 /// Does so for a job that has ended. Its ends may not be acknowledged either
 /// while an order may start one of its tasks again.
 void RestoreLateStartOfEndedJob(Fleet& fleet, const TaskProgress& stored,
--- a/libraries/decisions/fleet/start_journal.cc
+++ b/libraries/decisions/fleet/start_journal.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 
 #include "decisions/fleet/crash_count.h"
-#include "decisions/fleet/late_start.h"
 #include "decisions/fleet/worker_index.h"
 
 namespace daisyarch::fleet {
@@ -61,7 +60,8 @@
                          task->m_late_start_until > fleet.m_ticked_at;
   task->m_run = start.m_run;
   if (!is_in_row) {
-    RestoreLateStart(fleet, RowOf(journal, start), start.m_task, *task);
+    RestoreLateStart(fleet, RowOf(journal, start), start.m_task, *task,
+                     kMaximumStartHold);
   }
   MarkTaskChanged(fleet, *job, start.m_task);
   const bool is_terminated = job->m_is_cancelled || job->m_has_failed;
@@ -171,7 +171,6 @@
 void ConfirmJournaledStart(Fleet& fleet, Worker& worker, Job& job, Task& task,
                            const TaskReference& reference) {
   if (!task.m_has_single_order) return;
-  task.m_has_single_order = false;
   ForgetLateStart(task);
   ForgetInheritedLateStart(fleet, worker, reference);
   MarkProgressChanged(job, reference);
--- a/libraries/decisions/fleet/start_journal.h
+++ b/libraries/decisions/fleet/start_journal.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "decisions/fleet/fleet.h"
+#include "decisions/fleet/late_start.h"
 
 // A start may take effect seconds after its leader has ended, and also at the
 // worker's next incarnation, which has seen no fencing token. So each start is
@@ -17,8 +18,6 @@
 /// Counts the batches of changes that one leader has begun to store.
 using BatchNumber = StrongId<struct BatchNumberTag, std::uint64_t>;
 
-/// A start leaves within this time of its decision, or never.
-constexpr Duration kMaximumStartHold = std::chrono::seconds(2);
 /// The journal names at most this many starts, so that its value can be written
 /// in time on a slow link.
 constexpr std::size_t kMaximumJournaledStarts = 1024;
--- a/services/daisyarchd/fleet/leader.h
+++ b/services/daisyarchd/fleet/leader.h
@@ -60,6 +60,7 @@
   std::vector<StartOrder> m_named;
   bool m_is_in_flight = false;
   TimePoint m_next_at{};  ///< No write is sent before.
+  TimePoint m_next_check_at{};
   TimePoint m_sent_at{};  ///< The latest write.
   TimePoint m_next_clearing_at{};
   StoreRevision m_revision;  ///< Of the stored journal.
--- a/services/daisyarchd/fleet/leader_starts.cc
+++ b/services/daisyarchd/fleet/leader_starts.cc
@@ -17,9 +17,13 @@
 // that are over do not stay there for long.
 constexpr Duration kClearingInterval = std::chrono::milliseconds(50);
 
+// While the store is silent, held starts are checked this often.
+constexpr Duration kCheckInterval = std::chrono::milliseconds(200);
+
 TimePoint Now(const Leader& leader) { return leader.m_runtime.m_clock.m_now(); }
 
-// Takes the starts back whose tasks or workers have changed.
+// Takes the starts back whose tasks or workers have changed, or that are too
+// old.
 void WithholdOutdated(const LeaderPointer& leader,
                       std::vector<StartOrder>& starts) {
   const TimePoint now = Now(*leader);
@@ -103,6 +107,11 @@
   WriteStarts(leader);
 }
 
+bool IsStored(const Leader& leader, BatchNumber batch) {
+  const BatchNumber last = leader.m_writer.m_last_batch;
+  return batch < last || (batch == last && !leader.m_fleet.m_is_storing);
+}
+
 // The outcomes of starts that left together come one soon after the other.
 bool IsClearingDue(const StartWriter& writer, TimePoint now) {
   if (!writer.m_open.m_is_journal_outdated) return false;
@@ -143,15 +152,14 @@
 void WriteStarts(const LeaderPointer& leader) {
   StartWriter& writer = leader->m_start_writer;
   SendNamed(leader);
-  WithholdOutdated(leader, writer.m_waiting);
-  WithholdOutdated(leader, writer.m_writing);
   const TimePoint now = Now(*leader);
+  if (now >= writer.m_next_check_at) {
+    writer.m_next_check_at = now + kCheckInterval;
+    WithholdOutdated(leader, writer.m_waiting);
+    WithholdOutdated(leader, writer.m_writing);
+  }
   if (writer.m_is_in_flight || now < writer.m_next_at) return;
-  const bool is_inherited_stored =
-      writer.m_inherited_batch <= leader->m_writer.m_last_batch &&
-      !(writer.m_inherited_batch == leader->m_writer.m_last_batch &&
-        leader->m_fleet.m_is_storing);
-  if (!is_inherited_stored) return;
+  if (!IsStored(*leader, writer.m_inherited_batch)) return;
   TakeWaiting(writer);
   if (writer.m_writing.empty()) {
     if (!IsClearingDue(writer, now)) return;
