--- a/libraries/decisions/fleet/fleet.h
+++ b/libraries/decisions/fleet/fleet.h
@@ -63,7 +63,7 @@
   WorkerMilliseconds m_lease_until;
   std::string m_payload;
   std::string m_checkpoint;
-  TimePoint m_sent_at{};  ///< See Task::m_start_sent_at.
+  TimePoint m_sent_at{};     ///< See Task::m_start_sent_at.
   bool m_is_resent = false;  ///< An earlier order may start the same run.
 };
 
--- a/libraries/decisions/fleet/fleet_task.h
+++ b/libraries/decisions/fleet/fleet_task.h
@@ -85,7 +85,7 @@
   /// 0: this leader has sent the order, or there is none.
   std::int64_t m_inherited_late_start_unix_ms = 0;
   LateStartClock m_late_start_clock;
-  Term m_late_start_term;           ///< Of the leader that sent the order.
+  Term m_late_start_term;  ///< Of the leader that sent the order.
   /// That order is the only one for the task's run, so that a report of the run
   /// shows that the order has taken effect.
   bool m_has_single_order = false;
--- a/tests/platform/ingress_test.cc
+++ b/tests/platform/ingress_test.cc
@@ -102,8 +102,8 @@
   CHECK(StatusOf(site, "/unknown/") == 404);
 }
 
-// Guards against a submission that is told to come back soon, or that the job is
-// accepted, although its cancellation has found no job and was acknowledged.
+// Guards against a submission that is told to come back soon, or that the job
+// is accepted, although its cancellation has found no job and was acknowledged.
 TEST_CASE("A job that was cancelled before it was accepted is refused") {
   fleet::FakeSite site(1);
   site.m_routes = fleet::MakeTestRoutes();
