soak: Let impatient callers cancel jobs that got no answer

Change: every third caller whose submission gets no answer cancels its job instead of asking again. Where it is told that there is none, no task of it may ever start, which the check of rejected jobs covers.

--- a/tests/soak/soak_job.h
+++ b/tests/soak/soak_job.h
@@ -16,8 +16,10 @@
   /// Each request for it was rejected, so it must never run.
   bool m_is_rejected = false;
   bool m_is_unsure = false;  ///< A request had no answer.
-  bool m_is_asked = false;   ///< A request for its state is open.
-  std::string m_state;       ///< The last one shown.
+  /// Its caller cancels it then, and does not ask again.
+  bool m_is_impatient = false;
+  bool m_is_asked = false;  ///< A request for its state is open.
+  std::string m_state;      ///< The last one shown.
   TimePoint m_completed_at = TimePoint::max();
   TimePoint m_failed_at = TimePoint::max();
   TimePoint m_canceled_at = TimePoint::max();
--- a/tests/soak/soak_traffic.cc
+++ b/tests/soak/soak_traffic.cc
@@ -12,6 +12,7 @@
 constexpr Duration kRepeatAfter = std::chrono::milliseconds(300);
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusGone = 410;
+constexpr std::size_t kImpatientEvery = 3;
 constexpr std::size_t kAskedAtOnce = 8;
 
 HttpRequest RequestFor(const SoakJob& job, const char* method) {
@@ -43,6 +44,19 @@
   return status == kStatusBadGateway || status == kStatusGatewayTimeout;
 }
 
+// A caller without an answer cancels its job. If there is none, it never runs.
+void GiveUp(SoakSite& site, SoakJob& job) {
+  AnyDaemon(site).Send(RequestFor(job, "DELETE"), kTimeout,
+                       [&site, &job](const Result<HttpResponse>& answer) {
+                         const unsigned status =
+                             answer ? answer.assume_value().m_status : 0;
+                         job.m_is_rejected = status == kStatusGone;
+                         if (status == kStatusGone || status == kStatusOk)
+                           return;
+                         Later(site, [&site, &job] { GiveUp(site, job); });
+                       });
+}
+
 void Send(SoakSite& site, SoakJob& job) {
   HttpRequest request = RequestFor(job, "POST");
   request.m_headers.emplace_back("Content-Type", "application/json");
@@ -52,6 +66,7 @@
       [&site, &job](const Result<HttpResponse>& answer) {
         if (IsUnsure(answer)) {
           job.m_is_unsure = true;
+          if (job.m_is_impatient) return GiveUp(site, job);
           return Later(site, [&site, &job] { Send(site, job); });
         }
         job.m_is_accepted = answer.assume_value().m_status == kStatusOk;
@@ -69,6 +84,7 @@
                 static_cast<unsigned long long>(number));
   SoakJob& job = traffic.m_jobs.emplace_back();
   job.m_job.m_id = id;
+  job.m_is_impatient = traffic.m_jobs.size() % kImpatientEvery == 0;
   return job;
 }
 
