fleet: Revert "Learn of cancellations before a new leader starts anything"

Cause: since a new leader places nothing before the first answer of its watch on the jobs, which was asked for with a wait of 1 ms. The time-out of a watch is its wait and a slack, so a leader that had loaded for 4.4 s on 0.12 cores and a slow link never got that answer.

No other logic changes.

--- a/services/daisyarchd/fleet/leader.cc
+++ b/services/daisyarchd/fleet/leader.cc
@@ -14,12 +14,6 @@
 
 TimePoint Now(const Leader& leader) { return leader.m_runtime.m_clock.m_now(); }
 
-// A job may have been cancelled since the leader read the jobs, and loading the
-// rest takes seconds with a long backlog.
-bool AreCancellationsKnown(const Leader& leader) {
-  return leader.m_jobs_watch->m_known_at >= leader.m_loaded_at;
-}
-
 void RunSchedulingPass(const LeaderPointer& leader) {
   leader->m_is_pass_requested = false;
   ++leader->m_load.m_passes;
@@ -30,7 +24,6 @@
   const TimePoint began_at = Now(*leader);
   leader->m_load.m_tick_time += began_at - ticked_at;
   if (fleet.m_needs_placement && leader->m_has_worker_listing &&
-      AreCancellationsKnown(*leader) &&
       began_at >= leader->m_next_placement_at && leader->m_may_start_runs()) {
     has_unfinished_pass = PlaceRuns(fleet, began_at);
     leader->m_load.m_placement_time += Now(*leader) - began_at;
--- a/services/daisyarchd/fleet/leader_load.cc
+++ b/services/daisyarchd/fleet/leader_load.cc
@@ -15,8 +15,6 @@
 
 // A page can be 1 MB, whose transfer alone takes 0.8 s at 10 Mbit/s.
 constexpr Duration kLoadTimeout = std::chrono::seconds(3);
-constexpr Duration kFirstJobsWait = std::chrono::milliseconds(1);
-constexpr Duration kJobsWait = std::chrono::milliseconds(2000);
 // One turn of the loop decodes this much at most, but one job at least.
 constexpr std::size_t kLoadedItemsPerTurn = 32;
 constexpr std::size_t kLoadedBytesPerTurn = 64UL * 1024;
@@ -86,13 +84,7 @@
   watch->m_prefix = kJobPrefix;
   watch->m_as_of = as_of;
   watch->m_has_listing = true;
-  // The first call only tells what has changed while the leader was loading.
-  watch->m_wait = kFirstJobsWait;
   const std::weak_ptr<Leader> weak = leader;
-  watch->m_on_answer = [weak] {
-    const LeaderPointer self = weak.lock();
-    if (self) self->m_jobs_watch->m_wait = kJobsWait;
-  };
   watch->m_on_listing = [weak](const std::vector<StoredItem>& items) {
     const LeaderPointer self = weak.lock();
     if (!self) return;
